--- /dev/null
+++ b/core/job/job.go
@@ -0,0 +1,92 @@
+// Package job holds the types of a caller's job, its tasks and its answer.
+package job
+
+import (
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
+	"github.com/dogwoodgauge/dogwoodgauge/core/label"
+)
+
+// Limits of one job. Sizes are in bytes.
+const (
+	MaxTasks        = 1500
+	MaxPayloadBytes = 64 << 10
+	MaxBodyBytes    = 8 << 20
+	MaxIDBytes      = 128
+	MaxLabels       = 32
+	MaxTimeout      = 10 * time.Minute
+)
+
+// Class is the priority class of a job.
+type Class string
+
+// The priority classes, most urgent first.
+const (
+	Urgent Class = "urgent"
+	Normal Class = "normal"
+	Batch  Class = "batch"
+)
+
+// Classes lists the classes, most urgent first.
+var Classes = []Class{Urgent, Normal, Batch}
+
+// Task is one unit of work. Payload is opaque.
+type Task struct {
+	Labels  label.Set `json:"labels,omitempty"`
+	Payload []byte    `json:"payload,omitempty"`
+}
+
+// Job is a submission as it travels from the entry to the home.
+type Job struct {
+	ID ID `json:"id"`
+	// Attempt starts at 0. A caller raises it by one to submit the same ID
+	// again after an answer whose kind is retryable.
+	Attempt int    `json:"attempt,omitempty"`
+	Team    string `json:"team"`
+	// Created is the wall-clock time of the first submission in milliseconds
+	// since the Unix epoch, equal on every resubmission.
+	Created int64 `json:"created"`
+	// Timeout is the time that remains until the deadline when the message
+	// that carries the job is sent.
+	Timeout    time.Duration `json:"timeout"`
+	Class      Class         `json:"class,omitempty"`
+	Idempotent bool          `json:"idempotent,omitempty"`
+	Tasks      []Task        `json:"tasks"`
+}
+
+// TaskState says what is known of one task when the job's answer is given.
+type TaskState string
+
+// The states of a task in an answer.
+const (
+	// Done: the task ran and the upstream reported success.
+	Done TaskState = "done"
+	// Failed: the task ran and the upstream reported failure.
+	Failed TaskState = "failed"
+	// NotRun: the task has not started and never will.
+	NotRun TaskState = "not_run"
+	// Running: the task had started; its result is not waited for.
+	Running TaskState = "running"
+	// Unknown: the task may have started.
+	Unknown TaskState = "unknown"
+)
+
+// Answer is the final answer of a job. Results is present only when Kind is
+// errkind.None; it then has one body per task, in the order of the tasks.
+// States is present only when the job failed after it was admitted; it has one
+// state per task.
+type Answer struct {
+	ID      ID           `json:"id"`
+	Attempt int          `json:"attempt,omitempty"`
+	Kind    errkind.Kind `json:"kind,omitempty"`
+	Detail  string       `json:"detail,omitempty"`
+	Results [][]byte     `json:"results,omitempty"`
+	States  []TaskState  `json:"states,omitempty"`
+	// RetryAfter is how long the caller should wait before it submits again.
+	// Zero means that no time is known.
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
+}
+
+// Complete reports whether the answer carries every result.
+func (a *Answer) Complete() bool { return a.Kind == errkind.None }
--- /dev/null
+++ b/core/message/message.go
@@ -0,0 +1,211 @@
+// Package message holds the typed messages that processes of the system send to
+// each other. Every message may be lost, duplicated, delayed or reordered; the
+// receivers in packages home, executor and entry are written for that.
+package message
+
+import (
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+)
+
+// Version is the version of the protocol between processes. A process refuses
+// a peer with another version.
+const Version = 1
+
+// Envelope is the unit of transfer between two processes.
+type Envelope struct {
+	From node.Ref `json:"from"`
+	// To names the run of the process that the sender means. A receiver with
+	// another incarnation drops the envelope and tells the sender.
+	To node.Ref `json:"to"`
+	// Offset is the end of the configuration stream that the sender has
+	// applied: the offset of the next record that it would read.
+	Offset int64 `json:"off,omitempty"`
+	// Load is the sender's load when it runs an executor.
+	Load     *Load     `json:"load,omitempty"`
+	Messages []Message `json:"msgs"`
+}
+
+// Message is a union: exactly one field is set.
+type Message struct {
+	Submit   *Submit   `json:"submit,omitempty"`
+	Fetch    *Fetch    `json:"fetch,omitempty"`
+	Cancel   *Cancel   `json:"cancel,omitempty"`
+	Answer   *Answer   `json:"answer,omitempty"`
+	Pending  *Pending  `json:"pending,omitempty"`
+	NoRecord *NoRecord `json:"norecord,omitempty"`
+	Start    *Start    `json:"start,omitempty"`
+	Abort    *Abort    `json:"abort,omitempty"`
+	Result   *Result   `json:"result,omitempty"`
+	Refused  *Refused  `json:"refused,omitempty"`
+	Started  *Started  `json:"started,omitempty"`
+	Status   *Status   `json:"status,omitempty"`
+	Records  *Records  `json:"records,omitempty"`
+	Handoff  *Handoff  `json:"handoff,omitempty"`
+}
+
+// Submit asks a home to run a job. Request is unique within the entry's
+// incarnation; the Answer repeats it.
+type Submit struct {
+	Request uint64  `json:"req"`
+	Job     job.Job `json:"job"`
+	// Trace is a W3C traceparent value, or empty.
+	Trace string `json:"trace,omitempty"`
+}
+
+// Fetch asks a home for the answer of a job that was submitted before.
+type Fetch struct {
+	Request uint64 `json:"req"`
+	ID      job.ID `json:"id"`
+	Attempt int    `json:"attempt,omitempty"`
+}
+
+// Cancel asks a home to cancel a job. It is answered like a Fetch.
+type Cancel struct {
+	Request uint64 `json:"req"`
+	ID      job.ID `json:"id"`
+	Attempt int    `json:"attempt,omitempty"`
+}
+
+// Answer gives the final answer to one request.
+type Answer struct {
+	Request uint64     `json:"req"`
+	Answer  job.Answer `json:"answer"`
+}
+
+// Pending says that the job of the request is known and not yet final.
+type Pending struct {
+	Request uint64 `json:"req"`
+}
+
+// NoRecord says that the home holds no record of the job of a Fetch or Cancel.
+type NoRecord struct {
+	Request uint64 `json:"req"`
+}
+
+// Start asks an executor to start a task. Seq numbers the tasks that one home
+// incarnation has sent to one executor incarnation, from 1. A repeated Start
+// with the same Seq is a retransmission and never a second start.
+type Start struct {
+	Seq uint64 `json:"seq"`
+	// Floor is the lowest sequence number that is not settled at the home. The
+	// executor refuses every Start below it and forgets what it held below it.
+	Floor   uint64        `json:"floor"`
+	ID      job.ID        `json:"id"`
+	Attempt int           `json:"attempt,omitempty"`
+	Index   int           `json:"i"`
+	Team    string        `json:"team"`
+	Class   job.Class     `json:"class,omitempty"`
+	Timeout time.Duration `json:"timeout"`
+	Task    job.Task      `json:"task"`
+	// Trace is a W3C traceparent value, or empty.
+	Trace string `json:"trace,omitempty"`
+}
+
+// Abort asks an executor not to start a task. The executor answers Refused when
+// the task has not started and never will, and Started when it has.
+type Abort struct {
+	Seq   uint64 `json:"seq"`
+	Floor uint64 `json:"floor"`
+}
+
+// Result reports the end of a task that was started.
+type Result struct {
+	Seq     uint64 `json:"seq"`
+	ID      job.ID `json:"id"`
+	Attempt int    `json:"attempt,omitempty"`
+	Index   int    `json:"i"`
+	// State is job.Done, job.Failed or job.Unknown.
+	State  job.TaskState `json:"state"`
+	Body   []byte        `json:"body,omitempty"`
+	Detail string        `json:"detail,omitempty"`
+}
+
+// RefuseReason says why an executor refused a task.
+type RefuseReason string
+
+// The reasons of a refusal.
+const (
+	RefusedBusy      RefuseReason = "busy"
+	RefusedDraining  RefuseReason = "draining"
+	RefusedNoMatch   RefuseReason = "no_match"
+	RefusedOut       RefuseReason = "domain_out"
+	RefusedStale     RefuseReason = "stale"
+	RefusedSettled   RefuseReason = "settled"
+	RefusedDeadline  RefuseReason = "deadline"
+	RefusedAborted   RefuseReason = "aborted"
+	RefusedBehind    RefuseReason = "sender_behind"
+	RefusedWithdrawn RefuseReason = "upstream_withdrawn"
+)
+
+// Refused proves that the task with this sequence number has not started at
+// the sender and never will, copies in flight included.
+type Refused struct {
+	Seq     uint64       `json:"seq"`
+	ID      job.ID       `json:"id"`
+	Attempt int          `json:"attempt,omitempty"`
+	Index   int          `json:"i"`
+	Reason  RefuseReason `json:"reason"`
+	// RetryAfter is when the executor expects to have room. Zero is unknown.
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
+}
+
+// Started answers a retransmitted Start or an Abort for a task that has been
+// started and has not ended, or (Queued) that waits for a slot.
+type Started struct {
+	Seq    uint64 `json:"seq"`
+	Queued bool   `json:"queued,omitempty"`
+}
+
+// Load is an executor's report of itself.
+type Load struct {
+	// Slots is the number of task slots of the upstreams beside the executor.
+	Slots int `json:"slots"`
+	// Busy is the number of slots in use.
+	Busy int `json:"busy"`
+	// Queued is the number of accepted tasks that wait for a slot.
+	Queued int `json:"queued"`
+	// Service is the observed mean service time of a task.
+	Service time.Duration `json:"service,omitempty"`
+	// Failing is true while most recent tasks have failed.
+	Failing bool `json:"failing,omitempty"`
+	// Draining is true once the process takes no new work.
+	Draining bool `json:"draining,omitempty"`
+}
+
+// Status is the periodic message between processes.
+type Status struct {
+	// LogAge is how long ago the sender's evidence of its Offset began, from a
+	// read of the log. A negative value means that it holds none.
+	LogAge time.Duration `json:"age"`
+	// Query asks the receiver to answer with a Status of its own at once.
+	// Round is repeated in the answer.
+	Query bool   `json:"query,omitempty"`
+	Round uint64 `json:"round,omitempty"`
+	// Upstreams describes the upstreams beside the sender.
+	Upstreams []Upstream `json:"ups,omitempty"`
+}
+
+// Upstream describes one announced upstream.
+type Upstream struct {
+	Name   string            `json:"name"`
+	Labels map[string]string `json:"labels,omitempty"`
+	Slots  int               `json:"slots"`
+}
+
+// Records carries records of the configuration stream to a peer that is
+// behind. Records are consecutive from Offset.
+type Records struct {
+	Offset  int64    `json:"off"`
+	Records [][]byte `json:"recs,omitempty"`
+	// Snapshot, when present, is the folded state before Offset.
+	Snapshot []byte `json:"snap,omitempty"`
+}
+
+// Handoff carries final job records from a home that is leaving.
+type Handoff struct {
+	Home    node.Ref     `json:"home"`
+	Answers []job.Answer `json:"answers"`
+}
