--- /dev/null
+++ b/internal/settings/types.go
@@ -0,0 +1,173 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+)
+
+// Role is the kind of process that a settings file is for.
+type Role string
+
+// The roles.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Size is a number of bytes, written as 512, 64KiB, 32MiB or 1GiB.
+type Size int64
+
+// Entry holds the settings of an entry process.
+type Entry struct {
+	Node   Node        `ini:"node"`
+	Listen EntryListen `ini:"listen"`
+	Log    Log         `ini:"log"`
+	Peers  Peers       `ini:"peers"`
+	Limits EntryLimits `ini:"limits"`
+	Timing Timing      `ini:"timing"`
+	Policy EntryPolicy `ini:"policy"`
+	Trace  Trace       `ini:"trace"`
+}
+
+// Agent holds the settings of an agent process.
+type Agent struct {
+	Node    Node        `ini:"node"`
+	Worker  Worker      `ini:"worker"`
+	Listen  AgentListen `ini:"listen"`
+	Log     Log         `ini:"log"`
+	Peers   Peers       `ini:"peers"`
+	Timing  AgentTiming `ini:"timing"`
+	Records Records     `ini:"records"`
+	Queue   Queue       `ini:"queue"`
+	Policy  AgentPolicy `ini:"policy"`
+	Trace   Trace       `ini:"trace"`
+}
+
+// Node names the process.
+type Node struct {
+	Role Role `ini:"role,required"`
+	// ID must be unique in the fleet and stable across restarts.
+	ID     node.ID `ini:"id,required"`
+	Domain string  `ini:"domain,required"`
+}
+
+// Worker names the host that the agent and its upstreams run on.
+type Worker struct {
+	Name string `ini:"name,required"`
+}
+
+// EntryListen holds the addresses that an entry listens on. Port 0 takes any
+// free port.
+type EntryListen struct {
+	// HTTP serves callers and operators.
+	HTTP netip.AddrPort `ini:"http,required"`
+	// Transport serves the other processes; peers connect to this address.
+	Transport netip.AddrPort `ini:"transport,required"`
+	// Metrics serves metrics, health and readiness.
+	Metrics netip.AddrPort `ini:"metrics,required"`
+}
+
+// AgentListen holds the addresses that an agent listens on. Port 0 takes any
+// free port.
+type AgentListen struct {
+	// Transport serves the other processes; peers connect to this address.
+	Transport netip.AddrPort `ini:"transport,required"`
+	// Upstream serves the announcements of upstreams, metrics, health and
+	// readiness.
+	Upstream netip.AddrPort `ini:"upstream,required"`
+}
+
+// Log locates the platform's append-only log service.
+type Log struct {
+	Address netip.AddrPort `ini:"address,required"`
+	Stream  string         `ini:"stream" default:"dogwoodgauge"`
+}
+
+// Peers lists processes to ask for the configuration while the log service is
+// down.
+type Peers struct {
+	// Seeds are transport addresses of agents.
+	Seeds []netip.AddrPort `ini:"seeds"`
+}
+
+// EntryLimits bounds what callers may send.
+type EntryLimits struct {
+	// Body is the largest request body.
+	Body Size `ini:"body" default:"8MiB"`
+	// Connections is the largest number of open connections of callers.
+	Connections int `ini:"connections" default:"4096"`
+	// HeaderTime is the longest time for a caller to send its header.
+	HeaderTime time.Duration `ini:"header_time" default:"5s"`
+}
+
+// Timing holds the durations that every role has.
+type Timing struct {
+	// ClockBound is the largest difference between the wall clocks of any two
+	// processes or callers.
+	ClockBound time.Duration `ini:"clock_bound" default:"500ms"`
+	// MaxTimeout is the longest timeout that a job may ask for.
+	MaxTimeout time.Duration `ini:"max_timeout" default:"60s"`
+	// Grace is the longest time from SIGTERM to the exit of the process.
+	Grace time.Duration `ini:"grace" default:"75s"`
+}
+
+// AgentTiming holds the durations of an agent.
+type AgentTiming struct {
+	Timing
+	// Lease is how long evidence of the current configuration permits task
+	// starts.
+	Lease time.Duration `ini:"lease" default:"3s"`
+}
+
+// Records bounds the job records that an agent keeps in memory.
+type Records struct {
+	// Retention is how long the answer of a job is kept.
+	Retention time.Duration `ini:"retention" default:"5m"`
+	// MaxRecords is the largest number of job records.
+	MaxRecords int `ini:"max_records" default:"200000"`
+	// MaxRecordBytes is the largest total size of job records.
+	MaxRecordBytes Size `ini:"max_record_bytes" default:"512MiB"`
+}
+
+// Queue bounds the tasks that wait at an agent for a slot.
+type Queue struct {
+	// Limit is the largest number of waiting tasks.
+	Limit int `ini:"limit" default:"64"`
+	// UrgentSlots is the number of slots that only urgent tasks may use.
+	UrgentSlots int `ini:"urgent_slots" default:"1"`
+}
+
+// EntryPolicy names the policies of an entry.
+type EntryPolicy struct {
+	// Home selects the home of a job that comes without an ID.
+	Home string `ini:"home" default:"two-choices"`
+}
+
+// AgentPolicy names the policies of an agent.
+type AgentPolicy struct {
+	// Placement selects the executor of a task.
+	Placement string `ini:"placement" default:"two-choices"`
+}
+
+// Exporter is the destination of traces.
+type Exporter string
+
+// The exporters.
+const (
+	ExporterOff  Exporter = "off"
+	ExporterFile Exporter = "file"
+	ExporterOTLP Exporter = "otlp"
+)
+
+// Trace says which traces are kept and where they go.
+type Trace struct {
+	Exporter Exporter `ini:"exporter" default:"off"`
+	// File is appended to when Exporter is ExporterFile.
+	File string `ini:"file"`
+	// Endpoint is an OTLP/HTTP receiver, used when Exporter is ExporterOTLP.
+	Endpoint netip.AddrPort `ini:"endpoint"`
+	// Sampling is the fraction of new traces that is kept, from 0 to 1.
+	Sampling float64 `ini:"sampling" default:"0.01"`
+}
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,103 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Metrics is the metric registry of one daemon. It is safe for concurrent use.
+// Values of labels must come from closed lists: every value makes a time series.
+type Metrics struct {
+	set *metrics.Set
+}
+
+// NewMetrics returns an empty registry.
+func NewMetrics() *Metrics {
+	return &Metrics{set: metrics.NewSet()}
+}
+
+// Write writes every metric in the Prometheus text format.
+func (m *Metrics) Write(w io.Writer) {
+	m.set.WritePrometheus(w)
+}
+
+// InvariantViolations counts violations of one invariant.
+func (m *Metrics) InvariantViolations(invariant string) *metrics.Counter {
+	return m.counter(InvariantViolationsTotal, "invariant", invariant)
+}
+
+// HTTPRequests counts answered requests by route pattern and status code.
+func (m *Metrics) HTTPRequests(route string, status int) *metrics.Counter {
+	name := fmt.Sprintf("%s{route=%q,code=\"%d\"}", HTTPRequestsTotal, route, status)
+	return m.set.GetOrCreateCounter(name)
+}
+
+// JobAnswers counts final answers of jobs by kind; an empty kind is "complete".
+func (m *Metrics) JobAnswers(kind string) *metrics.Counter {
+	if kind == "" {
+		kind = "complete"
+	}
+	return m.counter(JobAnswersTotal, "kind", kind)
+}
+
+// JobResponse observes the time in seconds from request to answer by priority
+// class.
+func (m *Metrics) JobResponse(class string) *metrics.Histogram {
+	return m.set.GetOrCreateHistogram(fmt.Sprintf("%s{class=%q}", JobResponseSeconds, class))
+}
+
+// TaskStarts counts task starts.
+func (m *Metrics) TaskStarts() *metrics.Counter {
+	return m.set.GetOrCreateCounter(TaskStartsTotal)
+}
+
+// TaskEnds counts ended tasks by state.
+func (m *Metrics) TaskEnds(state string) *metrics.Counter {
+	return m.counter(TaskEndsTotal, "state", state)
+}
+
+// TaskRefusals counts refused tasks by reason.
+func (m *Metrics) TaskRefusals(reason string) *metrics.Counter {
+	return m.counter(TaskRefusalsTotal, "reason", reason)
+}
+
+// TaskService observes the time in seconds of one call to an upstream.
+func (m *Metrics) TaskService() *metrics.Histogram {
+	return m.set.GetOrCreateHistogram(TaskServiceSeconds)
+}
+
+// Messages counts messages between processes; direction is "sent" or
+// "received".
+func (m *Metrics) Messages(direction string) *metrics.Counter {
+	return m.counter(MessagesTotal, "direction", direction)
+}
+
+// MessageBytes counts bytes of frames between processes; direction is "sent"
+// or "received".
+func (m *Metrics) MessageBytes(direction string) *metrics.Counter {
+	return m.counter(MessageBytesTotal, "direction", direction)
+}
+
+// FramesRejected counts frames and connections refused by reason.
+func (m *Metrics) FramesRejected(reason string) *metrics.Counter {
+	return m.counter(FramesRejectedTotal, "reason", reason)
+}
+
+// LogRequests counts requests to the log service; operation is "read" or
+// "append", result is "ok" or "error".
+func (m *Metrics) LogRequests(operation, result string) *metrics.Counter {
+	name := fmt.Sprintf("%s{operation=%q,result=%q}", LogRequestsTotal, operation, result)
+	return m.set.GetOrCreateCounter(name)
+}
+
+// Gauge registers a gauge whose value is read at every scrape. The name is one
+// of the constants of this package. A second registration of a name is ignored.
+func (m *Metrics) Gauge(name string, value func() float64) {
+	m.set.GetOrCreateGauge(name, value)
+}
+
+func (m *Metrics) counter(name, key, value string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("%s{%s=%q}", name, key, value))
+}
--- /dev/null
+++ b/internal/telemetry/names.go
@@ -0,0 +1,33 @@
+package telemetry
+
+// Names of metrics.
+const (
+	InvariantViolationsTotal = "dogwoodgauge_invariant_violations_total"
+	HTTPRequestsTotal        = "dogwoodgauge_http_requests_total"
+	JobAnswersTotal          = "dogwoodgauge_job_answers_total"
+	JobResponseSeconds       = "dogwoodgauge_job_response_seconds"
+	TaskStartsTotal          = "dogwoodgauge_task_starts_total"
+	TaskEndsTotal            = "dogwoodgauge_task_ends_total"
+	TaskRefusalsTotal        = "dogwoodgauge_task_refusals_total"
+	TaskServiceSeconds       = "dogwoodgauge_task_service_seconds"
+	MessagesTotal            = "dogwoodgauge_messages_total"
+	MessageBytesTotal        = "dogwoodgauge_message_bytes_total"
+	FramesRejectedTotal      = "dogwoodgauge_frames_rejected_total"
+	LogRequestsTotal         = "dogwoodgauge_log_requests_total"
+)
+
+// Names of gauges.
+const (
+	CallsInFlight    = "dogwoodgauge_calls_in_flight"
+	Connections      = "dogwoodgauge_connections"
+	ControlOffset    = "dogwoodgauge_control_offset"
+	LogAgeSeconds    = "dogwoodgauge_log_age_seconds"
+	Members          = "dogwoodgauge_members"
+	Slots            = "dogwoodgauge_slots"
+	SlotsBusy        = "dogwoodgauge_slots_busy"
+	QueueLength      = "dogwoodgauge_queue_length"
+	JobRecords       = "dogwoodgauge_job_records"
+	JobRecordBytes   = "dogwoodgauge_job_record_bytes"
+	UpstreamsCurrent = "dogwoodgauge_upstreams"
+	Draining         = "dogwoodgauge_draining"
+)
