--- /dev/null
+++ b/core/policy/queue/queue_test.go
@@ -0,0 +1,222 @@
+package queue
+
+import (
+	"cmp"
+	"flag"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+)
+
+// init fixes the seed of the randomised tests; -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+func popAll(q *Queue[string]) []string {
+	var out []string
+	for {
+		v, ok := q.Pop(nil)
+		if !ok {
+			return out
+		}
+		out = append(out, v)
+	}
+}
+
+func TestPopOrder(t *testing.T) {
+	q := New[string](8)
+	q.Push("b1", job.Batch, 1)
+	q.Push("n2", job.Normal, 2)
+	q.Push("u9", job.Urgent, 9)
+	q.Push("u3", job.Urgent, 3)
+	q.Push("default4", "", 4)
+	q.Push("u3later", job.Urgent, 3)
+	want := []string{"u3", "u3later", "u9", "n2", "default4", "b1"}
+	if got := popAll(q); !slices.Equal(got, want) {
+		t.Errorf("order %v, want %v", got, want)
+	}
+}
+
+func TestPushToFullQueue(t *testing.T) {
+	tests := []struct {
+		name    string
+		held    []job.Class
+		push    job.Class
+		ok      bool
+		evicted []int
+	}{
+		{"same class is refused", []job.Class{job.Urgent, job.Urgent}, job.Urgent, false, nil},
+		{"lower class is refused", []job.Class{job.Urgent, job.Normal}, job.Batch, false, nil},
+		{"batch gives way first", []job.Class{job.Batch, job.Normal}, job.Urgent, true, []int{0}},
+		{"normal gives way to urgent", []job.Class{job.Normal, job.Urgent}, job.Urgent, true, []int{0}},
+		{"latest deadline gives way", []job.Class{job.Batch, job.Batch}, job.Normal, true, []int{1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q := New[int](len(tt.held))
+			for i, c := range tt.held {
+				q.Push(i, c, time.Duration(i))
+			}
+			got := q.Push(99, tt.push, 0)
+			if got.OK != tt.ok || !slices.Equal(got.Evicted, tt.evicted) {
+				t.Errorf("got %+v, want ok %v evicted %v", got, tt.ok, tt.evicted)
+			}
+			if q.Len() != len(tt.held) {
+				t.Errorf("length %d, want %d", q.Len(), len(tt.held))
+			}
+		})
+	}
+}
+
+func TestLowerClassesGetTheirTurns(t *testing.T) {
+	q := New[job.Class](10_000)
+	for i := range 1000 {
+		for _, c := range job.Classes {
+			q.Push(c, c, time.Duration(i))
+		}
+	}
+	count := make(map[job.Class]int)
+	const pops = 990
+	for range pops {
+		c, _ := q.Pop(nil)
+		count[c]++
+	}
+	if got := count[job.Normal]; got < pops/(NormalTurns+2) {
+		t.Errorf("%d normal of %d", got, pops)
+	}
+	if got := count[job.Batch]; got < pops/(BatchTurns+2) {
+		t.Errorf("%d batch of %d", got, pops)
+	}
+	if got := count[job.Urgent]; got < pops*8/10 {
+		t.Errorf("%d urgent of %d", got, pops)
+	}
+}
+
+func TestOwedOverridesReserve(t *testing.T) {
+	q := New[job.Class](1000)
+	q.Push(job.Batch, job.Batch, 0)
+	for i := range 200 {
+		q.Push(job.Urgent, job.Urgent, time.Duration(i))
+	}
+	admit := func(c job.Class) bool { return c != job.Batch || q.Owed(c) }
+	for n := range 200 {
+		if c, _ := q.Pop(admit); c == job.Batch {
+			if n < BatchTurns*owedFactor {
+				t.Errorf("batch admitted after %d turns", n)
+			}
+			return
+		}
+	}
+	t.Error("batch was starved")
+}
+
+// TestQueueAgainstModel compares random operations with a plain list.
+func TestQueueAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 6
+		q := New[int](limit)
+		type item struct {
+			v        int
+			class    job.Class
+			deadline time.Duration
+			h        Handle
+		}
+		var held []item
+		forget := func(v int) item {
+			i := slices.IndexFunc(held, func(x item) bool { return x.v == v })
+			if i < 0 {
+				t.Fatalf("item %d is not held", v)
+			}
+			x := held[i]
+			held = slices.Delete(held, i, i+1)
+			return x
+		}
+		next := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				next++
+				x := item{v: next, class: rapid.SampledFrom(job.Classes).Draw(t, "class")}
+				x.deadline = time.Duration(rapid.IntRange(0, 20).Draw(t, "deadline"))
+				p := q.Push(x.v, x.class, x.deadline)
+				for _, v := range p.Evicted {
+					if old := forget(v); levelOf(old.class) <= levelOf(x.class) {
+						t.Fatalf("%s evicted %s", x.class, old.class)
+					}
+				}
+				if p.OK {
+					x.h = p.Handle
+					held = append(held, x)
+				}
+			},
+			"pop": func(t *rapid.T) {
+				barred := rapid.SampledFrom(job.Classes).Draw(t, "barred")
+				v, ok := q.Pop(func(c job.Class) bool { return c != barred })
+				if !ok {
+					if slices.ContainsFunc(held, func(x item) bool { return x.class != barred }) {
+						t.Fatal("nothing popped although an item is admitted")
+					}
+					return
+				}
+				x := forget(v)
+				if x.class == barred {
+					t.Fatalf("popped barred class %s", x.class)
+				}
+				for _, o := range held {
+					if o.class == x.class && o.deadline < x.deadline {
+						t.Fatalf("popped deadline %d before %d", x.deadline, o.deadline)
+					}
+				}
+			},
+			"remove": func(t *rapid.T) {
+				if len(held) == 0 {
+					return
+				}
+				x := rapid.SampledFrom(held).Draw(t, "item")
+				if v, ok := q.Remove(x.h); !ok || v != x.v {
+					t.Fatalf("remove gave %d, %v", v, ok)
+				}
+				forget(x.v)
+			},
+			"expire": func(t *rapid.T) {
+				now := time.Duration(rapid.IntRange(0, 20).Draw(t, "now"))
+				for _, v := range q.Expire(now) {
+					forget(v)
+				}
+				if d, ok := q.NextDeadline(); ok && d <= now {
+					t.Fatalf("deadline %d left at %d", d, now)
+				}
+			},
+			"removeFunc": func(t *rapid.T) {
+				for _, v := range q.RemoveFunc(func(v int) bool { return v%3 == 0 }) {
+					forget(v)
+				}
+			},
+			"": func(t *rapid.T) {
+				if q.Len() != len(held) || q.Len() > limit {
+					t.Fatalf("length %d, held %d", q.Len(), len(held))
+				}
+				held = slices.SortedFunc(slices.Values(held), func(a, b item) int { return cmp.Compare(a.v, b.v) })
+			},
+		})
+	})
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	for _, n := range []int{11, 110, 920} {
+		b.Run("queued="+strconv.Itoa(n), func(b *testing.B) {
+			q := New[int](n + 1)
+			for i := range n {
+				q.Push(i, job.Classes[i%levels], time.Duration(i*7919%1000))
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				q.Push(i, job.Classes[i%levels], time.Duration(i*7919%1000))
+				q.Pop(nil)
+			}
+		})
+	}
+}
