settings: read and check INI files whole

LoadEntry, LoadAgent and Check list every fault of a file at once with its file, line and reason: malformed lines, unknown sections and keys, bad units, missing keys and contradictions between keys. The INI library reports one fault and no line numbers, so single lines are scanned before it parses them.

--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -1,27 +1,90 @@
 package settings
 
+import (
+	"cmp"
+	"slices"
+)
+
 // LoadEntry reads and checks the settings file of an entry. The error is a
 // Faults value.
 func LoadEntry(path string) (Entry, error) {
-	return DefaultEntry(), nil
+	return loadEntry(readSource(path))
 }
 
 // LoadAgent reads and checks the settings file of an agent. The error is a
 // Faults value.
 func LoadAgent(path string) (Agent, error) {
-	return DefaultAgent(), nil
+	return loadAgent(readSource(path))
 }
 
-// Check reads and checks the settings file of either role and returns the role.
-// The error is a Faults value.
+// Check reads and checks the settings file of either role and returns the role
+// that the file names. The error is a Faults value.
 func Check(path string) (Role, error) {
-	return RoleEntry, nil
+	return check(readSource(path))
+}
+
+// DefaultEntry returns the settings of an entry whose file sets no key.
+func DefaultEntry() Entry {
+	var e Entry
+	setDefaults(&e)
+	return e
 }
 
-// DefaultEntry returns the settings of an entry whose file sets no optional
-// key.
-func DefaultEntry() Entry { return Entry{} }
+// DefaultAgent returns the settings of an agent whose file sets no key.
+func DefaultAgent() Agent {
+	var a Agent
+	setDefaults(&a)
+	return a
+}
 
-// DefaultAgent returns the settings of an agent whose file sets no optional
-// key.
-func DefaultAgent() Agent { return Agent{} }
+func loadEntry(s *source) (Entry, error) {
+	var e Entry
+	bind(s, &e)
+	checker{s}.entry(&e)
+	return e, s.result()
+}
+
+func loadAgent(s *source) (Agent, error) {
+	var a Agent
+	bind(s, &a)
+	checker{s}.agent(&a)
+	return a, s.result()
+}
+
+func check(s *source) (Role, error) {
+	text, _ := s.value(name{"node", "role"})
+	switch Role(text) {
+	case RoleAgent:
+		_, err := loadAgent(s)
+		return RoleAgent, err
+	case RoleEntry:
+		_, err := loadEntry(s)
+		return RoleEntry, err
+	default:
+		return "", checkUnnamed(s)
+	}
+}
+
+// checkUnnamed returns the faults of a file that names no role, taken for the
+// role that leaves fewer faults.
+func checkUnnamed(s *source) error {
+	other := *s
+	other.faults = slices.Clone(s.faults)
+	_, asEntry := loadEntry(s)
+	_, asAgent := loadAgent(&other)
+	if len(other.faults) < len(s.faults) {
+		return asAgent
+	}
+	return asEntry
+}
+
+// result returns the faults in order of lines, or nil when there are none.
+func (s *source) result() error {
+	if len(s.faults) == 0 {
+		return nil
+	}
+	slices.SortFunc(s.faults, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Reason, b.Reason))
+	})
+	return s.faults
+}
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -27,7 +27,6 @@
 	Peers  Peers       `ini:"peers"`
 	Limits EntryLimits `ini:"limits"`
 	Timing Timing      `ini:"timing"`
-	Policy EntryPolicy `ini:"policy"`
 	Trace  Trace       `ini:"trace"`
 }
 
@@ -41,7 +40,7 @@
 	Timing  AgentTiming `ini:"timing"`
 	Records Records     `ini:"records"`
 	Queue   Queue       `ini:"queue"`
-	Policy  AgentPolicy `ini:"policy"`
+	Policy  Policy      `ini:"policy"`
 	Trace   Trace       `ini:"trace"`
 }
 
@@ -108,7 +107,7 @@
 	// processes or callers.
 	ClockBound time.Duration `ini:"clock_bound" default:"500ms"`
 	// MaxTimeout is the longest timeout that a job may ask for.
-	MaxTimeout time.Duration `ini:"max_timeout" default:"60s"`
+	MaxTimeout time.Duration `ini:"max_timeout" default:"1m"`
 	// Grace is the longest time from SIGTERM to the exit of the process.
 	Grace time.Duration `ini:"grace" default:"75s"`
 }
@@ -118,7 +117,7 @@
 	Timing
 	// Lease is how long evidence of the current configuration permits task
 	// starts.
-	Lease time.Duration `ini:"lease" default:"3s"`
+	Lease time.Duration `ini:"lease" default:"2.5s"`
 }
 
 // Records bounds the job records that an agent keeps in memory.
@@ -139,18 +138,18 @@
 	UrgentSlots int `ini:"urgent_slots" default:"1"`
 }
 
-// EntryPolicy names the policies of an entry.
-type EntryPolicy struct {
-	// Home selects the home of a job that comes without an ID.
-	Home string `ini:"home" default:"two-choices"`
-}
+// Placement is one of placement.Names.
+type Placement string
 
-// AgentPolicy names the policies of an agent.
-type AgentPolicy struct {
+// Policy names the policies of an agent.
+type Policy struct {
 	// Placement selects the executor of a task.
-	Placement string `ini:"placement" default:"two-choices"`
+	Placement Placement `ini:"placement" default:"local-first"`
 }
 
+// Path is the path of a file.
+type Path string
+
 // Exporter is the destination of traces.
 type Exporter string
 
@@ -165,7 +164,7 @@
 type Trace struct {
 	Exporter Exporter `ini:"exporter" default:"off"`
 	// File is appended to when Exporter is ExporterFile.
-	File string `ini:"file"`
+	File Path `ini:"file"`
 	// Endpoint is an OTLP/HTTP receiver, used when Exporter is ExporterOTLP.
 	Endpoint netip.AddrPort `ini:"endpoint"`
 	// Sampling is the fraction of new traces that is kept, from 0 to 1.
