--- /dev/null
+++ b/core/agent/agent.go
@@ -0,0 +1,312 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
+	"github.com/dogwoodgauge/dogwoodgauge/core/control"
+	"github.com/dogwoodgauge/dogwoodgauge/core/executor"
+	"github.com/dogwoodgauge/dogwoodgauge/core/freshness"
+	"github.com/dogwoodgauge/dogwoodgauge/core/home"
+	"github.com/dogwoodgauge/dogwoodgauge/core/invariant"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/ownership"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/placement"
+)
+
+// Config sets the identity and the bounds of an agent. Zero bounds take the
+// defaults.
+type Config struct {
+	Self node.Ref
+	// Addr is the address at which other processes reach this one.
+	Addr   string
+	Domain string
+	Worker string
+	// Seed makes the random choices of the policies repeatable.
+	Seed uint64
+	// Policy names the placement policy.
+	Policy string
+	// Lease is how long evidence that the configuration is current counts.
+	Lease time.Duration
+	// ClockBound is the largest difference between two wall clocks.
+	ClockBound time.Duration
+	// Retention is the admission window of jobs and how long records are kept.
+	Retention time.Duration
+	// MaxRecords and MaxRecordBytes bound the records and the results held.
+	MaxRecords     int
+	MaxRecordBytes int
+	// QueueLimit bounds the tasks that wait for a slot of the upstreams.
+	QueueLimit int
+	// ReservedSlots is the number of slots that only urgent tasks may take.
+	ReservedSlots int
+	// PanicOnViolation makes a violated invariant panic.
+	PanicOnViolation bool
+}
+
+// The defaults of Config.
+const (
+	DefaultLease          = freshness.DefaultDuration
+	DefaultClockBound     = 500 * time.Millisecond
+	DefaultRetention      = 5 * time.Minute
+	DefaultMaxRecords     = 50_000
+	DefaultMaxRecordBytes = 8 << 20
+	DefaultQueueLimit     = 16
+	maxWaitingTasks       = 20_000
+)
+
+func (cfg *Config) setDefaults() {
+	setDefault(&cfg.Lease, DefaultLease)
+	setDefault(&cfg.ClockBound, DefaultClockBound)
+	setDefault(&cfg.Retention, DefaultRetention)
+	setDefault(&cfg.MaxRecords, DefaultMaxRecords)
+	setDefault(&cfg.MaxRecordBytes, DefaultMaxRecordBytes)
+	setDefault(&cfg.QueueLimit, DefaultQueueLimit)
+	setDefault(&cfg.Policy, placement.Default)
+}
+
+func setDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+// Core is the state of an agent.
+type Core struct {
+	cfg        Config
+	invariants invariant.Recorder
+	state      *control.State
+	lease      *freshness.Lease
+	owners     *ownership.Tracker
+	home       *home.Core
+	exec       *executor.Core
+	peers      map[node.Ref]*peer
+	watched    []*peer
+	gossip     gossip
+	members    memberState
+	drain      drainState
+	// version counts the changes that may alter where tasks may run.
+	version uint64
+	// heard is the highest offset that another process has stated.
+	heard int64
+
+	now     clock.Now
+	actions []Action
+	homeOut home.Output
+	execOut executor.Output
+}
+
+// New returns the core of an agent that knows no other process. It panics when
+// the policy name is unknown; settings are checked before.
+func New(cfg Config) *Core {
+	cfg.setDefaults()
+	picker, err := placement.New(cfg.Policy, cfg.Seed)
+	if err != nil {
+		panic(err)
+	}
+	c := &Core{
+		cfg:        cfg,
+		invariants: invariant.Recorder{Panic: cfg.PanicOnViolation},
+		state:      control.NewState(),
+		lease: freshness.NewLease(freshness.Config{
+			Self: cfg.Self, Duration: cfg.Lease, DriftPerMille: freshness.DefaultDriftPerMille,
+		}),
+		owners: ownership.NewTracker(ownership.Config{
+			Self: cfg.Self, Lease: cfg.Lease, ClockBound: cfg.ClockBound, Window: cfg.Retention,
+		}),
+		peers: make(map[node.Ref]*peer),
+	}
+	c.exec = executor.New(executor.Config{
+		QueueLimit: cfg.QueueLimit, ReservedSlots: cfg.ReservedSlots, RetainIdle: cfg.Retention,
+		Gate: gate{c}, Invariants: &c.invariants,
+	})
+	c.home = home.New(home.Config{
+		Self: cfg.Self, Window: cfg.Retention, ClockBound: cfg.ClockBound,
+		MaxRecords: cfg.MaxRecords, MaxResultBytes: cfg.MaxRecordBytes, MaxWaiting: maxWaitingTasks,
+		Picker: picker, Ownership: gate{c}, Eligibility: gate{c}, Invariants: &c.invariants,
+	})
+	return c
+}
+
+// Step takes one event and returns the actions to carry out, in order. The
+// slice is valid until the next call.
+func (c *Core) Step(now clock.Now, ev Event) []Action {
+	c.now = now
+	c.actions = c.actions[:0]
+	switch e := ev.(type) {
+	case Tick:
+	case Received:
+		c.received(&e.Envelope)
+	case PeerDead:
+		c.peerDead(e.Ref)
+	case UpstreamAnnounced:
+		c.announced(e)
+	case UpstreamWithdrawn:
+		c.exec.Withdraw(now, e.Name, &c.execOut)
+		c.version++
+	case TaskEnded:
+		c.exec.TaskEnded(now, e.Handle, e.State, e.Body, e.Detail, &c.execOut)
+	case LogRead:
+		c.logRead(e)
+	case Drain:
+		c.beginDrain()
+	}
+	c.tick()
+	c.settle()
+	c.setTimer()
+	return c.actions
+}
+
+// tick runs what is due at the time of the event.
+func (c *Core) tick() {
+	if due(c.home.Next()) <= c.now.Mono {
+		c.home.Tick(c.now, &c.homeOut)
+	}
+	if min(due(c.exec.NextDeadline()), due(c.exec.NextExpiry())) <= c.now.Mono {
+		c.exec.Tick(c.now, &c.execOut)
+	}
+	if c.gossip.next <= c.now.Mono {
+		c.periodic()
+	}
+}
+
+// never is a time that does not come.
+const never = time.Duration(1<<63 - 1)
+
+func due(at time.Duration, ok bool) time.Duration {
+	if !ok {
+		return never
+	}
+	return at
+}
+
+// settle passes messages between the home and the executor of this process and
+// turns the rest of their output into actions.
+func (c *Core) settle() {
+	for len(c.homeOut.Replies) > 0 || len(c.execOut.Replies) > 0 {
+		c.settleHome()
+		c.settleExecutor()
+	}
+	for _, x := range c.execOut.Commands {
+		c.startTask(x)
+	}
+	c.execOut.Commands = c.execOut.Commands[:0]
+	c.checkDrained()
+}
+
+func (c *Core) settleHome() {
+	replies := c.homeOut.Replies
+	c.homeOut.Replies = nil
+	for _, r := range replies {
+		if r.To != c.cfg.Self {
+			c.send(r.To, r.Message)
+			continue
+		}
+		switch m := r.Message; {
+		case m.Start != nil:
+			c.exec.Start(c.now, c.cfg.Self, m.Start, &c.execOut)
+		case m.Abort != nil:
+			c.exec.Abort(c.now, c.cfg.Self, m.Abort, &c.execOut)
+		}
+	}
+}
+
+func (c *Core) settleExecutor() {
+	replies := c.execOut.Replies
+	c.execOut.Replies = nil
+	local := false
+	for _, r := range replies {
+		if r.To != c.cfg.Self {
+			c.send(r.To, r.Message)
+			continue
+		}
+		if !local {
+			local = true
+			c.home.ObserveLoad(c.now, c.cfg.Self, c.exec.Load())
+		}
+		c.toHome(c.cfg.Self, &r.Message)
+	}
+}
+
+// toHome delivers an executor's message to the home of this process.
+func (c *Core) toHome(from node.Ref, m *message.Message) {
+	switch {
+	case m.Result != nil:
+		c.home.Result(c.now, from, m.Result, &c.homeOut)
+	case m.Refused != nil:
+		c.home.Refused(c.now, from, m.Refused, &c.homeOut)
+	case m.Started != nil:
+		c.home.Started(c.now, from, m.Started, &c.homeOut)
+	}
+}
+
+func (c *Core) startTask(x executor.Command) {
+	s := x.Start
+	c.actions = append(c.actions, StartTask{
+		Handle: x.Handle, Upstream: x.Upstream, ID: s.ID, Attempt: s.Attempt, Index: s.Index,
+		Team: s.Team, Payload: s.Task.Payload, Labels: s.Task.Labels,
+		Timeout: x.Timeout, NotAfter: x.NotAfter, Trace: s.Trace,
+	})
+}
+
+func (c *Core) send(to node.Ref, m message.Message) {
+	c.actions = append(c.actions, Send{To: to, Message: m})
+}
+
+func (c *Core) setTimer() {
+	at := min(due(c.home.Next()), due(c.exec.NextDeadline()), due(c.exec.NextExpiry()), c.gossip.next)
+	c.actions = append(c.actions, SetTimer{At: at})
+}
+
+// announced takes an upstream's announcement.
+func (c *Core) announced(e UpstreamAnnounced) {
+	before := c.exec.Load().Slots
+	c.exec.Announce(c.now, executor.Announcement{
+		Name: e.Name, Slots: e.Slots, Connections: e.Connections, Labels: e.Labels, TTL: e.TTL,
+	}, &c.execOut)
+	if c.exec.Load().Slots != before {
+		c.version++
+	}
+	c.home.ObserveLoad(c.now, c.cfg.Self, c.exec.Load())
+	c.home.Place(c.now, &c.homeOut)
+}
+
+// received delivers the messages of an envelope.
+func (c *Core) received(e *message.Envelope) {
+	if e.To != c.cfg.Self {
+		return
+	}
+	p := c.observe(e)
+	for i := range e.Messages {
+		m := &e.Messages[i]
+		switch {
+		case m.Submit != nil:
+			c.home.Submit(c.now, e.From, m.Submit, &c.homeOut)
+		case m.Fetch != nil:
+			c.home.Fetch(c.now, e.From, m.Fetch, &c.homeOut)
+		case m.Cancel != nil:
+			c.home.Cancel(c.now, e.From, m.Cancel, &c.homeOut)
+		case m.Start != nil:
+			c.exec.Start(c.now, e.From, m.Start, &c.execOut)
+		case m.Abort != nil:
+			c.exec.Abort(c.now, e.From, m.Abort, &c.execOut)
+		case m.Status != nil:
+			c.status(e, p, m.Status)
+		case m.Records != nil:
+			c.records(m.Records)
+		default:
+			c.toHome(e.From, m)
+		}
+	}
+}
+
+// Offset returns the offset of the next record of the control stream to read.
+func (c *Core) Offset() int64 { return c.state.Next() }
+
+// Load returns the agent's report of itself.
+func (c *Core) Load() message.Load {
+	l := c.exec.Load()
+	l.Draining = l.Draining || c.drain.begun
+	return l
+}
--- a/core/agent/api.go
+++ b/core/agent/api.go
@@ -55,6 +55,8 @@
 	From    int64
 	Records [][]byte
 	End     int64
+	// Oldest is the offset of the oldest record that the log retains.
+	Oldest  int64
 	AskedAt time.Duration
 }
 
--- /dev/null
+++ b/core/agent/gate.go
@@ -0,0 +1,79 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
+	"github.com/dogwoodgauge/dogwoodgauge/core/config"
+	"github.com/dogwoodgauge/dogwoodgauge/core/executor"
+	"github.com/dogwoodgauge/dogwoodgauge/core/home"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/ownership"
+	"github.com/dogwoodgauge/dogwoodgauge/core/routing"
+)
+
+// gate answers the questions of the home and the executor from the folded
+// control stream.
+type gate struct{ c *Core }
+
+// Permit implements executor.Gate.
+func (g gate) Permit(now clock.Now, s *message.Start, u executor.Place) (message.RefuseReason, time.Duration) {
+	c := g.c
+	if !c.state.Synced() || c.heard > c.state.Next() || !c.lease.Valid(now.Mono) {
+		return message.RefusedStale, 0
+	}
+	cfg := c.state.Config()
+	place := config.Place{Domain: c.cfg.Domain, Worker: c.cfg.Worker, Upstream: u.Upstream, Labels: u.Labels}
+	if cfg.Out(place) {
+		return message.RefusedOut, 0
+	}
+	rule, ok := cfg.Match(s.Team, s.Class, s.Task.Labels)
+	if !ok || !rule.Allows(place) {
+		return message.RefusedNoMatch, 0
+	}
+	return "", c.lease.Until()
+}
+
+// Admit implements home.Ownership.
+func (g gate) Admit(now clock.Now, id job.ID, created int64) home.Admission {
+	c := g.c
+	v := c.owners.Admit(now, id, created)
+	switch v.Kind {
+	case ownership.Own:
+		if c.heard > c.state.Next() || !c.lease.Valid(now.Mono) {
+			return home.Admission{Detail: "this process cannot tell whether it is still the home of the ID"}
+		}
+		return home.Admission{Granted: true}
+	case ownership.Elsewhere:
+		return home.Admission{Home: v.Home}
+	case ownership.FromFuture:
+		return home.Admission{Detail: "the creation time lies in the future"}
+	case ownership.TooOld:
+		return home.Admission{Detail: "the job is older than the admission window"}
+	default:
+		return home.Admission{Detail: "a former home of the ID may have started the job"}
+	}
+}
+
+// Version implements home.Eligibility.
+func (g gate) Version() uint64 { return g.c.version }
+
+// Eligible implements home.Eligibility.
+func (g gate) Eligible(ref node.Ref, j *job.Job, t *job.Task) bool {
+	c := g.c
+	cfg := c.state.Config()
+	rule, ok := cfg.Match(j.Team, j.Class, t.Labels)
+	if !ok {
+		return false
+	}
+	if ref == c.cfg.Self {
+		return routing.AllowsAny(cfg, rule, c.selfMember(), c.exec.Upstreams())
+	}
+	p, ok := c.peers[ref]
+	if !ok || p.dead {
+		return false
+	}
+	return routing.AllowsAny(cfg, rule, p.member, p.upstreams)
+}
--- /dev/null
+++ b/core/entry/agents.go
@@ -0,0 +1,180 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/control"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/placement"
+	"github.com/dogwoodgauge/dogwoodgauge/core/routing"
+)
+
+const (
+	// statusInterval is the time between two rounds of status queries.
+	statusInterval = 250 * time.Millisecond
+	// queryFanOut is the number of agents queried in each round, in turn.
+	queryFanOut = 16
+	// joinRetry is the pause before a join that has not been read is repeated.
+	joinRetry = 2 * time.Second
+)
+
+// agent is what the entry knows of one agent.
+type agent struct {
+	member    control.Member
+	upstreams []message.Upstream
+	load      message.Load
+	loadAt    time.Duration
+	// sent is the number of tasks sent there that load does not cover.
+	sent int
+	dead bool
+}
+
+// usable reports whether the agent takes new jobs as far as is known.
+func (a *agent) usable() bool { return !a.dead && !a.load.Draining }
+
+// gossip is the state of the periodic queries.
+type gossip struct {
+	next     time.Duration
+	turn     int
+	round    uint64
+	joinedAt time.Duration
+	asked    bool
+}
+
+func (c *Core) periodic() {
+	c.gossip.next = c.now.Mono + statusInterval
+	c.gossip.round++
+	for range min(queryFanOut, len(c.order)) {
+		c.gossip.turn = (c.gossip.turn + 1) % len(c.order)
+		a := c.order[c.gossip.turn]
+		if a.dead || (a.upstreams != nil && c.now.Mono-a.loadAt < statusInterval) {
+			continue
+		}
+		c.send(a.member.Ref, message.Message{Status: &message.Status{
+			LogAge: -1, Query: true, Round: c.gossip.round,
+		}})
+	}
+	c.join()
+}
+
+// join makes the entry known, so that quotas are shared among live entries.
+func (c *Core) join() {
+	if c.drain || !c.state.Synced() {
+		return
+	}
+	if _, ok := c.state.Member(c.cfg.Self); ok {
+		return
+	}
+	if c.gossip.asked && c.now.Mono-c.gossip.joinedAt < joinRetry {
+		return
+	}
+	c.gossip.asked = true
+	c.gossip.joinedAt = c.now.Mono
+	c.actions = append(c.actions, AppendControl{Record: control.EncodeJoin(control.Member{
+		Ref: c.cfg.Self, Addr: c.cfg.Addr, Role: control.RoleEntry, Domain: c.cfg.Domain,
+	})})
+}
+
+// observe takes the load that an envelope carries.
+func (c *Core) observe(e *message.Envelope) {
+	a, ok := c.agents[e.From]
+	if !ok || e.Load == nil {
+		return
+	}
+	a.load = *e.Load
+	a.loadAt = c.now.Mono
+	a.sent = 0
+}
+
+func (c *Core) status(from node.Ref, s *message.Status) {
+	if a, ok := c.agents[from]; ok {
+		a.upstreams = s.Upstreams
+	}
+}
+
+// logRead folds records of the control stream.
+func (c *Core) logRead(e LogRead) {
+	members := false
+	config := false
+	for i, r := range e.Records {
+		offset := e.From + int64(i)
+		if offset < c.state.Next() {
+			continue
+		}
+		effect := c.state.Apply(offset, r)
+		members = members || effect.MembersChanged
+		config = config || effect.ConfigChanged
+	}
+	if members {
+		c.membersChanged()
+	}
+	if members || config {
+		c.version++
+	}
+}
+
+// membersChanged follows the list of agents.
+func (c *Core) membersChanged() {
+	known := make(map[node.Ref]*agent)
+	peers := make([]Peer, 0, len(c.state.Agents()))
+	c.order = c.order[:0]
+	for _, m := range c.state.Agents() {
+		a, ok := c.agents[m.Ref]
+		if !ok {
+			a = &agent{dead: c.dead[m.Ref]}
+		}
+		a.member = m
+		known[m.Ref] = a
+		c.order = append(c.order, a)
+		peers = append(peers, Peer{Ref: m.Ref, Addr: m.Addr})
+	}
+	c.agents = known
+	c.actions = append(c.actions, SetPeers{Peers: peers})
+}
+
+// withinQuota charges the tasks of a job to its team. It reports how long the
+// caller should wait when the team is over its quota.
+func (c *Core) withinQuota(j *job.Job) (bool, time.Duration) {
+	if c.shares[j.Team] != c.version {
+		c.shares[j.Team] = c.version
+		team, _ := c.state.Config().Team(j.Team)
+		c.limiter.SetShare(j.Team, team.Quota, c.liveEntries())
+	}
+	return c.limiter.Allow(c.now.Mono, j.Team, len(j.Tasks))
+}
+
+// liveEntries returns the number of entries among which quotas are divided.
+func (c *Core) liveEntries() int {
+	n := 0
+	for _, m := range c.state.Members() {
+		if m.Role == control.RoleEntry {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+// chooseHome picks the agent that gets a job nobody knows yet: one that can run
+// it beside itself if possible.
+func (c *Core) chooseHome(j *job.Job) *agent {
+	c.cands = c.cands[:0]
+	c.chosen = c.chosen[:0]
+	cfg := c.state.Config()
+	rule, matched := cfg.Match(j.Team, j.Class, j.Tasks[0].Labels)
+	for _, a := range c.order {
+		if !a.usable() || !matched || !routing.AllowsAny(cfg, rule, a.member, a.upstreams) {
+			continue
+		}
+		c.cands = append(c.cands, placement.Candidate{
+			Ref: a.member.Ref, Domain: a.member.Domain, Load: a.load, Sent: a.sent,
+			Age: c.now.Mono - a.loadAt,
+		})
+		c.chosen = append(c.chosen, a)
+	}
+	if i := c.picker.Pick(c.cands); i >= 0 {
+		return c.chosen[i]
+	}
+	return c.nextHome()
+}
--- a/core/entry/api.go
+++ b/core/entry/api.go
@@ -29,6 +29,8 @@
 	From    int64
 	Records [][]byte
 	End     int64
+	// Oldest is the offset of the oldest record that the log retains.
+	Oldest  int64
 	AskedAt time.Duration
 }
 
@@ -112,6 +114,10 @@
 // timer.
 type SetTimer struct{ At time.Duration }
 
+// AppendControl appends a record to the control stream. It may be lost, and
+// may take effect although its reply is lost.
+type AppendControl struct{ Record []byte }
+
 // SetPeers tells the transport the addresses of the known agents.
 type SetPeers struct{ Peers []Peer }
 
@@ -124,9 +130,10 @@
 // Drained says that every call is answered and the process may exit.
 type Drained struct{}
 
-func (Send) isAction()      {}
-func (Reply) isAction()     {}
-func (MintReply) isAction() {}
-func (SetTimer) isAction()  {}
-func (SetPeers) isAction()  {}
-func (Drained) isAction()   {}
+func (Send) isAction()          {}
+func (Reply) isAction()         {}
+func (MintReply) isAction()     {}
+func (SetTimer) isAction()      {}
+func (SetPeers) isAction()      {}
+func (AppendControl) isAction() {}
+func (Drained) isAction()       {}
--- /dev/null
+++ b/core/entry/call.go
@@ -0,0 +1,319 @@
+package entry
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
+	"github.com/dogwoodgauge/dogwoodgauge/core/invariant"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/rendezvous"
+)
+
+const (
+	// firstResend is the delay after which a request without word is repeated.
+	firstResend = 500 * time.Millisecond
+	maxResend   = 2 * time.Second
+	// answerGrace is how long after the deadline a home's answer is awaited.
+	answerGrace = 400 * time.Millisecond
+	// fetchTimeout bounds a request that names no timeout.
+	fetchTimeout = 2 * time.Second
+	// maxRedirects bounds the homes that one call is sent to.
+	maxRedirects = 3
+	// unknownAgentsRetry is the pause told to a caller when no agent is known.
+	unknownAgentsRetry = time.Second
+)
+
+// callKind is what a caller asked for.
+type callKind uint8
+
+const (
+	callSubmit callKind = iota
+	callFetch
+	callCancel
+)
+
+// call is one request of a caller that has not been answered.
+type call struct {
+	call      uint64
+	request   uint64
+	kind      callKind
+	job       *job.Job
+	id        job.ID
+	attempt   int
+	wait      bool
+	trace     string
+	refuse    errkind.Kind
+	retry     time.Duration
+	home      node.Ref
+	redirects int
+	deadline  time.Duration
+	resend    time.Duration
+}
+
+// submit takes a job from a caller.
+func (c *Core) submit(e SubmitCall) {
+	j := e.Job
+	k := &call{
+		call: e.Call, kind: callSubmit, job: &j, id: j.ID, attempt: j.Attempt, wait: e.Wait,
+		trace: e.Trace, deadline: c.now.Mono + j.Timeout + answerGrace,
+	}
+	ok, retryAfter := c.withinQuota(&j)
+	if j.ID == "" {
+		c.submitFresh(k, ok, retryAfter)
+		return
+	}
+	if !ok {
+		k.refuse = errkind.OverQuota
+		k.retry = retryAfter
+	}
+	c.route(k)
+}
+
+// submitFresh gives the job an ID that nobody else knows, so that a refusal
+// needs no word from a home.
+func (c *Core) submitFresh(k *call, withinQuota bool, retryAfter time.Duration) {
+	if !withinQuota {
+		c.replyKind(k, errkind.OverQuota, "the team is over its quota", retryAfter)
+		return
+	}
+	a := c.chooseHome(k.job)
+	if a == nil {
+		c.replyKind(k, errkind.NotRun, "no agent is known that takes work", unknownAgentsRetry)
+		return
+	}
+	k.id = c.mintFor(a.member.Ref)
+	k.job.ID = k.id
+	k.job.Created = c.now.Wall
+	a.sent += len(k.job.Tasks)
+	c.begin(k, a.member.Ref)
+}
+
+func (c *Core) fetch(e FetchCall) {
+	timeout := e.Timeout
+	if timeout <= 0 {
+		timeout = fetchTimeout
+	}
+	c.route(&call{
+		call: e.Call, kind: callFetch, id: e.ID, attempt: e.Attempt, wait: e.Wait,
+		deadline: c.now.Mono + timeout,
+	})
+}
+
+func (c *Core) cancel(e CancelCall) {
+	c.route(&call{
+		call: e.Call, kind: callCancel, id: e.ID, attempt: e.Attempt, wait: true,
+		deadline: c.now.Mono + fetchTimeout,
+	})
+}
+
+// route finds the home of a job that has an ID.
+func (c *Core) route(k *call) {
+	if m, ok := k.id.Minted(); ok {
+		if k.job != nil {
+			k.job.Created = m.Created
+		}
+		if c.dead[m.Home] || c.agents[m.Home] == nil {
+			c.homeLost(k)
+			return
+		}
+		c.begin(k, m.Home)
+		return
+	}
+	home, ok := rendezvous.Home(k.id, c.state.Agents())
+	if !ok || c.dead[home.Ref] {
+		c.homeLost(k)
+		return
+	}
+	c.begin(k, home.Ref)
+}
+
+// homeLost answers a call whose home is gone or not known.
+func (c *Core) homeLost(k *call) {
+	c.replyKind(k, errkind.OutcomeUnknown, "the home of the job has ended or is not known; nothing is started again", 0)
+}
+
+// begin registers the call and sends it to the home.
+func (c *Core) begin(k *call, home node.Ref) {
+	c.lastReq++
+	k.request = c.lastReq
+	k.home = home
+	c.calls[k.call] = k
+	c.requests[k.request] = k
+	c.timers.Add(k.deadline, timer{kind: timerDeadline, request: k.request})
+	c.transmit(k)
+}
+
+// transmit sends the request for the first time.
+func (c *Core) transmit(k *call) {
+	k.resend = firstResend
+	c.timers.Add(c.now.Mono+k.resend, timer{kind: timerResend, request: k.request})
+	switch k.kind {
+	case callSubmit:
+		c.sendSubmit(k)
+		if !k.wait {
+			c.sendFetch(k)
+		}
+	case callFetch:
+		c.sendFetch(k)
+	case callCancel:
+		c.send(k.home, message.Message{Cancel: &message.Cancel{Request: k.request, ID: k.id, Attempt: k.attempt}})
+	}
+}
+
+func (c *Core) sendSubmit(k *call) {
+	j := *k.job
+	j.Timeout = k.deadline - answerGrace - c.now.Mono
+	c.send(k.home, message.Message{Submit: &message.Submit{
+		Request: k.request, Job: j, Refuse: k.refuse, RetryAfter: k.retry, Trace: k.trace,
+	}})
+}
+
+func (c *Core) sendFetch(k *call) {
+	c.send(k.home, message.Message{Fetch: &message.Fetch{Request: k.request, ID: k.id, Attempt: k.attempt}})
+}
+
+// answer passes a final answer to its caller.
+func (c *Core) answer(m *message.Answer) {
+	k, ok := c.requests[m.Request]
+	if !ok {
+		return
+	}
+	match := m.Answer.ID == k.id
+	c.invariants.Check(match, invariant.MisdeliveredAnswer,
+		"request %d for job %s got the answer of job %s", m.Request, k.id, m.Answer.ID)
+	if !match {
+		return
+	}
+	c.reply(k, Reply{Call: k.call, Answer: m.Answer})
+}
+
+// pending notes that the home has the job.
+func (c *Core) pending(m *message.Pending) {
+	k, ok := c.requests[m.Request]
+	if ok && !k.wait {
+		c.replyPending(k)
+	}
+}
+
+func (c *Core) replyPending(k *call) {
+	c.reply(k, Reply{Call: k.call, Pending: true, Answer: job.Answer{ID: k.id, Attempt: k.attempt}})
+}
+
+// noRecord handles word that the home does not hold the job.
+func (c *Core) noRecord(m *message.NoRecord) {
+	k, ok := c.requests[m.Request]
+	if !ok {
+		return
+	}
+	if k.kind == callSubmit {
+		c.sendSubmit(k)
+		if !k.wait {
+			c.sendFetch(k)
+		}
+		return
+	}
+	c.replyKind(k, errkind.NotFound, "no record of the job is held", 0)
+}
+
+// notHome follows a redirect.
+func (c *Core) notHome(m *message.NotHome) {
+	k, ok := c.requests[m.Request]
+	if !ok {
+		return
+	}
+	k.redirects++
+	if m.Home == k.home || c.dead[m.Home] || k.redirects > maxRedirects {
+		c.homeLost(k)
+		return
+	}
+	k.home = m.Home
+	c.transmit(k)
+}
+
+// peerDead answers every call that waits for the ended home.
+func (c *Core) peerDead(ref node.Ref) {
+	c.dead[ref] = true
+	if a, ok := c.agents[ref]; ok {
+		a.dead = true
+	}
+	for _, k := range c.callsOf(ref) {
+		c.homeLost(k)
+	}
+}
+
+// callsOf returns the calls that wait for ref, in the order of their requests.
+func (c *Core) callsOf(ref node.Ref) []*call {
+	var list []*call
+	for _, k := range c.requests {
+		if k.home == ref {
+			list = append(list, k)
+		}
+	}
+	slices.SortFunc(list, func(a, b *call) int { return cmp.Compare(a.request, b.request) })
+	return list
+}
+
+func (c *Core) replyKind(k *call, kind errkind.Kind, detail string, retryAfter time.Duration) {
+	c.reply(k, Reply{Call: k.call, Answer: job.Answer{
+		ID: k.id, Attempt: k.attempt, Kind: kind, Detail: detail, RetryAfter: retryAfter,
+	}})
+}
+
+func (c *Core) reply(k *call, r Reply) {
+	delete(c.calls, k.call)
+	delete(c.requests, k.request)
+	c.actions = append(c.actions, r)
+}
+
+func (c *Core) forget(id uint64) {
+	if k, ok := c.calls[id]; ok {
+		delete(c.calls, id)
+		delete(c.requests, k.request)
+	}
+}
+
+// timerKind says what is due.
+type timerKind uint8
+
+const (
+	timerDeadline timerKind = iota
+	timerResend
+)
+
+// timer is a scheduled check of one request.
+type timer struct {
+	kind    timerKind
+	request uint64
+}
+
+func (c *Core) fire(t timer) {
+	k, ok := c.requests[t.request]
+	if !ok {
+		return
+	}
+	if t.kind == timerDeadline {
+		c.expire(k)
+		return
+	}
+	k.resend = min(2*k.resend, maxResend)
+	c.timers.Add(c.now.Mono+k.resend, timer{kind: timerResend, request: k.request})
+	if k.kind == callCancel {
+		c.send(k.home, message.Message{Cancel: &message.Cancel{Request: k.request, ID: k.id, Attempt: k.attempt}})
+		return
+	}
+	c.sendFetch(k)
+}
+
+// expire answers a call without word from the home.
+func (c *Core) expire(k *call) {
+	if k.kind == callFetch {
+		c.replyPending(k)
+		return
+	}
+	c.replyKind(k, errkind.OutcomeUnknown, fmt.Sprintf("the home %s did not answer in time", k.home), 0)
+}
--- /dev/null
+++ b/core/entry/entry.go
@@ -0,0 +1,225 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
+	"github.com/dogwoodgauge/dogwoodgauge/core/control"
+	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
+	"github.com/dogwoodgauge/dogwoodgauge/core/invariant"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/placement"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/quota"
+	"github.com/dogwoodgauge/dogwoodgauge/core/timerqueue"
+)
+
+// Config sets the identity of an entry.
+type Config struct {
+	Self node.Ref
+	// Addr is the address of the entry's transport.
+	Addr   string
+	Domain string
+	// Seed makes the random choices of the policies repeatable.
+	Seed uint64
+	// Policy names the placement policy by which homes are chosen.
+	Policy string
+	// ClockBound is the largest difference between two wall clocks.
+	ClockBound time.Duration
+	// PanicOnViolation makes a violated invariant panic.
+	PanicOnViolation bool
+}
+
+// defaultClockBound applies when Config.ClockBound is zero.
+const defaultClockBound = 500 * time.Millisecond
+
+// Core is the state of an entry. It holds no job: a call that is lost with the
+// entry is found again at the job's home.
+type Core struct {
+	cfg        Config
+	invariants invariant.Recorder
+	state      *control.State
+	picker     placement.Picker
+	limiter    *quota.Limiter
+	agents     map[node.Ref]*agent
+	order      []*agent
+	dead       map[node.Ref]bool
+	calls      map[uint64]*call
+	requests   map[uint64]*call
+	timers     timerqueue.Queue[timer]
+	lastReq    uint64
+	lastMinted uint64
+	mintTurn   int
+	gossip     gossip
+	// version counts the changes of configuration and membership.
+	version uint64
+	// shares holds the version for which a team's share was last set.
+	shares  map[string]uint64
+	drain   bool
+	drained bool
+
+	now     clock.Now
+	actions []Action
+	cands   []placement.Candidate
+	chosen  []*agent
+}
+
+// New returns the core of an entry that knows no agent. It panics when the
+// policy name is unknown; settings are checked before.
+func New(cfg Config) *Core {
+	if cfg.ClockBound == 0 {
+		cfg.ClockBound = defaultClockBound
+	}
+	if cfg.Policy == "" {
+		cfg.Policy = placement.Default
+	}
+	picker, err := placement.New(cfg.Policy, cfg.Seed)
+	if err != nil {
+		panic(err)
+	}
+	return &Core{
+		cfg:        cfg,
+		invariants: invariant.Recorder{Panic: cfg.PanicOnViolation},
+		state:      control.NewState(),
+		picker:     picker,
+		limiter:    quota.New(cfg.Seed),
+		agents:     make(map[node.Ref]*agent),
+		dead:       make(map[node.Ref]bool),
+		calls:      make(map[uint64]*call),
+		requests:   make(map[uint64]*call),
+		shares:     make(map[string]uint64),
+		version:    1,
+	}
+}
+
+// Step takes one event and returns the actions to carry out, in order. The
+// slice is valid until the next call.
+func (c *Core) Step(now clock.Now, ev Event) []Action {
+	c.now = now
+	c.actions = c.actions[:0]
+	switch e := ev.(type) {
+	case Tick:
+	case Received:
+		c.received(&e.Envelope)
+	case PeerDead:
+		c.peerDead(e.Ref)
+	case LogRead:
+		c.logRead(e)
+	case SubmitCall:
+		c.submit(e)
+	case FetchCall:
+		c.fetch(e)
+	case CancelCall:
+		c.cancel(e)
+	case MintCall:
+		c.mint(e)
+	case CallerGone:
+		c.forget(e.Call)
+	case Drain:
+		c.beginDrain()
+	}
+	c.tick()
+	c.checkDrained()
+	c.actions = append(c.actions, SetTimer{At: c.nextTimer()})
+	return c.actions
+}
+
+func (c *Core) nextTimer() time.Duration {
+	at := c.gossip.next
+	if next, ok := c.timers.Next(); ok {
+		at = min(at, next)
+	}
+	return at
+}
+
+func (c *Core) tick() {
+	for {
+		t, ok := c.timers.Pop(c.now.Mono)
+		if !ok {
+			break
+		}
+		c.fire(t)
+	}
+	if c.gossip.next <= c.now.Mono {
+		c.periodic()
+	}
+}
+
+// received delivers the messages of an envelope.
+func (c *Core) received(e *message.Envelope) {
+	if e.To != c.cfg.Self {
+		return
+	}
+	c.observe(e)
+	for i := range e.Messages {
+		m := &e.Messages[i]
+		switch {
+		case m.Answer != nil:
+			c.answer(m.Answer)
+		case m.Pending != nil:
+			c.pending(m.Pending)
+		case m.NoRecord != nil:
+			c.noRecord(m.NoRecord)
+		case m.NotHome != nil:
+			c.notHome(m.NotHome)
+		case m.Status != nil:
+			c.status(e.From, m.Status)
+		}
+	}
+}
+
+// mint answers a request for IDs. Homes are taken in turn among the agents
+// that take work.
+func (c *Core) mint(e MintCall) {
+	ids := make([]job.ID, 0, e.Count)
+	for range e.Count {
+		a := c.nextHome()
+		if a == nil {
+			c.actions = append(c.actions, MintReply{Call: e.Call, Kind: errkind.Unavailable})
+			return
+		}
+		ids = append(ids, c.mintFor(a.member.Ref))
+	}
+	c.actions = append(c.actions, MintReply{Call: e.Call, IDs: ids})
+}
+
+func (c *Core) mintFor(home node.Ref) job.ID {
+	c.lastMinted++
+	return job.Minted{
+		Home: home, Created: c.now.Wall, Minter: c.cfg.Self.Incarnation, Seq: c.lastMinted,
+	}.ID()
+}
+
+func (c *Core) nextHome() *agent {
+	for range c.order {
+		c.mintTurn = (c.mintTurn + 1) % len(c.order)
+		if a := c.order[c.mintTurn]; a.usable() {
+			return a
+		}
+	}
+	return nil
+}
+
+func (c *Core) beginDrain() {
+	if c.drain {
+		return
+	}
+	c.drain = true
+	c.actions = append(c.actions, AppendControl{Record: control.EncodeLeave(c.cfg.Self)})
+}
+
+func (c *Core) checkDrained() {
+	if !c.drain || c.drained || len(c.calls) > 0 {
+		return
+	}
+	c.drained = true
+	c.actions = append(c.actions, Drained{})
+}
+
+func (c *Core) send(to node.Ref, m message.Message) {
+	c.actions = append(c.actions, Send{To: to, Message: m})
+}
+
+// Offset returns the offset of the next record of the control stream to read.
+func (c *Core) Offset() int64 { return c.state.Next() }
--- a/core/errkind/errkind.go
+++ b/core/errkind/errkind.go
@@ -17,6 +17,7 @@
 	Cancelled         Kind = "cancelled"
 	UpstreamFailed    Kind = "upstream_failed"
 	OutcomeUnknown    Kind = "outcome_unknown"
+	Incomplete        Kind = "incomplete"
 	NotFound          Kind = "not_found"
 	Conflict          Kind = "conflict"
 	Unavailable       Kind = "unavailable"
@@ -48,6 +49,7 @@
 	{Cancelled, 409, false, false, "the caller cancelled the job; the task states say what has started"},
 	{UpstreamFailed, 502, false, false, "an upstream answered a task with a failure"},
 	{OutcomeUnknown, 500, false, false, "a task may have started and its outcome is not known; nothing is started again"},
+	{Incomplete, 500, false, false, "the job was given up after some of its tasks had started; the task states say which"},
 	{NotFound, 404, false, false, "no record of this job is held; this does not say whether it ran"},
 	{Conflict, 409, false, false, "the job ID is in use with different contents, or the change was made from an older revision"},
 	{Unavailable, 503, false, true, "the request could not be served now; it changed nothing"},
--- /dev/null
+++ b/core/executor/upstream.go
@@ -0,0 +1,147 @@
+package executor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
+	"github.com/dogwoodgauge/dogwoodgauge/core/label"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+)
+
+// Announcement describes an upstream that has made itself known.
+type Announcement struct {
+	Name        string
+	Slots       int
+	Connections int
+	Labels      label.Set
+	TTL         time.Duration
+}
+
+// upstream is one announced upstream.
+type upstream struct {
+	name      string
+	labels    label.Set
+	slots     int
+	busy      int
+	expires   time.Duration
+	withdrawn bool
+}
+
+// free returns the number of slots that a new task may take.
+func (u *upstream) free() int {
+	if u.withdrawn {
+		return 0
+	}
+	return u.slots - u.busy
+}
+
+// upstreams is the list of upstreams in order of name.
+type upstreams struct{ list []*upstream }
+
+// slots returns the number of slots of all upstreams that take work.
+func (us *upstreams) slots() int {
+	n := 0
+	for _, u := range us.list {
+		if !u.withdrawn {
+			n += u.slots
+		}
+	}
+	return n
+}
+
+func (us *upstreams) find(name string) (*upstream, bool) {
+	i, ok := slices.BinarySearchFunc(us.list, name, func(u *upstream, n string) int {
+		return cmp.Compare(u.name, n)
+	})
+	if !ok {
+		return nil, false
+	}
+	return us.list[i], true
+}
+
+func (us *upstreams) set(now time.Duration, a Announcement) {
+	u, ok := us.find(a.Name)
+	if !ok {
+		u = &upstream{name: a.Name}
+		us.list = append(us.list, u)
+		slices.SortFunc(us.list, func(x, y *upstream) int { return cmp.Compare(x.name, y.name) })
+	}
+	u.labels = a.Labels
+	u.slots = min(a.Slots, a.Connections)
+	u.expires = now + a.TTL
+	u.withdrawn = false
+}
+
+// lapse withdraws upstreams whose announcement was not renewed, and removes
+// withdrawn ones that run nothing.
+func (us *upstreams) lapse(now time.Duration) {
+	for _, u := range us.list {
+		if u.expires <= now {
+			u.withdrawn = true
+		}
+	}
+	us.list = slices.DeleteFunc(us.list, func(u *upstream) bool {
+		return u.withdrawn && u.busy == 0
+	})
+}
+
+// Announce adds or renews an upstream.
+func (c *Core) Announce(now clock.Now, a Announcement, out *Output) {
+	c.out = out
+	c.upstreams.set(now.Mono, a)
+	c.dispatch(now)
+}
+
+// Withdraw removes an upstream. Its running tasks go on; tasks that wait and
+// have nowhere else to go are refused.
+func (c *Core) Withdraw(now clock.Now, name string, out *Output) {
+	if u, ok := c.upstreams.find(name); ok {
+		u.withdrawn = true
+		u.expires = now.Mono
+	}
+	c.upstreams.lapse(now.Mono)
+	c.Recheck(now, out)
+}
+
+// Upstreams describes the upstreams that take work.
+func (c *Core) Upstreams() []message.Upstream {
+	var list []message.Upstream
+	for _, u := range c.upstreams.list {
+		if !u.withdrawn {
+			list = append(list, message.Upstream{Name: u.name, Labels: u.labels, Slots: u.slots})
+		}
+	}
+	return list
+}
+
+// NextExpiry returns the earliest time at which an announcement lapses.
+func (c *Core) NextExpiry() (time.Duration, bool) {
+	var next time.Duration
+	found := false
+	for _, u := range c.upstreams.list {
+		if u.withdrawn {
+			continue
+		}
+		if !found || u.expires < next {
+			next = u.expires
+			found = true
+		}
+	}
+	return next, found
+}
+
+// serviceWeight is the weight of a new observation in the mean, as 1/n.
+const serviceWeight = 16
+
+// serviceTime is the moving average of observed service times.
+type serviceTime struct{ mean time.Duration }
+
+func (s *serviceTime) observe(d time.Duration) {
+	if s.mean == 0 {
+		s.mean = d
+		return
+	}
+	s.mean += (d - s.mean) / serviceWeight
+}
--- /dev/null
+++ b/core/home/home.go
@@ -0,0 +1,225 @@
+package home
+
+import (
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
+	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
+	"github.com/dogwoodgauge/dogwoodgauge/core/invariant"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/placement"
+	"github.com/dogwoodgauge/dogwoodgauge/core/timerqueue"
+)
+
+// Ownership says whether this process may create the record of a job.
+type Ownership interface {
+	// Admit decides about a job whose ID was not minted by the system.
+	Admit(now clock.Now, id job.ID, created int64) Admission
+}
+
+// Admission is the decision of Ownership.
+type Admission struct {
+	// Granted is true when the record may be created.
+	Granted bool
+	// Home is the home of the ID when it is another process.
+	Home node.Ref
+	// Detail says why it is not granted.
+	Detail string
+}
+
+// Eligibility says which executors may run a task.
+type Eligibility interface {
+	// Version changes whenever an earlier answer may no longer hold.
+	Version() uint64
+	// Eligible reports whether some upstream of ref may run a task of this
+	// job with these labels.
+	Eligible(ref node.Ref, j *job.Job, t *job.Task) bool
+}
+
+// Config sets the bounds of a home.
+type Config struct {
+	Self node.Ref
+	// Window is how long after its creation a job may still be admitted, and
+	// how long its record is kept.
+	Window time.Duration
+	// ClockBound is the largest difference between two wall clocks.
+	ClockBound time.Duration
+	// MaxRecords bounds the records held.
+	MaxRecords int
+	// MaxResultBytes bounds the results held for later requests.
+	MaxResultBytes int
+	// MaxWaiting bounds the tasks that wait for an executor.
+	MaxWaiting int
+	// QueueAllowance is how many tasks beyond its free slots an executor may
+	// be sent.
+	QueueAllowance int
+	Picker         placement.Picker
+	Ownership      Ownership
+	Eligibility    Eligibility
+	Invariants     *invariant.Recorder
+}
+
+// Reply is a message to another process.
+type Reply struct {
+	To      node.Ref
+	Message message.Message
+}
+
+// Output collects what a call produced. The caller empties it.
+type Output struct{ Replies []Reply }
+
+// Core is the home's state.
+type Core struct {
+	cfg     Config
+	records store
+	links   map[node.Ref]*link
+	order   []*link
+	waiting waitlist
+	timers  timerqueue.Queue[timer]
+	stats   Stats
+	now     clock.Now
+	out     *Output
+	// linksVersion changes with the list of executors.
+	linksVersion uint64
+	// Scratch space of one placement.
+	cands     []placement.Candidate
+	candLinks []*link
+	full      []*group
+}
+
+// Stats counts what the home has done.
+type Stats struct {
+	Records   int
+	Waiting   int
+	Placed    uint64
+	Refused   uint64
+	Completed uint64
+	Failed    uint64
+}
+
+// New returns a home without records.
+func New(cfg Config) *Core {
+	return &Core{
+		cfg:     cfg,
+		records: newStore(cfg.Window, cfg.MaxRecords, cfg.MaxResultBytes),
+		links:   make(map[node.Ref]*link),
+	}
+}
+
+// Stats returns the counters.
+func (c *Core) Stats() Stats {
+	s := c.stats
+	s.Records = c.records.len()
+	s.Waiting = c.waiting.tasks
+	return s
+}
+
+// Idle reports whether every record is final.
+func (c *Core) Idle() bool { return c.records.open == 0 }
+
+// Submit handles a submission from an entry.
+func (c *Core) Submit(now clock.Now, from node.Ref, s *message.Submit, out *Output) {
+	c.begin(now, out)
+	sub := subscriber{entry: from, request: s.Request}
+	j := &s.Job
+	if r, ok := c.records.get(j.ID); ok {
+		c.resubmit(r, j, sub, s)
+		return
+	}
+	if !c.mayCreate(j, sub) {
+		return
+	}
+	r := c.create(j, s.Trace)
+	r.subscribe(sub)
+	if s.Refuse != errkind.None {
+		r.failing = s.Refuse
+		r.retryAfter = s.RetryAfter
+		c.finishRefused(r)
+		return
+	}
+	c.begin2(r)
+}
+
+// begin2 admits the tasks of a new record to the wait list and places them.
+func (c *Core) begin2(r *record) {
+	if c.waiting.tasks+len(r.tasks) > c.cfg.MaxWaiting {
+		r.failing = errkind.NotRun
+		r.detail = "too many tasks are waiting"
+		r.retryAfter = c.retryAfter()
+		c.finishRefused(r)
+		return
+	}
+	c.timers.Add(r.deadline, timer{kind: timerDeadline, id: r.id, attempt: r.attempt})
+	c.waiting.add(r)
+	c.place()
+}
+
+// Fetch handles a request for the answer of a job.
+func (c *Core) Fetch(now clock.Now, from node.Ref, f *message.Fetch, out *Output) {
+	c.begin(now, out)
+	r, ok := c.records.get(f.ID)
+	if !ok {
+		c.reply(from, message.Message{NoRecord: &message.NoRecord{Request: f.Request}})
+		return
+	}
+	c.attach(r, f.Attempt, subscriber{entry: from, request: f.Request})
+}
+
+// Cancel handles a request to cancel a job.
+func (c *Core) Cancel(now clock.Now, from node.Ref, x *message.Cancel, out *Output) {
+	c.begin(now, out)
+	sub := subscriber{entry: from, request: x.Request}
+	r, ok := c.records.get(x.ID)
+	if !ok {
+		c.cancelUnseen(x, sub)
+		return
+	}
+	if x.Attempt == r.attempt && r.final == nil {
+		c.fail(r, errkind.Cancelled, "the caller cancelled the job")
+	}
+	c.attach(r, x.Attempt, sub)
+}
+
+// cancelUnseen records the cancellation of a job that has not arrived, so that
+// a submission overtaken by its cancellation never starts.
+func (c *Core) cancelUnseen(x *message.Cancel, sub subscriber) {
+	m, minted := x.ID.Minted()
+	if !minted || m.Home != c.cfg.Self || c.expired(m.Created) {
+		c.reply(sub.entry, message.Message{NoRecord: &message.NoRecord{Request: sub.request}})
+		return
+	}
+	r := c.create(&job.Job{ID: x.ID, Attempt: x.Attempt, Created: m.Created}, "")
+	r.digest = 0
+	r.subscribe(sub)
+	r.failing = errkind.Cancelled
+	r.detail = "the caller cancelled the job before it arrived"
+	c.finishRefused(r)
+}
+
+// Tick handles everything that is due.
+func (c *Core) Tick(now clock.Now, out *Output) {
+	c.begin(now, out)
+	for {
+		t, ok := c.timers.Pop(now.Mono)
+		if !ok {
+			break
+		}
+		c.fire(t)
+	}
+	c.records.evict(now.Wall)
+	c.place()
+}
+
+// Next returns the time at which Tick is due.
+func (c *Core) Next() (time.Duration, bool) { return c.timers.Next() }
+
+func (c *Core) begin(now clock.Now, out *Output) {
+	c.now = now
+	c.out = out
+}
+
+func (c *Core) reply(to node.Ref, m message.Message) {
+	c.out.Replies = append(c.out.Replies, Reply{To: to, Message: m})
+}
--- /dev/null
+++ b/core/home/link.go
@@ -0,0 +1,109 @@
+package home
+
+import (
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+)
+
+// loadLag is how old a load report may be compared with the tasks that were
+// sent just before it arrived.
+const loadLag = 5 * time.Millisecond
+
+// link is the home's side of the tasks sent to one executor incarnation.
+type link struct {
+	ref    node.Ref
+	domain string
+	local  bool
+	// known is false once the executor is no longer a member.
+	known bool
+	dead  bool
+	load  message.Load
+	// loadAt is when load arrived.
+	loadAt time.Duration
+	// uncovered is the number of tasks sent that load does not cover.
+	uncovered   int
+	nextSeq     uint64
+	floor       uint64
+	outstanding map[uint64]*task
+}
+
+func newLink(ref node.Ref) *link {
+	return &link{ref: ref, nextSeq: 1, floor: 1, outstanding: make(map[uint64]*task)}
+}
+
+// assign gives t the next sequence number.
+func (l *link) assign(t *task, now time.Duration) {
+	t.link = l
+	t.seq = l.nextSeq
+	t.sentAt = now
+	t.state = taskSent
+	l.nextSeq++
+	l.outstanding[t.seq] = t
+	l.uncovered++
+}
+
+// settle ends the interest in seq and raises the floor over settled numbers.
+func (l *link) settle(seq uint64) {
+	delete(l.outstanding, seq)
+	for l.floor < l.nextSeq {
+		if _, open := l.outstanding[l.floor]; open {
+			return
+		}
+		l.floor++
+	}
+}
+
+// observe takes a load report that arrived at now.
+func (l *link) observe(load message.Load, now time.Duration) {
+	l.load = load
+	l.loadAt = now
+	l.uncovered = 0
+	for seq := l.nextSeq; seq > l.floor; seq-- {
+		t, open := l.outstanding[seq-1]
+		if open && now-t.sentAt >= loadLag {
+			return
+		}
+		if open {
+			l.uncovered++
+		}
+	}
+}
+
+// Executor describes one agent that may run tasks.
+type Executor struct {
+	Ref    node.Ref
+	Domain string
+}
+
+// SetExecutors replaces the list of agents that may be sent tasks. The list
+// must be in a deterministic order.
+func (c *Core) SetExecutors(list []Executor) {
+	for _, l := range c.order {
+		l.known = false
+	}
+	c.order = c.order[:0]
+	for _, x := range list {
+		l := c.link(x.Ref)
+		l.domain = x.Domain
+		l.known = true
+		l.local = x.Ref == c.cfg.Self
+		c.order = append(c.order, l)
+	}
+	c.linksVersion++
+	for ref, l := range c.links {
+		if !l.known && l.dead {
+			delete(c.links, ref)
+		}
+	}
+}
+
+func (c *Core) link(ref node.Ref) *link {
+	l, ok := c.links[ref]
+	if !ok {
+		l = newLink(ref)
+		c.links[ref] = l
+	}
+	return l
+}
--- /dev/null
+++ b/core/home/place.go
@@ -0,0 +1,281 @@
+package home
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
+	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
+	"github.com/dogwoodgauge/dogwoodgauge/core/invariant"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/label"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/placement"
+)
+
+const (
+	// placeBatch is the number of records that one call looks at.
+	placeBatch = 64
+	// noMatchWait is how long a task waits for a matching upstream to appear.
+	noMatchWait = 2 * time.Second
+	// retryDelay is the pause after all candidates have refused a task.
+	retryDelay = 20 * time.Millisecond
+	// firstResend is the delay after which an unanswered Start is repeated;
+	// later repetitions back off up to maxResend.
+	firstResend = time.Second
+	maxResend   = 4 * time.Second
+)
+
+// waitlist holds the records with waiting tasks, by class, in turn order.
+type waitlist struct {
+	classes [3][]*record
+	tasks   int
+}
+
+func classIndex(c job.Class) int {
+	switch c {
+	case job.Urgent:
+		return 0
+	case job.Batch:
+		return 2
+	default:
+		return 1
+	}
+}
+
+func (w *waitlist) add(r *record) {
+	w.tasks += len(r.tasks)
+	w.enter(r)
+}
+
+// enter puts a record at the end of its class.
+func (w *waitlist) enter(r *record) {
+	if r.inWaitlist {
+		return
+	}
+	r.inWaitlist = true
+	list := &w.classes[classIndex(r.job.Class)]
+	*list = append(*list, r)
+}
+
+// place sends waiting tasks to executors with room, urgent classes first and
+// the records of a class in turn.
+func (c *Core) place() {
+	for i := range c.waiting.classes {
+		c.placeClass(i)
+	}
+}
+
+func (c *Core) placeClass(class int) {
+	list := c.waiting.classes[class]
+	n := min(len(list), placeBatch)
+	if n == 0 {
+		return
+	}
+	batch := slices.Clone(list[:n])
+	rest := list[n:]
+	var again []*record
+	for _, r := range batch {
+		if c.placeRecord(r) {
+			again = append(again, r)
+			continue
+		}
+		r.inWaitlist = false
+	}
+	// Records that entered the list meanwhile are behind rest.
+	rest = c.waiting.classes[class][n:]
+	c.waiting.classes[class] = append(slices.Clone(rest), again...)
+}
+
+// placeRecord sends as many tasks of r as have room. It reports whether some
+// still wait.
+func (c *Core) placeRecord(r *record) bool {
+	if r.final != nil || r.settling {
+		return false
+	}
+	waits := false
+	c.full = c.full[:0]
+	for i := r.next; i < len(r.tasks); i++ {
+		t := &r.tasks[i]
+		if t.state != taskWaiting {
+			if i == r.next {
+				r.next++
+			}
+			continue
+		}
+		if !c.placeTask(t) {
+			waits = true
+		}
+		if r.settling || r.final != nil {
+			return false
+		}
+	}
+	return waits
+}
+
+// placeTask sends t to an executor with room. It reports false when t waits.
+func (c *Core) placeTask(t *task) bool {
+	g := c.group(t)
+	if len(t.excluded) == 0 && slices.Contains(c.full, g) {
+		return false
+	}
+	if len(g.links) == 0 {
+		c.noMatch(t)
+		return false
+	}
+	c.gather(t, g)
+	if len(c.cands) == 0 {
+		c.readmitLater(t)
+		return false
+	}
+	i := c.cfg.Picker.Pick(c.cands)
+	if i < 0 {
+		if len(t.excluded) == 0 {
+			c.full = append(c.full, g)
+		}
+		return false
+	}
+	c.send(t, c.candLinks[i])
+	return true
+}
+
+// group is the set of tasks of one record with equal labels, and the executors
+// that may run them.
+type group struct {
+	labels  label.Set
+	version uint64
+	links   []*link
+}
+
+// group returns the group of t with its executors up to date.
+func (c *Core) group(t *task) *group {
+	r := t.record
+	labels := r.job.Tasks[t.index].Labels
+	g := r.group(labels)
+	version := c.cfg.Eligibility.Version() + c.linksVersion
+	if g.version == version {
+		return g
+	}
+	g.version = version
+	g.links = g.links[:0]
+	for _, l := range c.order {
+		if !l.dead && c.cfg.Eligibility.Eligible(l.ref, r.job, &r.job.Tasks[t.index]) {
+			g.links = append(g.links, l)
+		}
+	}
+	return g
+}
+
+// group returns the record's group with these labels.
+func (r *record) group(labels label.Set) *group {
+	for _, g := range r.groups {
+		if maps.Equal(g.labels, labels) {
+			return g
+		}
+	}
+	g := &group{labels: labels}
+	r.groups = append(r.groups, g)
+	return g
+}
+
+// gather sets c.cands and c.candLinks to the executors that t may be sent to.
+func (c *Core) gather(t *task, g *group) {
+	c.cands = c.cands[:0]
+	c.candLinks = c.candLinks[:0]
+	for _, l := range g.links {
+		if l.load.Draining || slices.Contains(t.excluded, l.ref.ID) {
+			continue
+		}
+		c.cands = append(c.cands, c.candidate(l))
+		c.candLinks = append(c.candLinks, l)
+	}
+}
+
+// readmitLater schedules another round for a task that every executor has
+// refused.
+func (c *Core) readmitLater(t *task) {
+	if len(t.excluded) == 0 || t.readmitting {
+		return
+	}
+	t.readmitting = true
+	r := t.record
+	delay := max(retryDelay, t.retryAfter)
+	c.timers.Add(c.now.Mono+delay, timer{kind: timerReadmit, id: r.id, attempt: r.attempt, index: t.index})
+}
+
+func (c *Core) candidate(l *link) placement.Candidate {
+	return placement.Candidate{
+		Ref:    l.ref,
+		Domain: l.domain,
+		Local:  l.local,
+		Load:   l.load,
+		Sent:   l.uncovered,
+		Age:    c.now.Mono - l.loadAt,
+	}
+}
+
+// noMatch fails the job of t once the wait for a matching upstream is over.
+func (c *Core) noMatch(t *task) {
+	r := t.record
+	since := c.now.Mono - (r.deadline - r.job.Timeout)
+	if since >= noMatchWait {
+		c.fail(r, errkind.NoUpstreamMatches, "no upstream matches the labels of a task")
+		return
+	}
+	if r.matchTimer {
+		return
+	}
+	r.matchTimer = true
+	c.timers.Add(c.now.Mono+noMatchWait-since, timer{kind: timerPlace})
+}
+
+// send hands t to the executor of l.
+func (c *Core) send(t *task, l *link) {
+	r := t.record
+	c.cfg.Invariants.Check(t.state == taskWaiting && r.final == nil, invariant.DuplicateStart,
+		"task %s/%d is placed while in state %d", r.id, t.index, t.state)
+	l.assign(t, c.now.Mono)
+	c.waiting.tasks--
+	c.stats.Placed++
+	c.timers.Add(c.now.Mono+firstResend, timer{kind: timerResend, link: l, seq: t.seq})
+	c.sendStart(t)
+}
+
+func (c *Core) sendStart(t *task) {
+	r := t.record
+	s := &message.Start{
+		Seq: t.seq, Floor: t.link.floor, ID: r.id, Attempt: r.attempt, Index: t.index,
+		Team: r.job.Team, Class: r.job.Class, Timeout: r.deadline - c.now.Mono,
+		Task: r.job.Tasks[t.index], Trace: r.trace,
+	}
+	c.reply(t.link.ref, message.Message{Start: s})
+}
+
+// ObserveLoad takes the load report of an executor.
+func (c *Core) ObserveLoad(now clock.Now, ref node.Ref, load message.Load) {
+	if l, ok := c.links[ref]; ok {
+		l.observe(load, now.Mono)
+	}
+}
+
+// Place places waiting tasks after loads or eligibility have changed.
+func (c *Core) Place(now clock.Now, out *Output) {
+	c.begin(now, out)
+	c.place()
+}
+
+// retryAfter estimates when the waiting tasks will have been placed.
+func (c *Core) retryAfter() time.Duration {
+	slots := 0
+	var service time.Duration
+	for _, l := range c.order {
+		slots += l.load.Slots
+		service = max(service, l.load.Service)
+	}
+	if slots == 0 {
+		return noMatchWait
+	}
+	return service * time.Duration(1+c.waiting.tasks/slots)
+}
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 )
@@ -36,6 +37,7 @@
 	Answer   *Answer   `json:"answer,omitempty"`
 	Pending  *Pending  `json:"pending,omitempty"`
 	NoRecord *NoRecord `json:"norecord,omitempty"`
+	NotHome  *NotHome  `json:"nothome,omitempty"`
 	Start    *Start    `json:"start,omitempty"`
 	Abort    *Abort    `json:"abort,omitempty"`
 	Result   *Result   `json:"result,omitempty"`
@@ -51,6 +53,11 @@
 type Submit struct {
 	Request uint64  `json:"req"`
 	Job     job.Job `json:"job"`
+	// Refuse, when set, asks the home to give this kind as the final answer
+	// unless it already holds the job. The entry uses it for refusals that it
+	// decides itself, so that they are true for every copy of the submission.
+	Refuse     errkind.Kind  `json:"refuse,omitempty"`
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
 	// Trace is a W3C traceparent value, or empty.
 	Trace string `json:"trace,omitempty"`
 }
@@ -85,6 +92,14 @@
 	Request uint64 `json:"req"`
 }
 
+// NotHome says that the receiver of a Submit, Fetch or Cancel is not the home
+// of the job as far as it knows, and has not created a record of it.
+type NotHome struct {
+	Request uint64 `json:"req"`
+	// Home is the home that the sender knows of.
+	Home node.Ref `json:"home"`
+}
+
 // Start asks an executor to start a task. Seq numbers the tasks that one home
 // incarnation has sent to one executor incarnation, from 1. A repeated Start
 // with the same Seq is a retransmission and never a second start.
