--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,190 @@
+// Package loop runs a deterministic core on one goroutine: events come in
+// through a bounded channel, actions are carried out in order.
+package loop
+
+import (
+	"context"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
+)
+
+// maxBatch is the largest number of events between two rounds of actions.
+const maxBatch = 256
+
+// idleTimer is the first setting of the timer, before the core asks for one.
+const idleTimer = time.Hour
+
+// Config holds the settings of a Loop with events E and actions A.
+type Config[E, A any] struct {
+	// Step hands one event to the core. The returned slice may be reused by the
+	// next call.
+	Step func(now clock.Now, event E) []A
+	// Do carries out one action. It must not block.
+	Do func(action A)
+	// AfterBatch is called after the actions of a batch of events. It may be nil.
+	AfterBatch func()
+	// Tick is the event of an expired timer.
+	Tick E
+	// Queue is the number of events that wait before Post blocks.
+	Queue int
+}
+
+// Loop owns a core. Its methods are safe for concurrent use, except SetTimer,
+// which belongs to Config.Do.
+type Loop[E, A any] struct {
+	cfg     Config[E, A]
+	start   time.Time
+	items   chan item[E]
+	done    chan struct{}
+	timer   *time.Timer
+	actions []A
+	waiters []chan struct{}
+}
+
+// item is an event, or a function to call between two batches.
+type item[E any] struct {
+	event E
+	call  func()
+	// done is closed once the item's actions have been carried out. It may be
+	// nil.
+	done chan struct{}
+}
+
+// New returns a loop that does not run yet.
+func New[E, A any](cfg Config[E, A]) *Loop[E, A] {
+	return &Loop[E, A]{
+		cfg:   cfg,
+		start: time.Now(),
+		items: make(chan item[E], cfg.Queue),
+		done:  make(chan struct{}),
+		timer: time.NewTimer(idleTimer),
+	}
+}
+
+// Now returns the time on the scales of the core. The monotonic part is read
+// from CLOCK_MONOTONIC, which advances while the process is stopped by a signal
+// or waits for a processor. It does not advance while the whole host sleeps.
+func (l *Loop[E, A]) Now() clock.Now {
+	now := time.Now()
+	return clock.Now{Mono: now.Sub(l.start), Wall: now.UnixMilli()}
+}
+
+// Mono returns the monotonic part of Now.
+func (l *Loop[E, A]) Mono() time.Duration { return time.Since(l.start) }
+
+// Post queues an event. It blocks while the queue is full and reports false
+// when the loop has ended.
+func (l *Loop[E, A]) Post(event E) bool {
+	return l.put(item[E]{event: event})
+}
+
+// PostWait queues an event and waits until its actions have been carried out.
+// It reports false when the loop ended before that.
+func (l *Loop[E, A]) PostWait(event E) bool {
+	return l.putWait(item[E]{event: event, done: make(chan struct{})})
+}
+
+// Call runs f on the goroutine of the loop and waits for it. It reports false
+// when the loop ended before that.
+func (l *Loop[E, A]) Call(f func()) bool {
+	return l.putWait(item[E]{call: f, done: make(chan struct{})})
+}
+
+// Done is closed once the loop has ended.
+func (l *Loop[E, A]) Done() <-chan struct{} { return l.done }
+
+// SetTimer asks for a tick at the monotonic time at, in place of the one asked
+// for before.
+func (l *Loop[E, A]) SetTimer(at time.Duration) {
+	l.timer.Reset(max(at-l.Mono(), 0))
+}
+
+// Run handles events until ctx ends. It must be called once.
+func (l *Loop[E, A]) Run(ctx context.Context) error {
+	defer close(l.done)
+	defer l.timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case it := <-l.items:
+			l.handle(it)
+			l.drain()
+		case <-l.timer.C:
+			l.step(l.cfg.Tick)
+			l.drain()
+		}
+		l.finishBatch()
+	}
+}
+
+// drain handles the items that wait already, up to the size of a batch.
+func (l *Loop[E, A]) drain() {
+	for range maxBatch - 1 {
+		select {
+		case it := <-l.items:
+			l.handle(it)
+		default:
+			return
+		}
+	}
+}
+
+func (l *Loop[E, A]) handle(it item[E]) {
+	if it.call != nil {
+		it.call()
+	} else {
+		l.step(it.event)
+	}
+	if it.done != nil {
+		l.waiters = append(l.waiters, it.done)
+	}
+}
+
+func (l *Loop[E, A]) step(event E) {
+	l.actions = append(l.actions, l.cfg.Step(l.Now(), event)...)
+}
+
+// finishBatch carries out the actions and wakes those who wait for them.
+func (l *Loop[E, A]) finishBatch() {
+	for _, a := range l.actions {
+		l.cfg.Do(a)
+	}
+	clear(l.actions)
+	l.actions = l.actions[:0]
+	if l.cfg.AfterBatch != nil {
+		l.cfg.AfterBatch()
+	}
+	for _, done := range l.waiters {
+		close(done)
+	}
+	clear(l.waiters)
+	l.waiters = l.waiters[:0]
+}
+
+func (l *Loop[E, A]) put(it item[E]) bool {
+	select {
+	case <-l.done:
+		return false
+	default:
+	}
+	select {
+	case l.items <- it:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+func (l *Loop[E, A]) putWait(it item[E]) bool {
+	if !l.put(it) {
+		return false
+	}
+	select {
+	case <-it.done:
+		return true
+	case <-l.done:
+		return false
+	}
+}
