transport: JSON-RPC notifications over TCP between processes

Cause: the daemons need a carrier of envelopes that proves death only by a refused port or another incarnation.

Deliver notifications are decoded in one pass by the stream; jsonrpc2's generic decoder handles the rest.

--- /dev/null
+++ b/internal/transport/conn.go
@@ -0,0 +1,235 @@
+package transport
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/jsonrpc2"
+	"k8s.io/klog/v2"
+)
+
+// hello is the first notification in each direction of a connection.
+type hello struct {
+	Version int      `json:"version"`
+	Node    node.Ref `json:"node"`
+}
+
+var (
+	errVersion    = errors.New("peer speaks another protocol version")
+	errNoHello    = errors.New("peer sent something else before its hello")
+	errHelloAgain = errors.New("peer sent a second hello")
+	errBadHello   = errors.New("hello names no process")
+	errSender     = errors.New("envelope names another sender than the hello")
+	errMethod     = errors.New("unknown method")
+)
+
+// conn is one connection. Its peer is known once helloDone is closed.
+type conn struct {
+	t      *Transport
+	stream *stream
+	rpc    *jsonrpc2.Conn
+	remote string
+
+	// peer is written once by the reading goroutine before helloDone is closed.
+	peer      node.Ref
+	helloDone chan struct{}
+	// link is guarded by t.mu.
+	link *link
+}
+
+// open says hello on nc and starts to read. It takes over nc.
+func (t *Transport) open(ctx context.Context, nc net.Conn) (*conn, error) {
+	c := &conn{t: t, remote: nc.RemoteAddr().String(), helloDone: make(chan struct{})}
+	c.stream = newStream(nc, t.cfg.MaxFrameBytes, &t.counters.bytesIn, &t.counters.bytesOut)
+	c.stream.onDeliver = c.onDeliver
+	if err := c.stream.notify(helloPrefix, hello{Version: message.Version, Node: t.cfg.Self}); err != nil {
+		_ = nc.Close()
+		return nil, err
+	}
+	if err := nc.SetReadDeadline(time.Now().Add(t.cfg.DialTimeout)); err != nil {
+		_ = nc.Close()
+		return nil, err
+	}
+	c.rpc = jsonrpc2.NewConn(ctx, &closeReporter{stream: c.stream, c: c}, c, jsonrpc2.SetLogger(quietLogger{}))
+	return c, nil
+}
+
+// quietLogger discards the library's lines; closeReporter logs the causes.
+type quietLogger struct{}
+
+func (quietLogger) Printf(string, ...any) {}
+
+// closeReporter logs the cause that ends the reading of a connection.
+type closeReporter struct {
+	*stream
+	c *conn
+}
+
+// ReadObject implements jsonrpc2.ObjectStream.
+func (r *closeReporter) ReadObject(v any) error {
+	err := r.stream.ReadObject(v)
+	if err != nil {
+		r.c.readFailed(err)
+	}
+	return err
+}
+
+// readFailed ends the connection after a read error.
+func (c *conn) readFailed(err error) {
+	if !isConnectionError(err) {
+		c.t.counters.badFrames.Add(1)
+		klog.Warningf("transport: closing the connection from %s: %v", c.remote, err)
+	} else {
+		klog.V(2).Infof("transport: connection with %s ended: %v", c.remote, err)
+	}
+	c.close()
+}
+
+// isConnectionError tells the end of a connection from a fault in what it sent.
+func isConnectionError(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.ECONNRESET) ||
+		(errors.As(err, &netErr) && !netErr.Timeout())
+}
+
+// Handle implements jsonrpc2.Handler for everything but the usual deliver
+// notification. It runs on the reading goroutine.
+func (c *conn) Handle(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if err := c.handle(req); err != nil {
+		c.readFailed(err)
+	}
+}
+
+func (c *conn) handle(req *jsonrpc2.Request) error {
+	if req.Params == nil || !req.Notif {
+		return errBadFrame
+	}
+	switch req.Method {
+	case methodHello:
+		return c.onHello(*req.Params)
+	case methodDeliver:
+		env := &message.Envelope{}
+		if err := json.Unmarshal(*req.Params, env); err != nil {
+			return errors.Wrap(errBadFrame, err.Error())
+		}
+		return c.onDeliver(env)
+	default:
+		return errors.Wrapf(errMethod, "%.32q", req.Method)
+	}
+}
+
+func (c *conn) saidHello() bool {
+	select {
+	case <-c.helloDone:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *conn) onHello(params json.RawMessage) error {
+	var h hello
+	if err := json.Unmarshal(params, &h); err != nil {
+		return errors.Wrap(errBadFrame, err.Error())
+	}
+	switch {
+	case c.saidHello():
+		return errHelloAgain
+	case h.Version != message.Version:
+		return errors.Wrapf(errVersion, "%d, want %d", h.Version, message.Version)
+	case h.Node.ID == "" || h.Node.Incarnation == 0:
+		return errBadHello
+	}
+	if err := c.stream.conn.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	c.stream.maxRead.Store(int64(c.t.cfg.MaxFrameBytes))
+	c.peer = h.Node
+	c.t.attach(c)
+	close(c.helloDone)
+	return nil
+}
+
+func (c *conn) onDeliver(env *message.Envelope) error {
+	if !c.saidHello() {
+		return errNoHello
+	}
+	if env.From != c.peer {
+		return errSender
+	}
+	if !wellFormed(env) {
+		return errors.Wrap(errBadFrame, "a message must set exactly one field")
+	}
+	if env.To != c.t.cfg.Self {
+		c.t.counters.misaddressed.Add(1)
+		return nil
+	}
+	c.t.counters.envelopesIn.Add(1)
+	c.t.counters.messagesIn.Add(uint64(len(env.Messages)))
+	c.t.cfg.Handler.Deliver(*env)
+	return nil
+}
+
+// send writes messages as one envelope. It closes the connection on an error.
+func (c *conn) send(batch []message.Message) {
+	if c.t.cut(c.peer.ID) {
+		c.t.counters.droppedCut.Add(uint64(len(batch)))
+		return
+	}
+	env := message.Envelope{From: c.t.cfg.Self, To: c.peer, Messages: batch}
+	if c.t.cfg.Annotate != nil {
+		c.t.cfg.Annotate(&env)
+	}
+	err := c.stream.notify(deliverPrefix, &env)
+	if err == nil {
+		c.t.counters.envelopesOut.Add(1)
+		c.t.counters.messagesOut.Add(uint64(len(batch)))
+		return
+	}
+	c.t.counters.droppedOther.Add(uint64(len(batch)))
+	if errors.Is(err, errFrameTooLarge) {
+		klog.Errorf("transport: dropped a message to %s: %v", c.peer, err)
+		return
+	}
+	klog.V(2).Infof("transport: write to %s failed: %v", c.peer, err)
+	c.close()
+}
+
+// close ends the connection. It may be called more than once.
+func (c *conn) close() {
+	_ = c.stream.Close()
+	c.t.detach(c)
+}
+
+// wellFormed reports whether each message has exactly one field set.
+func wellFormed(env *message.Envelope) bool {
+	for i := range env.Messages {
+		if fieldsSet(&env.Messages[i]) != 1 {
+			return false
+		}
+	}
+	return true
+}
+
+func fieldsSet(m *message.Message) int {
+	n := 0
+	for _, set := range [...]bool{
+		m.Submit != nil, m.Fetch != nil, m.Cancel != nil, m.Answer != nil,
+		m.Pending != nil, m.NoRecord != nil, m.Start != nil, m.Abort != nil,
+		m.Result != nil, m.Refused != nil, m.Started != nil, m.Status != nil,
+		m.Records != nil, m.Handoff != nil,
+	} {
+		if set {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/transport/stream_test.go
@@ -0,0 +1,133 @@
+package transport
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"reflect"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+func sampleEnvelope(starts int) *message.Envelope {
+	env := &message.Envelope{From: ref("a1", 0xabc), To: ref("a2", 0xdef), Offset: 17, Load: &message.Load{Slots: 8, Busy: 3}}
+	for i := range starts {
+		env.Messages = append(env.Messages, message.Message{Start: &message.Start{
+			Seq: uint64(i + 1), Floor: 1, ID: "dg1.a1.abc.18f0a.77.1", Index: i, Team: "records", Class: job.Urgent,
+			Timeout: time.Second, Task: job.Task{Payload: []byte(`{"ms":120,"attendant":"A-10442"}`)},
+			Trace: "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01",
+		}})
+	}
+	return env
+}
+
+func TestEnvelopeRoundTrip(t *testing.T) {
+	env := sampleEnvelope(3)
+	var buf bytes.Buffer
+	encoded, err := encodeFrame(&buf, deliverPrefix, env, notifySuffix)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := readerOf(encoded, 1<<20)
+	text, err := s.readFrame()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, ok := decodeDeliver(text)
+	if !ok || !reflect.DeepEqual(got, env) {
+		t.Errorf("got %+v", got)
+	}
+	var req jsonrpc2.Request
+	if err := json.Unmarshal(text, &req); err != nil || req.Method != methodDeliver || !req.Notif {
+		t.Errorf("not a JSON-RPC notification: %+v, %v", req, err)
+	}
+}
+
+// fakeConn is a net.Conn that only reads.
+type fakeConn struct {
+	net.Conn
+	bytes.Reader
+}
+
+func (c *fakeConn) Read(p []byte) (int, error) { return c.Reader.Read(p) }
+
+func readerOf(input []byte, limit int64) *stream {
+	c := &fakeConn{}
+	c.Reset(input)
+	s := newStream(c, int(limit), &atomic.Uint64{}, &atomic.Uint64{})
+	s.maxRead.Store(limit)
+	return s
+}
+
+func FuzzRead(f *testing.F) {
+	var buf bytes.Buffer
+	good, err := encodeFrame(&buf, deliverPrefix, sampleEnvelope(2), notifySuffix)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(append([]byte(nil), good...))
+	f.Add(frame(goodHello))
+	f.Add(frame(`{"jsonrpc":"2.0","method":"deliver","params":{"msgs":[{}]}}`))
+	f.Add(frame(`{"jsonrpc":"2.0","id":1,"result":null}`))
+	f.Add(frame(`[]`))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		const limit = 1 << 16
+		s := readerOf(input, limit)
+		s.onDeliver = func(env *message.Envelope) error {
+			wellFormed(env)
+			return nil
+		}
+		for {
+			var req jsonrpc2.Request
+			if err := s.ReadObject(&req); err != nil {
+				break
+			}
+		}
+		if s.readBuf.Len() > limit {
+			t.Errorf("buffered %d bytes", s.readBuf.Len())
+		}
+	})
+}
+
+func BenchmarkEncode(b *testing.B) {
+	const messages = 16
+	env := sampleEnvelope(messages)
+	var buf bytes.Buffer
+	b.ReportAllocs()
+	for b.Loop() {
+		encoded, err := encodeFrame(&buf, deliverPrefix, env, notifySuffix)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.SetBytes(int64(len(encoded)))
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/messages, "ns/message")
+}
+
+func BenchmarkDecode(b *testing.B) {
+	const messages = 16
+	var buf bytes.Buffer
+	encoded, err := encodeFrame(&buf, deliverPrefix, sampleEnvelope(messages), notifySuffix)
+	if err != nil {
+		b.Fatal(err)
+	}
+	text, err := readerOf(encoded, 1<<20).readFrame()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	b.SetBytes(int64(len(text)))
+	for b.Loop() {
+		if _, ok := decodeDeliver(text); !ok {
+			b.Fatal("not decoded")
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/messages, "ns/message")
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -1,15 +1,48 @@
 // Package transport carries message envelopes between processes as JSON-RPC 2.0
 // notifications over TCP.
+//
+// The first notification in each direction of a connection is "hello" with the
+// protocol version and the sender's node.Ref. Each "deliver" after it carries
+// one message.Envelope. Frames have a varint length prefix.
+//
+// Connections are opened on demand and kept. Any live connection between two
+// runs carries messages both ways, so that a process answers peers whose address
+// it does not know. The messages that gather while a write is in progress leave
+// in one envelope. Messages may be lost; they are never delivered to another run
+// than the one they were addressed to.
+//
+// A refused connection, or a hello with the same ID and another incarnation, at
+// a configured address proves that the addressed run has ended. A process must
+// therefore listen before it makes its address known, and must not close its
+// transport while it can still start a task. Silence, resets and timeouts prove
+// nothing.
 package transport
 
 import (
 	"context"
+	"net"
+	"sync"
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
 )
 
+// Defaults of the limits in Config.
+const (
+	DefaultMaxFrameBytes = 32 << 20
+	DefaultQueueBytes    = 32 << 20
+	DefaultDialTimeout   = time.Second
+)
+
+// maxConns bounds the connections that are accepted at the same time.
+const maxConns = 4096
+
+// acceptRetry is the delay after a failed accept.
+const acceptRetry = 50 * time.Millisecond
+
 // Handler receives what arrives. Its methods are called from the transport's
 // goroutines and must return soon.
 type Handler interface {
@@ -48,50 +81,209 @@
 	DialTimeout time.Duration
 }
 
-// Stats counts what a Transport has carried since it was opened.
-type Stats struct {
-	EnvelopesIn, EnvelopesOut uint64
-	MessagesIn, MessagesOut   uint64
-	BytesIn, BytesOut         uint64
-	// DroppedFull counts messages that found a full queue.
-	DroppedFull uint64
-	// DroppedNoAddress counts messages to a run without an address or connection.
-	DroppedNoAddress uint64
-	// DroppedCut counts messages dropped by Config.Cut.
-	DroppedCut uint64
-	// DroppedOther counts messages lost with a connection or too large to send.
-	DroppedOther uint64
-	// Misaddressed counts envelopes that arrived for another run.
-	Misaddressed uint64
-	// BadFrames counts connections closed because of what they sent.
-	BadFrames uint64
-}
-
 // Transport exchanges envelopes with other processes. All methods are safe for
 // concurrent use.
-type Transport struct{ cfg Config }
+type Transport struct {
+	cfg      Config
+	listener net.Listener
+	ctx      context.Context
+	cancel   context.CancelFunc
+	counters counters
 
-// Listen opens the listening socket. Connections are served once Run is called.
-func Listen(cfg Config) (*Transport, error) { return &Transport{cfg: cfg}, nil }
+	mu     sync.Mutex
+	closed bool
+	// accepting counts incoming connections whose peer has not said hello.
+	accepting int
+	links     map[node.Ref]*link
+	conns     map[*conn]struct{}
+}
+
+// Listen opens the listening socket. Connections are accepted once Run is
+// called; messages are sent from now on.
+func Listen(cfg Config) (*Transport, error) {
+	if cfg.Handler == nil || cfg.Self.ID == "" || cfg.Self.Incarnation == 0 {
+		return nil, errors.New("transport needs a handler and the name of this run")
+	}
+	cfg.setDefaults()
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	t := &Transport{
+		cfg:      cfg,
+		listener: listener,
+		links:    make(map[node.Ref]*link),
+		conns:    make(map[*conn]struct{}),
+	}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	return t, nil
+}
+
+func (cfg *Config) setDefaults() {
+	if cfg.MaxFrameBytes == 0 {
+		cfg.MaxFrameBytes = DefaultMaxFrameBytes
+	}
+	if cfg.QueueBytes == 0 {
+		cfg.QueueBytes = DefaultQueueBytes
+	}
+	if cfg.DialTimeout == 0 {
+		cfg.DialTimeout = DefaultDialTimeout
+	}
+}
 
 // Addr returns the bound IP:port.
-func (t *Transport) Addr() string { return t.cfg.Listen }
+func (t *Transport) Addr() string { return t.listener.Addr().String() }
 
-// SetPeers replaces the configured addresses.
-func (t *Transport) SetPeers(peers []Peer) {}
+// SetPeers replaces the configured addresses. Connections that are open stay
+// open.
+func (t *Transport) SetPeers(peers []Peer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	addrs := make(map[node.Ref]string, len(peers))
+	for _, p := range peers {
+		if p.Ref == t.cfg.Self {
+			continue
+		}
+		addrs[p.Ref] = p.Addr
+		t.linkLocked(p.Ref)
+	}
+	for ref, l := range t.links {
+		l.setAddr(addrs[ref])
+		if l.removeIfIdle() {
+			delete(t.links, ref)
+		}
+	}
+}
+
+// linkLocked returns the link to ref, made if it is new. It returns nil when the
+// transport is closed.
+func (t *Transport) linkLocked(ref node.Ref) *link {
+	if l, ok := t.links[ref]; ok || t.closed {
+		return l
+	}
+	l := newLink(t, ref)
+	t.links[ref] = l
+	go l.run(t.ctx)
+	return l
+}
 
 // Send queues m to the run to. It never blocks; the message is dropped and
-// counted when the queue is full or no address is known.
-func (t *Transport) Send(to node.Ref, m message.Message) {}
+// counted when the queue is full or neither an address nor a connection is
+// known. Messages to this run itself are not carried.
+func (t *Transport) Send(to node.Ref, m message.Message) {
+	if t.cut(to.ID) {
+		t.counters.droppedCut.Add(1)
+		return
+	}
+	t.mu.Lock()
+	l, ok := t.links[to]
+	t.mu.Unlock()
+	if !ok {
+		t.counters.droppedNoAddress.Add(1)
+		return
+	}
+	var delay time.Duration
+	if t.cfg.Delay != nil {
+		delay = t.cfg.Delay(to.ID)
+	}
+	if !l.enqueue(m, delay) {
+		t.counters.droppedFull.Add(1)
+	}
+}
 
-// Run serves until ctx ends or Close is called.
+func (t *Transport) cut(to node.ID) bool {
+	return t.cfg.Cut != nil && t.cfg.Cut(to)
+}
+
+// Run accepts connections until ctx ends or Close is called, then closes the
+// transport.
 func (t *Transport) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	stop := context.AfterFunc(ctx, func() { _ = t.Close() })
+	defer stop()
+	for {
+		nc, err := t.listener.Accept()
+		if t.ctx.Err() != nil {
+			if err == nil {
+				_ = nc.Close()
+			}
+			return nil
+		}
+		if err != nil {
+			klog.Errorf("transport: accept failed: %v", err)
+			time.Sleep(acceptRetry)
+			continue
+		}
+		go t.accept(nc)
+	}
 }
 
-// Close closes the socket and all connections.
-func (t *Transport) Close() error { return nil }
+// accept starts an incoming connection, unless there are too many.
+func (t *Transport) accept(nc net.Conn) {
+	t.mu.Lock()
+	full := t.accepting+len(t.conns) >= maxConns
+	if !full {
+		t.accepting++
+	}
+	t.mu.Unlock()
+	if full {
+		klog.Warningf("transport: refused %s: too many connections", nc.RemoteAddr())
+		_ = nc.Close()
+		return
+	}
+	tune(nc)
+	c, err := t.open(t.ctx, nc)
+	if err == nil {
+		select {
+		case <-c.helloDone:
+		case <-c.rpc.DisconnectNotify():
+		}
+	}
+	t.mu.Lock()
+	t.accepting--
+	t.mu.Unlock()
+}
 
-// Stats returns the counters.
-func (t *Transport) Stats() Stats { return Stats{} }
+// attach registers a connection whose peer has said hello.
+func (t *Transport) attach(c *conn) {
+	t.mu.Lock()
+	l := t.linkLocked(c.peer)
+	if l == nil {
+		t.mu.Unlock()
+		_ = c.stream.Close()
+		return
+	}
+	c.link = l
+	t.conns[c] = struct{}{}
+	excess := l.attach(c)
+	t.mu.Unlock()
+	if excess != nil {
+		excess.close()
+	}
+}
+
+// detach forgets a connection, and its link when nothing else needs it.
+func (t *Transport) detach(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.conns[c]; !ok {
+		return
+	}
+	delete(t.conns, c)
+	c.link.detach(c)
+	if c.link.removeIfIdle() {
+		delete(t.links, c.peer)
+	}
+}
+
+// Close closes the socket and all connections. What is queued is dropped.
+func (t *Transport) Close() error {
+	t.mu.Lock()
+	t.closed = true
+	t.mu.Unlock()
+	err := t.listener.Close()
+	t.cancel()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,312 @@
+package transport
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+)
+
+// testWait bounds every wait of a test; only a failing test reaches it.
+const testWait = 20 * time.Second
+
+type recorder struct {
+	envs chan message.Envelope
+	dead chan node.Ref
+}
+
+func newRecorder() *recorder {
+	return &recorder{envs: make(chan message.Envelope, 1000), dead: make(chan node.Ref, 10)}
+}
+
+func (r *recorder) Deliver(env message.Envelope) { r.envs <- env }
+func (r *recorder) PeerDead(ref node.Ref)        { r.dead <- ref }
+
+func (r *recorder) next(t *testing.T) message.Envelope {
+	t.Helper()
+	return receive(t, r.envs)
+}
+
+func receive[T any](t *testing.T, ch <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-ch:
+		return v
+	case <-time.After(testWait):
+		t.Fatal("nothing arrived")
+		panic("unreachable")
+	}
+}
+
+// start runs a transport until the test ends.
+func start(t *testing.T, cfg Config) (*Transport, *recorder) {
+	t.Helper()
+	rec := newRecorder()
+	cfg.Handler = rec
+	if cfg.Listen == "" {
+		cfg.Listen = "127.0.0.1:0"
+	}
+	tr, err := Listen(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- tr.Run(context.Background()) }()
+	t.Cleanup(func() {
+		_ = tr.Close()
+		if err := receive(t, done); err != nil {
+			t.Error(err)
+		}
+	})
+	return tr, rec
+}
+
+func ref(id string, inc uint64) node.Ref {
+	return node.Ref{ID: node.ID(id), Incarnation: node.Incarnation(inc)}
+}
+
+func pending(n uint64) message.Message {
+	return message.Message{Pending: &message.Pending{Request: n}}
+}
+
+// receiveRequests collects Pending messages until all of 1 to n have arrived.
+func receiveRequests(t *testing.T, rec *recorder, n uint64) {
+	t.Helper()
+	var last uint64
+	for last < n {
+		for _, m := range rec.next(t).Messages {
+			if m.Pending.Request != last+1 {
+				t.Fatalf("request %d after %d", m.Pending.Request, last)
+			}
+			last = m.Pending.Request
+		}
+	}
+}
+
+func TestMessagesBothWaysOverOneConnection(t *testing.T) {
+	agent, agentRec := start(t, Config{Self: ref("a1", 1)})
+	annotate := func(env *message.Envelope) { env.Offset = 42 }
+	entry, entryRec := start(t, Config{Self: ref("e1", 7), Annotate: annotate})
+	entry.SetPeers([]Peer{{Ref: ref("a1", 1), Addr: agent.Addr()}})
+
+	const n = 200
+	for i := range uint64(n) {
+		entry.Send(ref("a1", 1), pending(i+1))
+	}
+	env := agentRec.next(t)
+	if env.From != ref("e1", 7) || env.Offset != 42 || env.Messages[0].Pending.Request != 1 {
+		t.Fatalf("first envelope: %+v", env)
+	}
+	agent.Send(ref("e1", 7), pending(1))
+	receiveRequests(t, entryRec, 1)
+	if got := entry.Stats(); got.EnvelopesIn != 1 || got.BytesIn == 0 {
+		t.Errorf("stats of the entry: %+v", got)
+	}
+}
+
+func TestQueuedMessagesShareAnEnvelope(t *testing.T) {
+	agent, agentRec := start(t, Config{Self: ref("a1", 1)})
+	delay := func(node.ID) time.Duration { return 20 * time.Millisecond }
+	entry, _ := start(t, Config{Self: ref("e1", 7), Delay: delay})
+	entry.SetPeers([]Peer{{Ref: ref("a1", 1), Addr: agent.Addr()}})
+	const n = 500
+	for i := range uint64(n) {
+		entry.Send(ref("a1", 1), pending(i+1))
+	}
+	receiveRequests(t, agentRec, n)
+	if got := agent.Stats(); got.MessagesIn != n || got.EnvelopesIn >= n {
+		t.Errorf("%d messages in %d envelopes", got.MessagesIn, got.EnvelopesIn)
+	}
+}
+
+func TestRefusedConnectionProvesDeathOnce(t *testing.T) {
+	entry, rec := start(t, Config{Self: ref("e1", 7)})
+	unused, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = unused.Close()
+	entry.SetPeers([]Peer{{Ref: ref("a1", 1), Addr: unused.Addr().String()}})
+	for range 3 {
+		entry.Send(ref("a1", 1), pending(1))
+	}
+	if got := receive(t, rec.dead); got != ref("a1", 1) {
+		t.Errorf("dead: %v", got)
+	}
+	entry.Send(ref("a1", 1), pending(1))
+	entry.SetPeers(nil)
+	if len(rec.dead) != 0 {
+		t.Error("death reported twice")
+	}
+}
+
+func TestOtherIncarnationProvesDeathOfTheAddressed(t *testing.T) {
+	agent, agentRec := start(t, Config{Self: ref("a1", 2)})
+	entry, rec := start(t, Config{Self: ref("e1", 7)})
+	entry.SetPeers([]Peer{{Ref: ref("a1", 1), Addr: agent.Addr()}})
+	entry.Send(ref("a1", 1), pending(1))
+	if got := receive(t, rec.dead); got != ref("a1", 1) {
+		t.Errorf("dead: %v", got)
+	}
+	// The connection serves the run that answered.
+	entry.Send(ref("a1", 2), pending(1))
+	receiveRequests(t, agentRec, 1)
+}
+
+func TestSilenceAndResetProveNothing(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := make(chan struct{}, 100)
+	go func() {
+		for n := 0; ; n++ {
+			nc, err := silent.Accept()
+			if err != nil {
+				return
+			}
+			if n%2 == 0 {
+				_ = nc.(*net.TCPConn).SetLinger(0)
+				_ = nc.Close()
+			}
+			accepted <- struct{}{}
+		}
+	}()
+	defer silent.Close()
+	entry, rec := start(t, Config{Self: ref("e1", 7), DialTimeout: 10 * time.Millisecond})
+	entry.SetPeers([]Peer{{Ref: ref("a1", 1), Addr: silent.Addr().String()}})
+	for range 4 {
+		entry.Send(ref("a1", 1), pending(1))
+		receive(t, accepted)
+	}
+	if len(rec.dead) != 0 {
+		t.Error("silence or a reset was taken as death")
+	}
+}
+
+func TestReconnectsAfterPeerRestart(t *testing.T) {
+	first, firstRec := start(t, Config{Self: ref("a1", 1)})
+	entry, _ := start(t, Config{Self: ref("e1", 7)})
+	entry.SetPeers([]Peer{{Ref: ref("a1", 1), Addr: first.Addr()}})
+	entry.Send(ref("a1", 1), pending(1))
+	receiveRequests(t, firstRec, 1)
+	_ = first.Close()
+
+	second, secondRec := start(t, Config{Self: ref("a1", 2), Listen: first.Addr()})
+	entry.SetPeers([]Peer{{Ref: ref("a1", 2), Addr: second.Addr()}})
+	entry.Send(ref("a1", 2), pending(1))
+	receiveRequests(t, secondRec, 1)
+}
+
+func TestSendWithoutAddressOrRoomIsCounted(t *testing.T) {
+	entry, _ := start(t, Config{
+		Self:       ref("e1", 7),
+		QueueBytes: baseBytes,
+		Cut:        func(id node.ID) bool { return id == "a3" },
+		Delay:      func(node.ID) time.Duration { return time.Hour },
+	})
+	entry.Send(ref("a1", 1), pending(1))
+	entry.SetPeers([]Peer{{Ref: ref("a2", 1), Addr: "127.0.0.1:1"}})
+	entry.Send(ref("a2", 1), pending(1))
+	entry.Send(ref("a2", 1), pending(2))
+	entry.Send(ref("a3", 1), pending(1))
+	got := entry.Stats()
+	if got.DroppedNoAddress != 1 || got.DroppedFull != 1 || got.DroppedCut != 1 {
+		t.Errorf("stats: %+v", got)
+	}
+}
+
+// frame returns text with its length prefix.
+func frame(text string) []byte {
+	return append(binary.AppendUvarint(nil, uint64(len(text))), text...)
+}
+
+const goodHello = `{"jsonrpc":"2.0","method":"hello","params":{"version":1,"node":{"id":"e9","inc":9}}}`
+
+func TestBadPeersAreCutOff(t *testing.T) {
+	deliver := func(env string) string {
+		return `{"jsonrpc":"2.0","method":"deliver","params":` + env + `}`
+	}
+	tests := map[string][]byte{
+		"garbage":             []byte("GET / HTTP/1.1\r\n\r\n"),
+		"empty frame":         {0},
+		"huge frame":          binary.AppendUvarint(nil, 1<<40),
+		"large hello":         frame(goodHello + strings.Repeat(" ", maxHelloBytes)),
+		"other version":       frame(strings.Replace(goodHello, `"version":1`, `"version":99`, 1)),
+		"no name":             frame(strings.Replace(goodHello, `"e9"`, `""`, 1)),
+		"deliver first":       frame(deliver(`{"from":{"id":"e9","inc":9},"to":{"id":"a1","inc":1},"msgs":[]}`)),
+		"second hello":        append(frame(goodHello), frame(goodHello)...),
+		"false sender":        append(frame(goodHello), frame(deliver(`{"from":{"id":"e8","inc":9},"to":{"id":"a1","inc":1},"msgs":[]}`))...),
+		"message of nothing":  append(frame(goodHello), frame(deliver(`{"from":{"id":"e9","inc":9},"to":{"id":"a1","inc":1},"msgs":[{}]}`))...),
+		"request, not notify": append(frame(goodHello), frame(`{"jsonrpc":"2.0","id":1,"method":"deliver","params":{}}`)...),
+		"frame over limit":    append(frame(goodHello), binary.AppendUvarint(nil, 1<<20+1)...),
+	}
+	for name, input := range tests {
+		t.Run(name, func(t *testing.T) {
+			agent, rec := start(t, Config{Self: ref("a1", 1), MaxFrameBytes: 1 << 20})
+			nc, err := net.Dial("tcp", agent.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer nc.Close()
+			if _, err := nc.Write(input); err != nil {
+				t.Fatal(err)
+			}
+			expectClosed(t, nc)
+			if agent.Stats().BadFrames != 1 || len(rec.envs) != 0 {
+				t.Errorf("stats: %+v, delivered %d", agent.Stats(), len(rec.envs))
+			}
+		})
+	}
+}
+
+// expectClosed reads until the other side closes the connection.
+func expectClosed(t *testing.T, nc net.Conn) {
+	t.Helper()
+	_ = nc.SetReadDeadline(time.Now().Add(testWait))
+	buf := make([]byte, 4096)
+	for {
+		if _, err := nc.Read(buf); err != nil {
+			if netErr, ok := err.(net.Error); ok && netErr.Timeout() {
+				t.Fatal("the connection stayed open")
+			}
+			return
+		}
+	}
+}
+
+func TestSilentCallerIsCutOffAfterHelloTimeout(t *testing.T) {
+	agent, _ := start(t, Config{Self: ref("a1", 1), DialTimeout: 10 * time.Millisecond})
+	nc, err := net.Dial("tcp", agent.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	expectClosed(t, nc)
+}
+
+func TestEnvelopeForAnotherIncarnationIsDropped(t *testing.T) {
+	agent, rec := start(t, Config{Self: ref("a1", 2)})
+	nc, err := net.Dial("tcp", agent.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	const text = `{"jsonrpc":"2.0","method":"deliver","params":{"from":{"id":"e9","inc":9},"to":{"id":"a1","inc":INC},"msgs":[{"pending":{"req":1}}]}}`
+	input := frame(goodHello)
+	input = append(input, frame(strings.Replace(text, "INC", "1", 1))...)
+	// The generic form, with a space, takes the slower decoder.
+	input = append(input, frame(strings.Replace(strings.Replace(text, "INC", "2", 1), ":", ": ", 1))...)
+	if _, err := nc.Write(input); err != nil {
+		t.Fatal(err)
+	}
+	receiveRequests(t, rec, 1)
+	if got := agent.Stats(); got.Misaddressed != 1 || got.EnvelopesIn != 1 {
+		t.Errorf("stats: %+v", got)
+	}
+}
