--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -15,8 +15,8 @@
 	maxMessages = 256
 )
 
-// callerDepth is the number of stack frames between klog and the caller.
-const callerDepth = 2
+// callerDepth is the number of stack frames between a Logger method and its caller.
+const callerDepth = 1
 
 // Logger writes the log lines of one part of a process. It is safe for
 // concurrent use.
@@ -51,7 +51,7 @@
 	if !ok {
 		return
 	}
-	klog.InfoSDepth(callerDepth-1, l.prefix+message, withSuppressed(keysAndValues, suppressed)...)
+	klog.InfoSDepth(callerDepth, l.prefix+message, withSuppressed(keysAndValues, suppressed)...)
 }
 
 // Error writes a line of severity error. It is otherwise like Info.
@@ -60,7 +60,7 @@
 	if !ok {
 		return
 	}
-	klog.ErrorSDepth(callerDepth-1, err, l.prefix+message, withSuppressed(keysAndValues, suppressed)...)
+	klog.ErrorSDepth(callerDepth, err, l.prefix+message, withSuppressed(keysAndValues, suppressed)...)
 }
 
 // admit reports whether a line may be written, and how many lines with the same
--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -61,7 +61,7 @@
 }
 
 func newFileTracer(s settings.Trace, role settings.Role, id node.ID) (*Tracer, error) {
-	file, err := os.OpenFile(s.File, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	file, err := os.OpenFile(string(s.File), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, errors.Wrap(err, "open trace file")
 	}
