--- a/core/config/object.go
+++ b/core/config/object.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"strings"
+
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/label"
 )
@@ -63,3 +65,36 @@
 	Upstream string
 	Labels   label.Set
 }
+
+// Key returns the key of the object. It is a function of the domain or of the
+// selector, so that taking the same domains out twice touches one object.
+func (o *Out) Key() Key {
+	if o.Domain != "" {
+		return Key{KindOut, "name:" + o.Domain}
+	}
+	return Key{KindOut, "labels:" + SelectorString(o.Selector)}
+}
+
+// SelectorString returns the selector in the textual grammar.
+func SelectorString(sel label.Selector) string {
+	terms := make([]string, len(sel))
+	for i, r := range sel {
+		terms[i] = requirementString(r)
+	}
+	return strings.Join(terms, ",")
+}
+
+func requirementString(r label.Requirement) string {
+	switch {
+	case r.Operator == label.Exists:
+		return r.Key
+	case r.Operator == label.NotExists:
+		return "!" + r.Key
+	case r.Operator == label.In && len(r.Values) == 1:
+		return r.Key + "=" + r.Values[0]
+	case r.Operator == label.NotIn && len(r.Values) == 1:
+		return r.Key + "!=" + r.Values[0]
+	default:
+		return r.Key + " " + string(r.Operator) + " (" + strings.Join(r.Values, ",") + ")"
+	}
+}
--- /dev/null
+++ b/core/config/validate.go
@@ -0,0 +1,198 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"unicode"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/label"
+)
+
+// Limits of one object and of one change.
+const (
+	MaxNameBytes    = 128
+	MaxLabels       = 32
+	MaxRequirements = 32
+	MaxValues       = 256
+	MaxRoutes       = 1000
+	MaxEdits        = 5000
+)
+
+// Reserved keys are computed and cannot be given as labels.
+const (
+	ReservedDomain   = "domain"
+	ReservedWorker   = "worker"
+	ReservedUpstream = "upstream"
+	ReservedTeam     = "team"
+	ReservedClass    = "class"
+)
+
+var reservedKeys = []string{ReservedDomain, ReservedWorker, ReservedUpstream, ReservedTeam, ReservedClass}
+
+// Validate reports every fault of the edit, joined.
+func (e Edit) Validate() error {
+	switch {
+	case e.Put != nil && e.Delete != nil:
+		return errors.New("edit both puts and deletes")
+	case e.Put != nil:
+		return e.Put.Validate()
+	case e.Delete == nil:
+		return errors.New("edit is empty")
+	case !slices.Contains(kinds, e.Delete.Kind):
+		return fmt.Errorf("unknown kind %q", e.Delete.Kind)
+	default:
+		return nil
+	}
+}
+
+var kinds = []Kind{KindDomain, KindWorker, KindUpstream, KindTeam, KindRoutes, KindOut}
+
+// Validate reports every fault of the object, joined.
+func (o Object) Validate() error {
+	if n := o.fields(); n != 1 {
+		return fmt.Errorf("object has %d kinds, want 1", n)
+	}
+	switch {
+	case o.Domain != nil:
+		return errors.Join(validateName(o.Domain.Name), validateLabels(o.Domain.Labels))
+	case o.Worker != nil:
+		return errors.Join(validateName(o.Worker.Name), validateLabels(o.Worker.Labels))
+	case o.Upstream != nil:
+		return errors.Join(validateName(o.Upstream.Name), validateLabels(o.Upstream.Labels))
+	case o.Team != nil:
+		return o.Team.validate()
+	case o.Routes != nil:
+		return o.Routes.validate()
+	default:
+		return o.Out.validate()
+	}
+}
+
+// fields returns how many fields of the union are set.
+func (o Object) fields() int {
+	n := 0
+	for _, set := range []bool{o.Domain != nil, o.Worker != nil, o.Upstream != nil, o.Team != nil, o.Routes != nil, o.Out != nil} {
+		if set {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *Team) validate() error {
+	errs := []error{validateName(t.Name), validateLabels(t.Labels)}
+	if t.Quota < 0 || math.IsNaN(t.Quota) || math.IsInf(t.Quota, 0) {
+		errs = append(errs, fmt.Errorf("quota %v is not a finite number of at least 0", t.Quota))
+	}
+	if t.Class != "" && !slices.Contains(job.Classes, t.Class) {
+		errs = append(errs, fmt.Errorf("unknown class %q", t.Class))
+	}
+	return errors.Join(errs...)
+}
+
+func (r *Routes) validate() error {
+	if len(r.Routes) > MaxRoutes {
+		return fmt.Errorf("%d routes, at most %d", len(r.Routes), MaxRoutes)
+	}
+	var errs []error
+	seen := make(map[string]bool)
+	for _, route := range r.Routes {
+		if seen[route.Name] {
+			errs = append(errs, fmt.Errorf("route %q is given twice", route.Name))
+		}
+		seen[route.Name] = true
+		err := errors.Join(validateName(route.Name), ValidateSelector(route.Tasks), ValidateSelector(route.Upstreams))
+		if err != nil {
+			errs = append(errs, fmt.Errorf("route %q: %w", route.Name, err))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (o *Out) validate() error {
+	if (o.Domain == "") == (len(o.Selector) == 0) {
+		return errors.New("out needs either a domain or a selector")
+	}
+	if o.Domain != "" {
+		return validateName(o.Domain)
+	}
+	return ValidateSelector(o.Selector)
+}
+
+func validateName(name string) error {
+	if name == "" {
+		return errors.New("name is empty")
+	}
+	if len(name) > MaxNameBytes {
+		return fmt.Errorf("name has %d bytes, at most %d", len(name), MaxNameBytes)
+	}
+	for _, r := range name {
+		if unicode.IsSpace(r) || !unicode.IsPrint(r) {
+			return fmt.Errorf("name %q has a space or an unprintable character", name)
+		}
+	}
+	return nil
+}
+
+func validateLabels(labels label.Set) error {
+	if len(labels) > MaxLabels {
+		return fmt.Errorf("%d labels, at most %d", len(labels), MaxLabels)
+	}
+	for _, key := range reservedKeys {
+		if _, ok := labels[key]; ok {
+			return fmt.Errorf("label key %q is reserved", key)
+		}
+	}
+	for key, value := range labels {
+		if key == "" || len(key) > MaxNameBytes || len(value) > MaxNameBytes {
+			return fmt.Errorf("label %q is empty or longer than %d bytes", key, MaxNameBytes)
+		}
+	}
+	return nil
+}
+
+// ValidateSelector reports the first fault of a selector.
+func ValidateSelector(sel label.Selector) error {
+	if len(sel) > MaxRequirements {
+		return fmt.Errorf("%d requirements, at most %d", len(sel), MaxRequirements)
+	}
+	for _, r := range sel {
+		if err := validateRequirement(r); err != nil {
+			return fmt.Errorf("requirement on %q: %w", r.Key, err)
+		}
+	}
+	return nil
+}
+
+// grammarChars separate the parts of a selector in its textual form.
+const grammarChars = " ,()!=<>"
+
+func validateRequirement(r label.Requirement) error {
+	switch {
+	case r.Key == "":
+		return errors.New("key is empty")
+	case strings.ContainsAny(r.Key, grammarChars):
+		return errors.New("key has a character of the selector grammar")
+	case r.Operator == label.Exists || r.Operator == label.NotExists:
+		if len(r.Values) > 0 {
+			return errors.New("operator takes no values")
+		}
+		return nil
+	case r.Operator != label.In && r.Operator != label.NotIn:
+		return fmt.Errorf("unknown operator %q", r.Operator)
+	case len(r.Values) == 0:
+		return errors.New("values are missing")
+	case len(r.Values) > MaxValues:
+		return fmt.Errorf("%d values, at most %d", len(r.Values), MaxValues)
+	case strings.ContainsAny(strings.Join(r.Values, ""), grammarChars):
+		return errors.New("a value has a character of the selector grammar")
+	case !slices.IsSorted(r.Values):
+		return errors.New("values are not sorted")
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/core/control/control_test.go
@@ -0,0 +1,287 @@
+package control_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/config"
+	"github.com/dogwoodgauge/dogwoodgauge/core/control"
+	"github.com/dogwoodgauge/dogwoodgauge/core/label"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+)
+
+func ref(id string, inc int) node.Ref {
+	return node.Ref{ID: node.ID(id), Incarnation: node.Incarnation(inc)}
+}
+
+func join(id string, inc int) []byte {
+	return control.EncodeJoin(control.Member{Ref: ref(id, inc), Role: control.RoleAgent, Addr: "10.0.0.1:1"})
+}
+
+func quota(id string, from int64, team string, q float64) []byte {
+	return control.EncodeChange(control.Change{
+		ID: id, From: from, Author: "op-" + id,
+		Edits: []config.Edit{{Put: &config.Object{Team: &config.Team{Name: team, Quota: q}}}},
+	})
+}
+
+func out(id string, from int64, domain string) []byte {
+	return control.EncodeChange(control.Change{
+		ID: id, From: from, Author: "op-" + id,
+		Edits: []config.Edit{{Put: &config.Object{Out: &config.Out{Domain: domain}}}},
+	})
+}
+
+// read applies the records from offset 0 and returns the last effect.
+func read(s *control.State, records ...[]byte) control.Effect {
+	var last control.Effect
+	for _, r := range records {
+		last = s.Apply(s.Next(), r)
+	}
+	return last
+}
+
+func TestStateRejects(t *testing.T) {
+	many := control.Change{ID: "m", From: -1}
+	bad := label.Selector{{Key: "a", Operator: "like"}}
+	for _, tc := range []struct {
+		name   string
+		before [][]byte
+		record []byte
+		want   string
+	}{
+		{"not JSON", nil, []byte("{"), "malformed: unexpected end of JSON input"},
+		{"no type", nil, []byte("{}"), "malformed: record is not of exactly one type"},
+		{"two types", nil, []byte(`{"leave":{"ref":{"id":"a","inc":1}},"confirm":{"through":1}}`), "malformed: record is not of exactly one type"},
+		{"join without incarnation", nil, join("a", 0), "join without a valid ref"},
+		{"join twice", [][]byte{join("a", 1)}, join("a", 1), "already a member"},
+		{"join after leave", [][]byte{join("a", 1), control.EncodeLeave(ref("a", 1))}, join("a", 1), "run has ended"},
+		{"join after being replaced", [][]byte{join("a", 1), join("a", 2)}, join("a", 1), "run has ended"},
+		{"leave of a former run", [][]byte{join("a", 1), join("a", 2)}, control.EncodeLeave(ref("a", 1)), "not a member"},
+		{"evicted by a stranger", [][]byte{join("a", 1)}, control.EncodeEvict(ref("a", 1), ref("b", 1)), "evicted by a process that is not a member"},
+		{"confirm by a stranger", [][]byte{join("a", 1)}, control.EncodeConfirm(1, ref("b", 1)), "confirmed by a process that is not an agent"},
+		{"confirm of the future", [][]byte{join("a", 1)}, control.EncodeConfirm(2, ref("a", 1)), "confirms records that are not in the stream"},
+		{"confirm twice", [][]byte{join("a", 1), control.EncodeConfirm(1, ref("a", 1))}, control.EncodeConfirm(1, ref("a", 1)), "already confirmed"},
+		{"change without edits", nil, control.EncodeChange(many), control.ReasonInvalid},
+		{"change from the future", nil, quota("a", 0, "t", 1), control.ReasonInvalid},
+		{"change with an unknown operator", nil, control.EncodeChange(control.Change{ID: "a", From: -1, Edits: []config.Edit{
+			{Put: &config.Object{Out: &config.Out{Selector: bad}}},
+		}}), control.ReasonInvalid},
+		{"out of every domain", nil, control.EncodeChange(control.Change{ID: "a", From: -1, Edits: []config.Edit{
+			{Put: &config.Object{Out: &config.Out{}}},
+		}}), control.ReasonInvalid},
+		{"older than the winner", [][]byte{quota("a", -1, "t", 1)}, quota("b", -1, "t", 2), control.ReasonConflict},
+		{"same change again", [][]byte{quota("a", -1, "t", 1)}, quota("a", -1, "t", 1), "change is a duplicate"},
+		{"snapshot of another offset", [][]byte{join("a", 1)}, control.NewState().SnapshotRecord(), "snapshot of another offset"},
+		{"forged snapshot", nil, []byte(`{"snapshot":{"next":0,"snapshot_at":-1,"revision":7,"floor":-1,"forgotten":-1}}`), "snapshot differs from the state"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := control.NewState()
+			read(s, tc.before...)
+			next := s.Next()
+			got := s.Apply(next, tc.record)
+			if got != (control.Effect{Rejected: tc.want}) {
+				t.Errorf("effect %+v, want rejected %q", got, tc.want)
+			}
+			if s.Next() != next+1 {
+				t.Errorf("Next is %d, want %d", s.Next(), next+1)
+			}
+			if s.Rejected() == 0 {
+				t.Error("the rejection was not counted")
+			}
+		})
+	}
+}
+
+func TestRacingChangesToDifferentObjectsBothWin(t *testing.T) {
+	s := control.NewState()
+	read(s, quota("a", -1, "t", 1), out("b", -1, "south"))
+	if !s.Config().Out(config.Place{Domain: "south"}) {
+		t.Error("the second change was lost")
+	}
+	if team, _ := s.Config().Team("t"); team.Quota != 1 {
+		t.Error("the first change was lost")
+	}
+}
+
+func TestLoserLearnsWinner(t *testing.T) {
+	s := control.NewState()
+	read(s, quota("a", -1, "t", 1), quota("b", -1, "t", 2))
+	got, ok := s.Outcome("b")
+	want := control.Outcome{
+		ID: "b", Offset: 1, Author: "op-b", Reason: control.ReasonConflict, Detail: "team t",
+		WinnerOffset: 0, WinnerID: "a", WinnerAuthor: "op-a",
+	}
+	if !ok || got != want {
+		t.Errorf("outcome %+v, want %+v", got, want)
+	}
+}
+
+func TestDeletedObjectsStillConflict(t *testing.T) {
+	s := control.NewState()
+	read(s, out("a", -1, "south"))
+	read(s, control.EncodeChange(control.Change{ID: "in", From: 0, Edits: []config.Edit{
+		{Delete: &config.Key{Kind: config.KindOut, Name: "name:south"}},
+	}}))
+	if e := read(s, out("late", 0, "south")); e.Rejected != control.ReasonConflict {
+		t.Errorf("a change made before the deletion: %+v", e)
+	}
+	if s.Config().Out(config.Place{Domain: "south"}) {
+		t.Error("the deletion was reverted")
+	}
+}
+
+func TestForgottenDeletionsRejectOldChanges(t *testing.T) {
+	s := control.NewState()
+	for i := range 1100 {
+		name := fmt.Sprintf("d%d", i)
+		read(s, out("o"+name, s.Config().Revision(), name))
+		key := config.Key{Kind: config.KindOut, Name: "name:" + name}
+		read(s, control.EncodeChange(control.Change{ID: "i" + name, From: s.Config().Revision(), Edits: []config.Edit{{Delete: &key}}}))
+	}
+	if e := read(s, out("late", 0, "d0")); e.Rejected != control.ReasonTooOld {
+		t.Errorf("effect %+v, want %q", e, control.ReasonTooOld)
+	}
+}
+
+func TestGapWaitsForSnapshot(t *testing.T) {
+	full := control.NewState()
+	read(full, join("a", 1), out("x", -1, "south"))
+	snapshot := full.SnapshotRecord()
+	read(full, snapshot, join("b", 1))
+
+	s := control.NewState()
+	s.Apply(1, out("x", -1, "south"))
+	if s.Synced() || s.Next() != 2 || s.Snapshot() != nil {
+		t.Errorf("after a gap: synced %v, next %d", s.Synced(), s.Next())
+	}
+	s.Apply(2, snapshot)
+	s.Apply(3, join("b", 1))
+	if !s.Synced() || string(s.Snapshot()) != string(full.Snapshot()) {
+		t.Errorf("after the snapshot:\n%s\nwant\n%s", s.Snapshot(), full.Snapshot())
+	}
+}
+
+func TestGapKeepsConfigurationUntilSnapshot(t *testing.T) {
+	s := control.NewState()
+	read(s, out("x", -1, "south"))
+	s.Apply(5, join("a", 1))
+	if s.Synced() || !s.Config().Out(config.Place{Domain: "south"}) {
+		t.Error("the gap changed the configuration")
+	}
+}
+
+func TestResetToNeverGoesBack(t *testing.T) {
+	old := control.NewState()
+	read(old, join("a", 1))
+	s := control.NewState()
+	read(s, join("a", 1), out("x", -1, "south"))
+	if err := s.ResetTo(old.Snapshot()); err == nil {
+		t.Error("an older snapshot was taken")
+	}
+	if err := s.ResetTo([]byte("{")); err == nil {
+		t.Error("a malformed snapshot was taken")
+	}
+	if !s.Config().Out(config.Place{Domain: "south"}) {
+		t.Error("the configuration was reverted")
+	}
+	if err := old.ResetTo(s.Snapshot()); err != nil || old.Next() != 2 {
+		t.Errorf("a newer snapshot was refused: %v", err)
+	}
+}
+
+func TestSnapshotDue(t *testing.T) {
+	with := control.NewState()
+	read(with, join("a", 1), join("b", 1), with2(join("a", 1), join("b", 1)), join("c", 1))
+	for _, tc := range []struct {
+		name        string
+		oldest, end int64
+		want        bool
+	}{
+		{"nothing dropped", 0, 4, false},
+		{"snapshot is the oldest record", 2, 4, false},
+		{"snapshot dropped", 3, 4, true},
+		{"all dropped", 4, 4, true},
+		{"behind the end", 3, 5, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if got := with.SnapshotDue(tc.oldest, tc.end); got != tc.want {
+				t.Errorf("due is %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// with2 returns the snapshot record after the given records.
+func with2(records ...[]byte) []byte {
+	s := control.NewState()
+	read(s, records...)
+	return s.SnapshotRecord()
+}
+
+func TestMembersAreSortedAndShared(t *testing.T) {
+	s := control.NewState()
+	read(s, join("b", 1), join("a", 1), control.EncodeJoin(control.Member{Ref: ref("e", 1), Role: control.RoleEntry}))
+	first := s.Members()
+	if len(first) != 3 || first[0].Ref.ID != "a" || first[0].Joined != 1 || len(s.Agents()) != 2 {
+		t.Errorf("members %+v", first)
+	}
+	if n := testing.AllocsPerRun(10, func() { s.Members(); s.Agents() }); n != 0 {
+		t.Errorf("%v allocations a call", n)
+	}
+	read(s, join("a", 2))
+	if first[0].Ref.Incarnation != 1 || s.Members()[0].Ref.Incarnation != 2 {
+		t.Error("the earlier list changed, or the new run was not taken")
+	}
+}
+
+func TestMajorityRead(t *testing.T) {
+	readers := func(ids ...string) func(node.Ref) bool {
+		return func(r node.Ref) bool {
+			for _, id := range ids {
+				if r.ID == node.ID(id) {
+					return true
+				}
+			}
+			return false
+		}
+	}
+	three := [][]byte{join("a", 1), join("b", 1), join("c", 1)}
+	grown := append(three[:3:3], control.EncodeConfirm(3, ref("a", 1)), join("d", 1), join("e", 1), join("f", 1), join("g", 1))
+	for _, tc := range []struct {
+		name    string
+		records [][]byte
+		upTo    int64
+		read    func(node.Ref) bool
+		want    bool
+	}{
+		{"first join", three[:1], 0, readers(), true},
+		{"second join unread", three[:2], 1, readers("b"), false},
+		{"second join read", three[:2], 1, readers("a"), true},
+		{"half is no majority", append(three[:3:3], join("d", 1), join("e", 1)), 4, readers("a", "b"), false},
+		{"joins do not outvote the former set", grown, 7, readers("c", "d", "e", "f", "g"), false},
+		{"both sets", grown, 7, readers("b", "c", "d", "e", "f", "g"), true},
+		{"ended counts", append(three[:3:3], control.EncodeEvict(ref("a", 1), ref("b", 1))), 3, readers("b"), true},
+		{"restart of all but one", append(three[:3:3], join("a", 2), join("b", 2)), 4, readers("a"), true},
+		{"confirmed sets are not counted", append(three[:3:3], control.EncodeConfirm(3, ref("a", 1)), join("d", 1)), 4, readers("a", "b"), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := control.NewState()
+			read(s, tc.records...)
+			if got := s.MajorityRead(tc.upTo, tc.read); got != tc.want {
+				t.Errorf("got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestChangeRoundTrip(t *testing.T) {
+	r, err := control.DecodeRecord(quota("a", 3, "t", 1.5))
+	if err != nil || r.Change.From != 3 || r.Change.Edits[0].Put.Team.Quota != 1.5 {
+		t.Errorf("%+v, %v", r, err)
+	}
+	if !json.Valid(join("a", 1)) {
+		t.Error("join is not JSON")
+	}
+}
--- a/core/rendezvous/rendezvous.go
+++ b/core/rendezvous/rendezvous.go
@@ -2,24 +2,93 @@
 package rendezvous
 
 import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dogwoodgauge/dogwoodgauge/core/control"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 )
 
+// The multipliers and shift of the finalizer of SplitMix64.
+const (
+	mixShift1 = 30
+	mixShift2 = 27
+	mixShift3 = 31
+	mixMul1   = 0xbf58476d1ce4e5b9
+	mixMul2   = 0x94d049bb133111eb
+)
+
 // Rank returns the weight of node n for id. It depends on the node's ID alone,
 // so a restart of a node moves nothing.
-func Rank(id string, n node.ID) uint64 { return 0 }
+func Rank(id string, n node.ID) uint64 {
+	return rank(xxhash.Sum64String(id), n)
+}
+
+// rank combines both hashes with a mixer, so that one hash of id serves for all
+// nodes.
+func rank(idHash uint64, n node.ID) uint64 {
+	x := idHash ^ xxhash.Sum64String(string(n))
+	x = (x ^ x>>mixShift1) * mixMul1
+	x = (x ^ x>>mixShift2) * mixMul2
+	return x ^ x>>mixShift3
+}
 
 // Home returns the agent with the highest rank for a job. It reports false when
 // agents is empty.
 func Home(id job.ID, agents []control.Member) (control.Member, bool) {
-	return control.Member{}, false
+	if len(agents) == 0 {
+		return control.Member{}, false
+	}
+	idHash := xxhash.Sum64String(string(id))
+	best := 0
+	bestRank := rank(idHash, agents[0].Ref.ID)
+	for i := 1; i < len(agents); i++ {
+		r := rank(idHash, agents[i].Ref.ID)
+		if r > bestRank || r == bestRank && agents[i].Ref.ID < agents[best].Ref.ID {
+			best, bestRank = i, r
+		}
+	}
+	return agents[best], true
+}
+
+// Above reports whether node a comes before node b in the rank order for id.
+func Above(id string, a, b node.ID) bool {
+	return compare(xxhash.Sum64String(id), a, b) < 0
+}
+
+// compare orders nodes by descending rank, then by ID.
+func compare(idHash uint64, a, b node.ID) int {
+	return cmp.Or(cmp.Compare(rank(idHash, b), rank(idHash, a)), cmp.Compare(a, b))
 }
 
 // Candidates returns the n agents with the highest ranks for id, highest first.
-func Candidates(id string, agents []control.Member, n int) []control.Member { return nil }
+func Candidates(id string, agents []control.Member, n int) []control.Member {
+	idHash := xxhash.Sum64String(id)
+	ordered := slices.Clone(agents)
+	slices.SortFunc(ordered, func(a, b control.Member) int {
+		return compare(idHash, a.Ref.ID, b.Ref.ID)
+	})
+	return ordered[:max(0, min(n, len(ordered)))]
+}
 
 // Position returns the place of node n in the rank order for id, from 0, or the
 // number of agents when n is not among them.
-func Position(id string, agents []control.Member, n node.ID) int { return 0 }
+func Position(id string, agents []control.Member, n node.ID) int {
+	idHash := xxhash.Sum64String(id)
+	position := 0
+	found := false
+	for _, m := range agents {
+		if m.Ref.ID == n {
+			found = true
+		} else if compare(idHash, m.Ref.ID, n) < 0 {
+			position++
+		}
+	}
+	if !found {
+		return len(agents)
+	}
+	return position
+}
--- /dev/null
+++ b/core/rendezvous/rendezvous_test.go
@@ -0,0 +1,83 @@
+package rendezvous_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/control"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/rendezvous"
+)
+
+func agents(n int) []control.Member {
+	var members []control.Member
+	for i := range n {
+		ref := node.Ref{ID: node.ID(fmt.Sprintf("n%03d", i)), Incarnation: 1}
+		members = append(members, control.Member{Ref: ref, Role: control.RoleAgent})
+	}
+	return members
+}
+
+func TestHomeIsFirstCandidate(t *testing.T) {
+	all := agents(11)
+	for i := range 200 {
+		id := fmt.Sprintf("job-%d", i)
+		home, ok := rendezvous.Home(job.ID(id), all)
+		order := rendezvous.Candidates(id, all, len(all)+1)
+		if !ok || len(order) != len(all) || home.Ref != order[0].Ref {
+			t.Fatalf("home %v, first candidate %v", home.Ref, order[0].Ref)
+		}
+		for p, m := range order {
+			if got := rendezvous.Position(id, all, m.Ref.ID); got != p {
+				t.Fatalf("position of %v is %d, want %d", m.Ref, got, p)
+			}
+		}
+	}
+}
+
+func TestHomeWithoutAgents(t *testing.T) {
+	if _, ok := rendezvous.Home("a", nil); ok {
+		t.Error("a home was found")
+	}
+	if got := rendezvous.Position("a", nil, "n"); got != 0 {
+		t.Errorf("position %d", got)
+	}
+}
+
+func TestRemovalMovesOnlyTheRemovedNodesJobs(t *testing.T) {
+	all := agents(11)
+	rest := all[1:]
+	for i := range 1000 {
+		id := job.ID(fmt.Sprintf("job-%d", i))
+		before, _ := rendezvous.Home(id, all)
+		after, _ := rendezvous.Home(id, rest)
+		if before.Ref != all[0].Ref && before.Ref != after.Ref {
+			t.Fatalf("%s moved from %v to %v", id, before.Ref, after.Ref)
+		}
+	}
+}
+
+// TestSpread bounds the share of each of 920 nodes by 6 standard deviations of
+// a binomial distribution.
+func TestSpread(t *testing.T) {
+	const jobs, nodes, mean, slack = 92000, 920, 100, 60
+	all := agents(nodes)
+	count := make(map[node.ID]int)
+	for i := range jobs {
+		home, _ := rendezvous.Home(job.ID(fmt.Sprintf("job-%d", i)), all)
+		count[home.Ref.ID]++
+	}
+	for _, m := range all {
+		if c := count[m.Ref.ID]; c < mean-slack || c > mean+slack {
+			t.Errorf("%s has %d jobs, want %d±%d", m.Ref.ID, c, mean, slack)
+		}
+	}
+}
+
+func BenchmarkHome920(b *testing.B) {
+	all := agents(920)
+	for b.Loop() {
+		rendezvous.Home("0195d0a2-7c11-7abc-8def-0123456789ab", all)
+	}
+}
