Log client and stand-ins for the log service and upstreams

Cause: the daemons, the demo and the experiment tool need the platform's side.

Change: HTTP client of the log with typed errors (no effect, unknown effect); in-memory log service with retention, long reads and faults; upstream that runs tasks by waiting, announces itself and counts in a ledger of its own duplicate starts, late starts in a domain and untrue refusals.

Conclusion: the promises can be counted outside the system under test.

--- a/internal/logclient/logclient.go
+++ b/internal/logclient/logclient.go
@@ -10,12 +10,19 @@
 // A read from the end of the stream waits up to wait_ms for a record. Offsets
 // start at 0 and rise by one with each record. A read from an offset that
 // retention has passed starts at the oldest record; "from" then exceeds the
-// offset asked for. A status of 429 or 503 says that an append had no effect.
+// offset asked for. Statuses of 400 to 499 and 503 say that an append had no
+// effect.
 package logclient
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"io"
 	"net/http"
+	"net/url"
+	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -29,16 +36,29 @@
 	ErrUnknownEffect = errors.New("effect of the append is unknown")
 )
 
+// maxReplyBytes bounds the reply to one request.
+const maxReplyBytes = 64 << 20
+
 // ReadResult is the answer to one read.
 type ReadResult struct {
 	// From is the offset of the first record, or of the next one when Records is
 	// empty. It exceeds the offset asked for when retention has passed that.
-	From    int64
-	Records [][]byte
+	From    int64    `json:"from"`
+	Records [][]byte `json:"records"`
 	// End is the offset that the next append would get.
-	End int64
+	End int64 `json:"end"`
 	// Oldest is the offset of the oldest record held.
-	Oldest int64
+	Oldest int64 `json:"oldest"`
+}
+
+// AppendRequest is the body of an append.
+type AppendRequest struct {
+	Record []byte `json:"record"`
+}
+
+// AppendResult is the reply to an append.
+type AppendResult struct {
+	Offset int64 `json:"offset"`
 }
 
 // Log is the platform's append-only log. Implementations are safe for
@@ -54,8 +74,9 @@
 
 // Client is a Log over HTTP.
 type Client struct {
-	base string
-	http *http.Client
+	base    string
+	timeout time.Duration
+	http    *http.Client
 }
 
 var _ Log = (*Client)(nil)
@@ -63,15 +84,94 @@
 // New returns a client of the service at base, such as "http://127.0.0.1:7000".
 // Each request is bounded by timeout, on top of a read's wait.
 func New(base string, timeout time.Duration) *Client {
-	return &Client{base: base, http: &http.Client{Timeout: timeout}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	return &Client{base: base, timeout: timeout, http: &http.Client{Transport: transport}}
 }
 
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
 // Append implements Log.
 func (c *Client) Append(ctx context.Context, stream string, record []byte) (int64, error) {
-	return 0, ErrUnavailable
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	body, err := json.Marshal(AppendRequest{Record: record})
+	if err != nil {
+		return 0, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(stream, nil), bytes.NewReader(body))
+	if err != nil {
+		return 0, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	// Without GetBody the request is never sent a second time over a new
+	// connection.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	var result AppendResult
+	if err := c.do(req, &result); err != nil {
+		return 0, appendError(err)
+	}
+	return result.Offset, nil
 }
 
 // Read implements Log.
 func (c *Client) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (ReadResult, error) {
-	return ReadResult{}, ErrUnavailable
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
+	defer cancel()
+	query := url.Values{
+		"from":    {strconv.FormatInt(from, 10)},
+		"max":     {strconv.Itoa(limit)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(stream, query), nil)
+	if err != nil {
+		return ReadResult{}, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	var result ReadResult
+	if err := c.do(req, &result); err != nil {
+		return ReadResult{}, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return result, nil
+}
+
+func (c *Client) url(stream string, query url.Values) string {
+	u := c.base + "/v1/streams/" + url.PathEscape(stream) + "/records"
+	if query != nil {
+		u += "?" + query.Encode()
+	}
+	return u
+}
+
+// statusError is a reply with another status than 200.
+type statusError struct{ status int }
+
+func (e *statusError) Error() string { return "log service answered " + strconv.Itoa(e.status) }
+
+func (c *Client) do(req *http.Request, result any) error {
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.CopyN(io.Discard, resp.Body, 4<<10)
+		return &statusError{status: resp.StatusCode}
+	}
+	return json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(result)
+}
+
+// appendError tells an append that provably had no effect from the others.
+func appendError(err error) error {
+	var status *statusError
+	if errors.As(err, &status) {
+		refused := status.status >= 400 && status.status < 500
+		if refused || status.status == http.StatusServiceUnavailable {
+			return errors.Wrap(ErrUnavailable, err.Error())
+		}
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return errors.Wrap(ErrUnknownEffect, err.Error())
 }
--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -5,8 +5,13 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"sync"
 	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
 )
 
 // Config holds the settings of a Service.
@@ -32,28 +37,91 @@
 }
 
 // Service is the log service. All methods are safe for concurrent use.
-type Service struct{ cfg Config }
+type Service struct {
+	cfg  Config
+	echo *echo.Echo
+
+	mu       sync.Mutex
+	streams  map[string]*stream
+	faults   Faults
+	tokens   float64
+	refilled time.Time
+	appends  int64
+	server   *http.Server
+	addr     string
+}
 
 // New returns a service that does not listen yet; it is an http.Handler.
-func New(cfg Config) *Service { return &Service{cfg: cfg} }
+func New(cfg Config) *Service {
+	s := &Service{cfg: cfg, echo: echo.New(), streams: make(map[string]*stream)}
+	s.echo.HideBanner = true
+	s.echo.POST("/v1/streams/:stream/records", s.handleAppend, s.faulty)
+	s.echo.GET("/v1/streams/:stream/records", s.handleRead, s.faulty)
+	return s
+}
 
 // ServeHTTP implements http.Handler.
-func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {}
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.echo.ServeHTTP(w, r) }
 
 // Listen opens the socket and serves until Close.
-func (s *Service) Listen() error { return nil }
+func (s *Service) Listen() error {
+	listener, err := net.Listen("tcp", s.cfg.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for log clients")
+	}
+	server := &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second}
+	s.mu.Lock()
+	s.server, s.addr = server, listener.Addr().String()
+	s.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
 
 // Addr returns the bound IP:port.
-func (s *Service) Addr() string { return s.cfg.Listen }
+func (s *Service) Addr() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addr
+}
+
+// URL returns the base URL for a client.
+func (s *Service) URL() string { return "http://" + s.Addr() }
 
 // Close stops serving and cuts all connections.
-func (s *Service) Close() error { return nil }
+func (s *Service) Close() error {
+	s.mu.Lock()
+	server := s.server
+	s.mu.Unlock()
+	if server == nil {
+		return nil
+	}
+	return server.Close()
+}
+
+// SetFaults replaces the faults. An outage also ends the reads that wait.
+func (s *Service) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.tokens, s.refilled = 1, time.Now()
+	for _, st := range s.streams {
+		st.wake()
+	}
+}
 
-// SetFaults replaces the faults.
-func (s *Service) SetFaults(f Faults) {}
+// Appends returns the number of appends that have taken effect.
+func (s *Service) Appends() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.appends
+}
 
 // Run serves until ctx ends.
 func Run(ctx context.Context, cfg Config) error {
+	s := New(cfg)
+	if err := s.Listen(); err != nil {
+		return err
+	}
 	<-ctx.Done()
-	return nil
+	return s.Close()
 }
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -17,10 +17,20 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/label"
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+)
+
+// Defaults of Config.
+const (
+	DefaultTTL  = 3 * time.Second
+	DefaultTask = 100 * time.Millisecond
 )
 
 // Config holds the settings of an Upstream.
@@ -47,17 +57,6 @@
 	Ledger *Ledger
 }
 
-// Announcement is the body of POST /v1/upstream.
-type Announcement struct {
-	Name        string    `json:"name"`
-	Addr        string    `json:"addr"`
-	Slots       int       `json:"slots"`
-	Connections int       `json:"connections"`
-	Labels      label.Set `json:"labels,omitempty"`
-	// TTLMillis is the life of the announcement in milliseconds.
-	TTLMillis int64 `json:"ttl_ms"`
-}
-
 // Faults are the failures that an Upstream shows.
 type Faults struct {
 	// Slow multiplies the duration of tasks. Zero is no change.
@@ -79,31 +78,109 @@
 )
 
 // Upstream is one stand-in. All methods are safe for concurrent use.
-type Upstream struct{ cfg Config }
+type Upstream struct {
+	cfg    Config
+	echo   *echo.Echo
+	client *http.Client
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu     sync.Mutex
+	faults Faults
+	server *http.Server
+	addr   string
+	// stopAnnouncing ends the renewal; it is replaced by each Announce.
+	stopAnnouncing context.CancelFunc
+}
 
 // New returns an upstream that does not listen yet; it is an http.Handler.
-func New(cfg Config) *Upstream { return &Upstream{cfg: cfg} }
+func New(cfg Config) *Upstream {
+	if cfg.TTL == 0 {
+		cfg.TTL = DefaultTTL
+	}
+	if cfg.DefaultTask == 0 {
+		cfg.DefaultTask = DefaultTask
+	}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	u := &Upstream{
+		cfg:            cfg,
+		echo:           echo.New(),
+		client:         &http.Client{Transport: transport, Timeout: announceTimeout},
+		stopAnnouncing: func() {},
+	}
+	u.ctx, u.cancel = context.WithCancel(context.Background())
+	u.echo.HideBanner = true
+	u.echo.POST("/v1/tasks", u.handleTask)
+	return u
+}
 
 // ServeHTTP implements http.Handler.
-func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {}
+func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) { u.echo.ServeHTTP(w, r) }
 
 // Start opens the socket, serves, and announces until Withdraw or Close.
-func (u *Upstream) Start() error { return nil }
+func (u *Upstream) Start() error {
+	listener, err := net.Listen("tcp", u.cfg.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for tasks")
+	}
+	server := &http.Server{Handler: u, ReadHeaderTimeout: 10 * time.Second}
+	u.mu.Lock()
+	u.server, u.addr = server, listener.Addr().String()
+	u.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	u.Announce()
+	return nil
+}
 
 // Addr returns the bound IP:port.
-func (u *Upstream) Addr() string { return u.cfg.Listen }
-
-// Withdraw tells the agent that the upstream leaves. It goes on serving.
-func (u *Upstream) Withdraw(ctx context.Context) error { return nil }
+func (u *Upstream) Addr() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.addr
+}
 
-// Close cuts all connections.
-func (u *Upstream) Close() error { return nil }
+// Close stops announcing and cuts all connections. Nothing is withdrawn.
+func (u *Upstream) Close() error {
+	u.cancel()
+	u.mu.Lock()
+	server := u.server
+	u.mu.Unlock()
+	u.client.CloseIdleConnections()
+	if server == nil {
+		return nil
+	}
+	return server.Close()
+}
 
 // SetFaults replaces the faults.
-func (u *Upstream) SetFaults(f Faults) {}
+func (u *Upstream) SetFaults(f Faults) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.faults = f
+}
+
+func (u *Upstream) currentFaults() Faults {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.faults
+}
 
-// Run serves and announces until ctx ends, then withdraws.
+// Run serves and announces until ctx ends, then withdraws and waits for the
+// tasks in flight.
 func Run(ctx context.Context, cfg Config) error {
+	u := New(cfg)
+	if err := u.Start(); err != nil {
+		return err
+	}
 	<-ctx.Done()
-	return nil
+	grace, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	withdrawErr := u.Withdraw(grace)
+	shutdownErr := u.server.Shutdown(grace)
+	_ = u.Close()
+	if withdrawErr != nil {
+		return withdrawErr
+	}
+	return shutdownErr
 }
