--- a/core/home/place.go
+++ b/core/home/place.go
@@ -75,7 +75,6 @@
 		return
 	}
 	batch := slices.Clone(list[:n])
-	rest := list[n:]
 	var again []*record
 	for _, r := range batch {
 		if c.placeRecord(r) {
@@ -84,8 +83,7 @@
 		}
 		r.inWaitlist = false
 	}
-	// Records that entered the list meanwhile are behind rest.
-	rest = c.waiting.classes[class][n:]
+	rest := c.waiting.classes[class][n:]
 	c.waiting.classes[class] = append(slices.Clone(rest), again...)
 }
 
--- /dev/null
+++ b/core/sessions/golden_test.go
@@ -0,0 +1,190 @@
+package sessions
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+)
+
+// steady has no faults and no randomness in time.
+var steady = conditions{delay: time.Millisecond, service: 100 * time.Millisecond}
+
+// cluster is a world with agents a1.. in domains d1.. and entries e1 and e2.
+type cluster struct {
+	*world
+	agents []*process
+	e1, e2 *process
+}
+
+func newCluster(seed uint64, cond conditions, agents, slots int) *cluster {
+	w := newWorld(seed, cond)
+	c := &cluster{world: w}
+	for i := range agents {
+		c.agents = append(c.agents, w.addAgent(node.ID(fmt.Sprintf("a%d", i+1)), fmt.Sprintf("d%d", i%3+1), slots))
+	}
+	c.e1 = w.addEntry("e1")
+	c.e2 = w.addEntry("e2")
+	w.run(4 * time.Second)
+	return c
+}
+
+func (c *cluster) newJob(id job.ID, tasks int) job.Job {
+	j := job.Job{ID: id, Team: "records", Class: job.Urgent, Timeout: 3 * time.Second}
+	j.Created = wallStart + c.now.Milliseconds()
+	for i := range tasks {
+		j.Tasks = append(j.Tasks, job.Task{Payload: fmt.Appendf(nil, "p%d", i)})
+	}
+	return j
+}
+
+// homeOf returns the agent that a minted ID names.
+func (c *cluster) homeOf(id job.ID) *process {
+	m, _ := id.Minted()
+	return c.byRef[m.Home]
+}
+
+// mintFor returns an ID whose home is p.
+func (c *cluster) mintFor(p *process) job.ID {
+	for _, id := range c.mint(c.e1, len(c.agents)) {
+		if c.homeOf(id) == p {
+			return id
+		}
+	}
+	panic("no ID was minted for " + string(p.ref.ID))
+}
+
+var sessions = []struct {
+	name string
+	run  func(c *cluster)
+}{
+	{"one_task", func(c *cluster) {
+		c.submit(c.e1, c.newJob(c.mintFor(c.agents[0]), 1), nil)
+		c.run(time.Second)
+	}},
+	{"parallel_job", func(c *cluster) {
+		c.submit(c.e1, c.newJob(c.mintFor(c.agents[0]), 4), nil)
+		c.run(time.Second)
+	}},
+	{"resubmission_by_another_entry", func(c *cluster) {
+		j := c.newJob(c.mintFor(c.agents[0]), 2)
+		c.submit(c.e1, j, nil)
+		c.run(50 * time.Millisecond)
+		c.submit(c.e2, j, nil)
+		c.run(time.Second)
+		c.submit(c.e2, j, nil)
+		c.run(time.Second)
+	}},
+	{"entry_killed", func(c *cluster) {
+		j := c.newJob(c.mintFor(c.agents[0]), 1)
+		c.submit(c.e1, j, nil)
+		c.run(50 * time.Millisecond)
+		c.kill(c.e1)
+		c.submit(c.e2, j, nil)
+		c.run(time.Second)
+	}},
+	{"home_killed", func(c *cluster) {
+		j := c.newJob(c.mintFor(c.agents[0]), 2)
+		c.submit(c.e1, j, nil)
+		c.run(50 * time.Millisecond)
+		c.restart(c.agents[0])
+		c.submit(c.e2, j, nil)
+		c.run(4 * time.Second)
+	}},
+	{"executor_killed", func(c *cluster) {
+		j := c.newJob(c.mintFor(c.agents[0]), 4)
+		c.submit(c.e1, j, nil)
+		c.run(50 * time.Millisecond)
+		c.restart(c.agents[1])
+		c.restart(c.agents[2])
+		c.run(4 * time.Second)
+	}},
+	{"home_paused_then_resumed", func(c *cluster) {
+		j := c.newJob(c.mintFor(c.agents[0]), 1)
+		c.pause(c.agents[0])
+		c.submit(c.e1, j, nil)
+		c.run(4 * time.Second)
+		c.resume(c.agents[0])
+		c.submit(c.e2, j, nil)
+		c.run(2 * time.Second)
+	}},
+	{"crossed_answers", func(c *cluster) {
+		c.submit(c.e1, c.newJob(c.mintFor(c.agents[0]), 1), nil)
+		c.cond.service = 20 * time.Millisecond
+		c.submit(c.e1, c.newJob(c.mintFor(c.agents[0]), 1), nil)
+		c.run(time.Second)
+	}},
+	{"cancellation", func(c *cluster) {
+		id := c.mintFor(c.agents[0])
+		c.submit(c.e1, c.newJob(id, 9), nil)
+		c.run(50 * time.Millisecond)
+		c.cancel(c.e2, id)
+		c.run(time.Second)
+	}},
+	{"cancellation_overtakes_submission", func(c *cluster) {
+		id := c.mintFor(c.agents[0])
+		c.cancel(c.e2, id)
+		c.run(10 * time.Millisecond)
+		c.submit(c.e1, c.newJob(id, 1), nil)
+		c.run(time.Second)
+	}},
+	{"log_down", func(c *cluster) {
+		c.cond.logDown = true
+		c.trace("the log is down")
+		c.run(10 * time.Second)
+		c.submit(c.e1, c.newJob(c.mintFor(c.agents[0]), 4), nil)
+		c.run(time.Second)
+	}},
+	{"deadline", func(c *cluster) {
+		c.cond.service = 5 * time.Second
+		c.submit(c.e1, c.newJob(c.mintFor(c.agents[0]), 8), nil)
+		c.run(6 * time.Second)
+	}},
+	{"own_id", func(c *cluster) {
+		j := c.newJob("order-17", 1)
+		c.submit(c.e1, j, nil)
+		c.run(time.Second)
+		c.submit(c.e2, j, nil)
+		c.run(time.Second)
+	}},
+	{"leaving_agent", func(c *cluster) {
+		c.submit(c.e1, c.newJob(c.mintFor(c.agents[0]), 1), nil)
+		c.run(20 * time.Millisecond)
+		c.drain(c.agents[0])
+		c.run(3 * time.Second)
+	}},
+}
+
+// TestGolden replays whole sessions and compares every message about a job.
+func TestGolden(t *testing.T) {
+	for _, s := range sessions {
+		t.Run(s.name, func(t *testing.T) {
+			c := newCluster(1, steady, 3, 2)
+			r := c.record()
+			s.run(c)
+			compareGolden(t, s.name, r.lines.String())
+		})
+	}
+}
+
+func compareGolden(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", name+".golden")
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("the session differs from %s:\n%s", path, got)
+	}
+}
--- /dev/null
+++ b/core/sessions/world_test.go
@@ -0,0 +1,396 @@
+package sessions
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/agent"
+	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
+	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/timerqueue"
+)
+
+const (
+	wallStart   = int64(1_790_000_000_000)
+	pollEvery   = 200 * time.Millisecond
+	announceTTL = 3 * time.Second
+)
+
+// conditions are the faults of the network, the log and the upstreams.
+type conditions struct {
+	delay, jitter  time.Duration
+	drop, dup      float64
+	lostAnswer     float64
+	taskFails      float64
+	service        time.Duration
+	serviceJitter  time.Duration
+	logDown        bool
+	lostLogReplies float64
+}
+
+// process is one run of an agent or an entry.
+type process struct {
+	ref     node.Ref
+	domain  string
+	agent   *agent.Core
+	entry   *entry.Core
+	alive   bool
+	paused  bool
+	held    []func()
+	group   int // processes of different groups cannot reach each other
+	noLog   bool
+	skew    time.Duration // of the wall clock
+	drift   float64       // of the monotonic clock
+	timer   uint64
+	drained bool
+	slots   int
+}
+
+// world joins processes in virtual time.
+type world struct {
+	cond    conditions
+	rng     *rand.Rand
+	now     time.Duration
+	queue   timerqueue.Queue[func()]
+	byRef   map[node.Ref]*process
+	current map[node.ID]*process
+	log     [][]byte
+	logAt   []time.Duration
+	ledger  *ledger
+	trace   func(format string, args ...any)
+	steps   int
+	calls   uint64
+	waiting map[uint64]func(entry.Action)
+	nextInc node.Incarnation
+}
+
+func newWorld(seed uint64, cond conditions) *world {
+	return &world{
+		cond:    cond,
+		rng:     rand.New(rand.NewPCG(seed, 0)),
+		byRef:   make(map[node.Ref]*process),
+		current: make(map[node.ID]*process),
+		ledger:  newLedger(),
+		waiting: make(map[uint64]func(entry.Action)),
+		trace:   func(string, ...any) {},
+	}
+}
+
+func (w *world) at(d time.Duration, f func()) { w.queue.Add(w.now+d, f) }
+
+// run advances virtual time by d.
+func (w *world) run(d time.Duration) {
+	end := w.now + d
+	for {
+		at, ok := w.queue.Next()
+		if !ok || at > end {
+			break
+		}
+		w.now = max(w.now, at)
+		f, _ := w.queue.Pop(at)
+		f()
+	}
+	w.now = end
+}
+
+func (w *world) clock(p *process) clock.Now {
+	mono := time.Duration(float64(w.now) * (1 + p.drift))
+	return clock.Now{Mono: mono, Wall: wallStart + (w.now + p.skew).Milliseconds()}
+}
+
+// addAgent starts an agent with one upstream of the given slots.
+func (w *world) addAgent(id node.ID, domain string, slots int) *process {
+	w.nextInc++
+	p := &process{ref: node.Ref{ID: id, Incarnation: w.nextInc}, domain: domain, alive: true, slots: slots}
+	p.agent = agent.New(agent.Config{
+		Self: p.ref, Addr: string(id) + ":1", Domain: domain, Worker: "w-" + string(id),
+		Seed: uint64(w.nextInc), PanicOnViolation: true, Retention: 30 * time.Second,
+	})
+	w.add(p)
+	w.announce(p)
+	return p
+}
+
+func (w *world) addEntry(id node.ID) *process {
+	w.nextInc++
+	p := &process{ref: node.Ref{ID: id, Incarnation: w.nextInc}, alive: true}
+	p.entry = entry.New(entry.Config{Self: p.ref, Seed: uint64(w.nextInc), PanicOnViolation: true})
+	w.add(p)
+	return p
+}
+
+func (w *world) add(p *process) {
+	w.byRef[p.ref] = p
+	w.current[p.ref.ID] = p
+	w.poll(p)
+	w.deliver(p, func() { w.step(p, agent.Tick{}, entry.Tick{}) })
+}
+
+func (w *world) announce(p *process) {
+	if !p.alive || p.drained {
+		return
+	}
+	w.deliver(p, func() {
+		w.step(p, agent.UpstreamAnnounced{
+			Name: "up-" + string(p.ref.ID), Slots: p.slots, Connections: 64,
+			Labels: map[string]string{"kind": "records"}, TTL: announceTTL,
+		}, nil)
+	})
+	w.at(announceTTL/3, func() { w.announce(p) })
+}
+
+// deliver runs f for p, or holds it while p is paused.
+func (w *world) deliver(p *process, f func()) {
+	switch {
+	case !p.alive:
+	case p.paused:
+		p.held = append(p.held, f)
+	default:
+		f()
+	}
+}
+
+// step drives the core of p with the event of its role.
+func (w *world) step(p *process, a agent.Event, e entry.Event) {
+	w.steps++
+	if p.agent != nil && a != nil {
+		for _, x := range slices.Clone(p.agent.Step(w.clock(p), a)) {
+			w.agentAction(p, x)
+		}
+	}
+	if p.entry != nil && e != nil {
+		for _, x := range slices.Clone(p.entry.Step(w.clock(p), e)) {
+			w.entryAction(p, x)
+		}
+	}
+}
+
+func (w *world) agentAction(p *process, x agent.Action) {
+	switch x := x.(type) {
+	case agent.Send:
+		w.send(p, x.To, x.Message)
+	case agent.StartTask:
+		w.startTask(p, x)
+	case agent.SetTimer:
+		w.setTimer(p, x.At)
+	case agent.AppendControl:
+		w.appendLog(p, x.Record)
+	case agent.Drained:
+		p.drained = true
+		p.alive = false
+		w.trace("%s drained", p.ref.ID)
+	}
+}
+
+func (w *world) entryAction(p *process, x entry.Action) {
+	switch x := x.(type) {
+	case entry.Send:
+		w.send(p, x.To, x.Message)
+	case entry.SetTimer:
+		w.setTimer(p, x.At)
+	case entry.AppendControl:
+		w.appendLog(p, x.Record)
+	case entry.Reply:
+		w.answered(x.Call, x)
+	case entry.MintReply:
+		w.answered(x.Call, x)
+	case entry.Drained:
+		p.drained = true
+		p.alive = false
+	}
+}
+
+func (w *world) answered(call uint64, x entry.Action) {
+	f, ok := w.waiting[call]
+	if !ok {
+		panic(fmt.Sprintf("call %d was answered twice", call))
+	}
+	delete(w.waiting, call)
+	f(x)
+}
+
+func (w *world) setTimer(p *process, at time.Duration) {
+	p.timer++
+	n := p.timer
+	real := time.Duration(float64(at) / (1 + p.drift))
+	w.at(max(real-w.now, 0)+time.Microsecond, func() {
+		if p.timer == n {
+			w.deliver(p, func() { w.step(p, agent.Tick{}, entry.Tick{}) })
+		}
+	})
+}
+
+func (w *world) latency() time.Duration {
+	d := w.cond.delay
+	if w.cond.jitter > 0 {
+		d += time.Duration(w.rng.Int64N(int64(w.cond.jitter)))
+	}
+	return d
+}
+
+func (w *world) chance(p float64) bool { return p > 0 && w.rng.Float64() < p }
+
+// send passes a message through the network.
+func (w *world) send(p *process, to node.Ref, m message.Message) {
+	env := message.Envelope{From: p.ref, To: to, Messages: []message.Message{m}}
+	if p.agent != nil {
+		load := p.agent.Load()
+		env.Load = &load
+		env.Offset = p.agent.Offset()
+	} else {
+		env.Offset = p.entry.Offset()
+	}
+	copies := 1
+	if w.chance(w.cond.drop) {
+		copies = 0
+	}
+	if w.chance(w.cond.dup) {
+		copies++
+	}
+	w.traceMessage(p, to, m)
+	for range copies {
+		w.at(w.latency(), func() { w.arrive(p, env) })
+	}
+}
+
+// arrive delivers an envelope, or tells the sender that the run it addressed
+// has ended.
+func (w *world) arrive(from *process, env message.Envelope) {
+	to := w.current[env.To.ID]
+	if to == nil || to.group != from.group {
+		return
+	}
+	if !to.alive || to.ref != env.To {
+		dead := env.To
+		w.at(w.latency(), func() {
+			w.deliver(from, func() { w.step(from, agent.PeerDead{Ref: dead}, entry.PeerDead{Ref: dead}) })
+		})
+		return
+	}
+	w.deliver(to, func() {
+		w.step(to, agent.Received{Envelope: env}, entry.Received{Envelope: env})
+	})
+}
+
+// appendLog appends to the log unless it cannot be reached.
+func (w *world) appendLog(p *process, record []byte) {
+	if w.cond.logDown || p.noLog {
+		return
+	}
+	w.at(w.latency(), func() {
+		if !w.cond.logDown {
+			w.publish(record)
+		}
+	})
+}
+
+func (w *world) publish(record []byte) int64 {
+	w.log = append(w.log, record)
+	w.logAt = append(w.logAt, w.now)
+	return int64(len(w.log) - 1)
+}
+
+// poll reads the log for p again and again.
+func (w *world) poll(p *process) {
+	if !p.alive {
+		return
+	}
+	w.at(pollEvery, func() { w.poll(p) })
+	if w.cond.logDown || p.noLog || p.paused {
+		return
+	}
+	asked := w.clock(p).Mono
+	from := w.offset(p)
+	w.at(w.latency(), func() {
+		if w.cond.logDown {
+			return
+		}
+		end := int64(len(w.log))
+		records := slices.Clone(w.log[min(from, end):])
+		w.at(w.latency(), func() {
+			w.deliver(p, func() {
+				w.step(p, agent.LogRead{From: from, Records: records, End: end, AskedAt: asked},
+					entry.LogRead{From: from, Records: records, End: end, AskedAt: asked})
+			})
+		})
+	})
+}
+
+func (w *world) offset(p *process) int64 {
+	if p.agent != nil {
+		return p.agent.Offset()
+	}
+	return p.entry.Offset()
+}
+
+// startTask runs a task on the upstream of p.
+func (w *world) startTask(p *process, x agent.StartTask) {
+	if w.clock(p).Mono > x.NotAfter {
+		panic("a task was handed over after its permission had ended")
+	}
+	w.ledger.start(w, p, x)
+	w.trace("%s starts %s/%d", p.ref.ID, x.ID, x.Index)
+	d := w.cond.service
+	if w.cond.serviceJitter > 0 {
+		d += time.Duration(w.rng.Int64N(int64(w.cond.serviceJitter)))
+	}
+	state := job.Done
+	if w.chance(w.cond.taskFails) {
+		state = job.Failed
+	}
+	if w.chance(w.cond.lostAnswer) {
+		state = job.Unknown
+	}
+	body := resultBody(x.ID, x.Index, x.Payload)
+	w.at(d, func() {
+		w.deliver(p, func() {
+			w.step(p, agent.TaskEnded{Handle: x.Handle, State: state, Body: body}, nil)
+		})
+	})
+}
+
+func resultBody(id job.ID, index int, payload []byte) []byte {
+	return fmt.Appendf(nil, "%s/%d/%s", id, index, payload)
+}
+
+// kill ends a process without notice.
+func (w *world) kill(p *process) {
+	w.trace("%s is killed", p.ref.ID)
+	p.alive = false
+	p.held = nil
+}
+
+// restart starts the next incarnation of an agent.
+func (w *world) restart(p *process) *process {
+	w.kill(p)
+	if p.entry != nil {
+		return w.addEntry(p.ref.ID)
+	}
+	return w.addAgent(p.ref.ID, p.domain, p.slots)
+}
+
+func (w *world) pause(p *process) {
+	w.trace("%s is paused", p.ref.ID)
+	p.paused = true
+}
+
+func (w *world) resume(p *process) {
+	w.trace("%s goes on", p.ref.ID)
+	p.paused = false
+	held := p.held
+	p.held = nil
+	for _, f := range held {
+		w.deliver(p, f)
+	}
+}
+
+// drain asks a process to leave.
+func (w *world) drain(p *process) {
+	w.trace("%s is asked to leave", p.ref.ID)
+	w.deliver(p, func() { w.step(p, agent.Drain{}, entry.Drain{}) })
+}
