standin: the ledger checks claims about single tasks

Cause: an answer of a failed job states for each task whether it has run; nothing compared that with the starts.

Change: ToldTaskNotRun, counted with the untrue refusals; table cases for both orders.

--- a/internal/standin/upstream/ledger.go
+++ b/internal/standin/upstream/ledger.go
@@ -27,6 +27,12 @@
 	attempt int
 }
 
+// taskAttemptKey names one task of one submission.
+type taskAttemptKey struct {
+	attemptKey
+	index int
+}
+
 // Counts are the totals of a Ledger.
 type Counts struct {
 	// Starts counts all starts, Ended the tasks that ran to their end.
@@ -37,8 +43,8 @@
 	// LateDomainStarts counts starts in a failure domain later than the bound
 	// after it was taken out.
 	LateDomainStarts int
-	// UntrueNotRun counts submissions that started although their caller was
-	// told that nothing of them has started.
+	// UntrueNotRun counts submissions and single tasks that started although
+	// their caller was told that they have not and will not.
 	UntrueNotRun int
 }
 
@@ -56,6 +62,10 @@
 	// notRun holds the submissions whose callers were told not_run; the value is
 	// true once counted as untrue.
 	notRun map[attemptKey]bool
+	// notRunTasks is the same for single tasks.
+	notRunTasks map[taskAttemptKey]bool
+	// taskAttempts counts the starts of each task of each submission.
+	taskAttempts map[taskAttemptKey]int
 	// out holds when a domain that is out was taken out.
 	out map[string]time.Time
 	// last is the latest start in each domain.
@@ -68,12 +78,14 @@
 // NewLedger returns an empty ledger with the default bound for late starts.
 func NewLedger() *Ledger {
 	return &Ledger{
-		lateAfter: DefaultLateAfter,
-		tasks:     make(map[taskKey]int),
-		attempts:  make(map[attemptKey]int),
-		notRun:    make(map[attemptKey]bool),
-		out:       make(map[string]time.Time),
-		last:      make(map[string]time.Time),
+		lateAfter:    DefaultLateAfter,
+		tasks:        make(map[taskKey]int),
+		attempts:     make(map[attemptKey]int),
+		notRun:       make(map[attemptKey]bool),
+		notRunTasks:  make(map[taskAttemptKey]bool),
+		taskAttempts: make(map[taskAttemptKey]int),
+		out:          make(map[string]time.Time),
+		last:         make(map[string]time.Time),
 	}
 }
 
@@ -97,6 +109,12 @@
 		l.notRun[attempt] = true
 		l.counts.UntrueNotRun++
 	}
+	taskAttempt := taskAttemptKey{attempt, s.Index}
+	l.taskAttempts[taskAttempt]++
+	if counted, told := l.notRunTasks[taskAttempt]; told && !counted {
+		l.notRunTasks[taskAttempt] = true
+		l.counts.UntrueNotRun++
+	}
 }
 
 func (l *Ledger) ended() {
@@ -121,6 +139,22 @@
 	}
 }
 
+// ToldTaskNotRun records that the caller was told that one task of a submission
+// has not started and never will.
+func (l *Ledger) ToldTaskNotRun(id job.ID, attempt, index int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := taskAttemptKey{attemptKey{id, attempt}, index}
+	if _, told := l.notRunTasks[key]; told {
+		return
+	}
+	untrue := l.taskAttempts[key] > 0
+	l.notRunTasks[key] = untrue
+	if untrue {
+		l.counts.UntrueNotRun++
+	}
+}
+
 // DomainOut records when the change that takes a domain out was accepted.
 func (l *Ledger) DomainOut(domain string, at time.Time) {
 	l.mu.Lock()
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -134,6 +134,16 @@
 			l.ToldNotRun("j1", 0)
 			l.started(retry, now)
 		}, Counts{Starts: 1}},
+		"task not run, then started": {func(l *Ledger) {
+			l.ToldTaskNotRun("j1", 0, 0)
+			l.started(first, now)
+			l.started(other, now)
+		}, Counts{Starts: 2, UntrueNotRun: 1}},
+		"task started, then not run": {func(l *Ledger) {
+			l.started(first, now)
+			l.ToldTaskNotRun("j1", 0, 0)
+			l.ToldTaskNotRun("j1", 0, 1)
+		}, Counts{Starts: 1, UntrueNotRun: 1}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
