--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,19 @@
 #!/usr/bin/env bash
-# Runs every test of the workspace. Arguments are passed to go test.
+# Runs every test of the workspace. Arguments are flags of go test.
+#
+# Randomised tests run with a fixed seed. RAPID_FLAGS replaces their flags, for
+# example RAPID_FLAGS="-rapid.checks=10000" for a long run with a random seed.
 set -euo pipefail
 cd "$(dirname "$0")"
-go test -race "$@" ./... ./core/...
+
+read -ra rapid_flags <<<"${RAPID_FLAGS:--rapid.seed=1 -rapid.checks=100 -rapid.nofailfile}"
+
+mapfile -t randomised < <(.ci/randomised-packages)
+mapfile -t others < <(go list ./... ./core/... | grep -vxF "$(printf '%s\n' "${randomised[@]:-none}")")
+
+status=0
+go test -race "$@" "${others[@]}" || status=$?
+if [ "${#randomised[@]}" -gt 0 ]; then
+  go test -race "$@" "${randomised[@]}" "${rapid_flags[@]}" || status=$?
+fi
+exit "$status"
--- /dev/null
+++ b/tools/testverdict/main.go
@@ -0,0 +1,39 @@
+// Command testverdict reads the output of "go test -json" and fails unless every
+// failing test is listed in a file of known failures.
+//
+// Usage: go test -json ./... | testverdict KNOWN-RED.txt
+//
+// It prints the output of failing tests and go test's closing line of each
+// package. It exits with code 0 when every test passed, 3 when only listed
+// tests failed, 1 otherwise. A listed test that was not run is a failure.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+const (
+	exitFailed    = 1
+	exitKnownOnly = 3
+)
+
+func main() {
+	if len(os.Args) != 2 {
+		fmt.Fprintln(os.Stderr, "usage: testverdict KNOWN-RED.txt")
+		os.Exit(exitFailed)
+	}
+	known, err := readKnown(os.Args[1])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "testverdict:", err)
+		os.Exit(exitFailed)
+	}
+	r := newRun(os.Stdout)
+	if err := r.read(os.Stdin); err != nil {
+		fmt.Fprintln(os.Stderr, "testverdict:", err)
+		os.Exit(exitFailed)
+	}
+	v := r.verdict(known)
+	v.print(os.Stdout)
+	os.Exit(v.exitCode())
+}
