settings: placement policy of an entry; defaults for the size to design for

38,000 starts a second over 920 workers with a retention of 5 minutes make about 12,400 records an agent; 50,000 records and 32 MiB of results leave room.

--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		t.Error(err)
 	}
-	if agent.Worker.Name != "worker-a1" || agent.Timing.Lease != 2500*time.Millisecond || agent.Records.MaxRecordBytes != 512<<20 {
+	if agent.Worker.Name != "worker-a1" || agent.Timing.Lease != 2500*time.Millisecond || agent.Records.MaxRecordBytes != 32<<20 {
 		t.Errorf("got %+v", agent)
 	}
 }
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -27,6 +27,7 @@
 	Peers  Peers       `ini:"peers"`
 	Limits EntryLimits `ini:"limits"`
 	Timing Timing      `ini:"timing"`
+	Policy Policy      `ini:"policy"`
 	Trace  Trace       `ini:"trace"`
 }
 
@@ -125,15 +126,15 @@
 	// Retention is how long the answer of a job is kept.
 	Retention time.Duration `ini:"retention" default:"5m"`
 	// MaxRecords is the largest number of job records.
-	MaxRecords int `ini:"max_records" default:"200000"`
+	MaxRecords int `ini:"max_records" default:"50000"`
 	// MaxRecordBytes is the largest total size of job records.
-	MaxRecordBytes Size `ini:"max_record_bytes" default:"512MiB"`
+	MaxRecordBytes Size `ini:"max_record_bytes" default:"32MiB"`
 }
 
 // Queue bounds the tasks that wait at an agent for a slot.
 type Queue struct {
 	// Limit is the largest number of waiting tasks.
-	Limit int `ini:"limit" default:"64"`
+	Limit int `ini:"limit" default:"16"`
 	// UrgentSlots is the number of slots that only urgent tasks may use.
 	UrgentSlots int `ini:"urgent_slots" default:"1"`
 }
@@ -141,9 +142,10 @@
 // Placement is one of placement.Names.
 type Placement string
 
-// Policy names the policies of an agent.
+// Policy names the policies of a process.
 type Policy struct {
-	// Placement selects the executor of a task.
+	// Placement selects the executor of a task, or at an entry the home of a
+	// job without an ID.
 	Placement Placement `ini:"placement" default:"local-first"`
 }
 
