transport: count messages by kind, connect to unknown runs

Cause: the check of a message listed the kinds by hand, so that a kind added to package message would have been refused as malformed; the experiments need counts by kind; a process that starts in a log outage knows addresses but no runs.

Change: kinds are found by reflection, with a test over all fields; Stats.Kinds; Connect.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -174,6 +174,7 @@
 	}
 	c.t.counters.envelopesIn.Add(1)
 	c.t.counters.messagesIn.Add(uint64(len(env.Messages)))
+	c.t.counters.received.add(env.Messages)
 	c.t.cfg.Handler.Deliver(*env)
 	return nil
 }
@@ -192,6 +193,7 @@
 	if err == nil {
 		c.t.counters.envelopesOut.Add(1)
 		c.t.counters.messagesOut.Add(uint64(len(batch)))
+		c.t.counters.sent.add(batch)
 		return
 	}
 	c.t.counters.droppedOther.Add(uint64(len(batch)))
@@ -208,28 +210,3 @@
 	_ = c.stream.Close()
 	c.t.detach(c)
 }
-
-// wellFormed reports whether each message has exactly one field set.
-func wellFormed(env *message.Envelope) bool {
-	for i := range env.Messages {
-		if fieldsSet(&env.Messages[i]) != 1 {
-			return false
-		}
-	}
-	return true
-}
-
-func fieldsSet(m *message.Message) int {
-	n := 0
-	for _, set := range [...]bool{
-		m.Submit != nil, m.Fetch != nil, m.Cancel != nil, m.Answer != nil,
-		m.Pending != nil, m.NoRecord != nil, m.Start != nil, m.Abort != nil,
-		m.Result != nil, m.Refused != nil, m.Started != nil, m.Status != nil,
-		m.Records != nil, m.Handoff != nil,
-	} {
-		if set {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -21,45 +21,42 @@
 	unackedTimeout = 3 * time.Second
 )
 
-// dial makes one connection attempt to addr and waits for the peer's hello.
-func (l *link) dial(ctx context.Context, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, l.t.cfg.DialTimeout)
-	defer cancel()
+// errSilent says that a connection brought no hello.
+var errSilent = errors.New("peer sent no hello")
+
+// dial opens a connection to addr and waits for the peer's hello.
+func (t *Transport) dial(ctx context.Context, addr string) (*conn, error) {
 	var d net.Dialer
 	nc, err := d.DialContext(ctx, "tcp", addr)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		l.dialed(false)
-		l.proveDead("its port refused a connection")
-		return
-	}
 	if err != nil {
-		klog.V(2).Infof("transport: connection to %s at %s failed: %v", l.ref, addr, err)
-		l.dialed(false)
-		return
+		return nil, err
 	}
 	tune(nc)
-	c, err := l.t.open(l.t.ctx, nc)
+	c, err := t.open(t.ctx, nc)
 	if err != nil {
-		l.dialed(false)
-		return
+		return nil, err
 	}
 	select {
 	case <-c.helloDone:
+		return c, nil
 	case <-c.rpc.DisconnectNotify():
 	case <-ctx.Done():
 	}
-	l.checkHello(c)
+	c.close()
+	return nil, errSilent
 }
 
-// checkHello compares the process that answered with the one that was addressed.
-func (l *link) checkHello(c *conn) {
-	if !c.saidHello() {
-		l.dialed(false)
-		c.close()
-		return
-	}
-	l.dialed(c.peer == l.ref)
+// dial makes one connection attempt to the run's address.
+func (l *link) dial(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, l.t.cfg.DialTimeout)
+	defer cancel()
+	c, err := l.t.dial(ctx, addr)
+	l.dialed(err == nil && c.peer == l.ref)
 	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		l.proveDead("its port refused a connection")
+	case err != nil:
+		klog.V(2).Infof("transport: connection to %s at %s failed: %v", l.ref, addr, err)
 	case c.peer == l.ref:
 	case c.peer.ID == l.ref.ID:
 		l.proveDead("its port is served by another incarnation")
--- a/internal/transport/stats.go
+++ b/internal/transport/stats.go
@@ -4,23 +4,28 @@
 
 // Stats counts what a Transport has carried since it was opened.
 type Stats struct {
-	EnvelopesIn, EnvelopesOut uint64
-	MessagesIn, MessagesOut   uint64
-	BytesIn, BytesOut         uint64
+	EnvelopesIn  uint64 `json:"envelopes_in"`
+	EnvelopesOut uint64 `json:"envelopes_out"`
+	MessagesIn   uint64 `json:"messages_in"`
+	MessagesOut  uint64 `json:"messages_out"`
+	BytesIn      uint64 `json:"bytes_in"`
+	BytesOut     uint64 `json:"bytes_out"`
 	// DroppedFull counts messages that found a full queue.
-	DroppedFull uint64
+	DroppedFull uint64 `json:"dropped_full"`
 	// DroppedNoAddress counts messages to a run without an address or connection.
-	DroppedNoAddress uint64
+	DroppedNoAddress uint64 `json:"dropped_no_address"`
 	// DroppedCut counts messages dropped by Config.Cut.
-	DroppedCut uint64
+	DroppedCut uint64 `json:"dropped_cut"`
 	// DroppedStale counts messages that waited too long for a connection.
-	DroppedStale uint64
+	DroppedStale uint64 `json:"dropped_stale"`
 	// DroppedOther counts messages lost with a connection or too large to send.
-	DroppedOther uint64
+	DroppedOther uint64 `json:"dropped_other"`
 	// Misaddressed counts envelopes that arrived for another run.
-	Misaddressed uint64
+	Misaddressed uint64 `json:"misaddressed"`
 	// BadFrames counts connections closed because of what they sent.
-	BadFrames uint64
+	BadFrames uint64 `json:"bad_frames"`
+	// Kinds counts messages by kind.
+	Kinds []KindCount `json:"kinds"`
 }
 
 // counters is the live form of Stats.
@@ -35,6 +40,7 @@
 	droppedOther              atomic.Uint64
 	misaddressed              atomic.Uint64
 	badFrames                 atomic.Uint64
+	sent, received            kindCounters
 }
 
 // Stats returns the counters.
@@ -54,5 +60,6 @@
 		DroppedOther:     c.droppedOther.Load(),
 		Misaddressed:     c.misaddressed.Load(),
 		BadFrames:        c.badFrames.Load(),
+		Kinds:            kindCounts(c.sent, c.received),
 	}
 }
--- a/internal/transport/stream_test.go
+++ b/internal/transport/stream_test.go
@@ -48,6 +48,23 @@
 	}
 }
 
+func TestKindOfEveryMessage(t *testing.T) {
+	fields := reflect.TypeFor[message.Message]()
+	for i := range fields.NumField() {
+		var m message.Message
+		reflect.ValueOf(&m).Elem().Field(i).Set(reflect.New(fields.Field(i).Type.Elem()))
+		if kind, ok := kindOf(&m); !ok || kind != i {
+			t.Errorf("%s: kind %d, %v", fields.Field(i).Name, kind, ok)
+		}
+	}
+	if _, ok := kindOf(&message.Message{}); ok {
+		t.Error("an empty message has a kind")
+	}
+	if _, ok := kindOf(&message.Message{Abort: &message.Abort{}, Start: &message.Start{}}); ok {
+		t.Error("a message of two kinds has a kind")
+	}
+}
+
 // fakeConn is a net.Conn that only reads.
 type fakeConn struct {
 	net.Conn
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -115,6 +115,7 @@
 		links:    make(map[node.Ref]*link),
 		conns:    make(map[*conn]struct{}),
 	}
+	t.counters.sent, t.counters.received = newKindCounters(), newKindCounters()
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	return t, nil
 }
@@ -191,6 +192,18 @@
 	}
 }
 
+// Connect opens a connection to a process whose run is not known, and returns
+// the run that answers. The connection then serves both ways.
+func (t *Transport) Connect(ctx context.Context, addr string) (node.Ref, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.cfg.DialTimeout)
+	defer cancel()
+	c, err := t.dial(ctx, addr)
+	if err != nil {
+		return node.Ref{}, err
+	}
+	return c.peer, nil
+}
+
 func (t *Transport) cut(to node.ID) bool {
 	return t.cfg.Cut != nil && t.cfg.Cut(to)
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -109,6 +109,21 @@
 	}
 }
 
+func TestConnectToUnknownRun(t *testing.T) {
+	agent, agentRec := start(t, Config{Self: ref("a1", 5)})
+	entry, _ := start(t, Config{Self: ref("e1", 7)})
+	got, err := entry.Connect(context.Background(), agent.Addr())
+	if err != nil || got != ref("a1", 5) {
+		t.Fatalf("got %v, %v", got, err)
+	}
+	entry.Send(got, pending(1))
+	receiveRequests(t, agentRec, 1)
+	_ = agent.Close()
+	if _, err := entry.Connect(context.Background(), agent.Addr()); err == nil {
+		t.Error("connected to a closed transport")
+	}
+}
+
 func TestQueuedMessagesShareAnEnvelope(t *testing.T) {
 	agent, agentRec := start(t, Config{Self: ref("a1", 1)})
 	delay := func(node.ID) time.Duration { return 20 * time.Millisecond }
