Entry and agent daemons, caller API and command line

Cause: the cores need shells to run as processes. Change: entryd and agentd join the cores to transport, log and HTTP; httpapi is the callers' interface; two binaries with their subcommands.

--- /dev/null
+++ b/cmd/dogwoodgauge-agent/main.go
@@ -0,0 +1,13 @@
+// Command dogwoodgauge-agent runs the process beside an upstream.
+package main
+
+import (
+	"os"
+
+	"github.com/dogwoodgauge/dogwoodgauge/internal/command"
+)
+
+func main() {
+	std := command.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
+	os.Exit(int(command.AgentMain(os.Args[1:], std)))
+}
--- /dev/null
+++ b/cmd/dogwoodgauge/main.go
@@ -0,0 +1,13 @@
+// Command dogwoodgauge runs an entry and the tools of operators.
+package main
+
+import (
+	"os"
+
+	"github.com/dogwoodgauge/dogwoodgauge/internal/command"
+)
+
+func main() {
+	std := command.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
+	os.Exit(int(command.Main(os.Args[1:], std)))
+}
--- /dev/null
+++ b/internal/agentd/announce.go
@@ -0,0 +1,116 @@
+package agentd
+
+import (
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/agent"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/label"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/httpserver"
+)
+
+// Limits of an announcement.
+const (
+	maxAnnouncementBytes = 64 << 10
+	maxNameBytes         = 128
+	maxSlots             = 1 << 16
+	maxConnections       = 1 << 16
+	maxTTL               = 10 * time.Minute
+)
+
+// Announcement is the body of POST /v1/upstream.
+type Announcement struct {
+	Name string `json:"name"`
+	// Addr is the IP:port on which the upstream takes tasks.
+	Addr string `json:"addr"`
+	// Slots is the number of tasks that the upstream runs at the same time.
+	Slots int `json:"slots"`
+	// Connections is the number of connections that it accepts.
+	Connections int       `json:"connections"`
+	Labels      label.Set `json:"labels,omitempty"`
+	// TTLMillis is the life of the announcement in milliseconds.
+	TTLMillis int64 `json:"ttl_ms"`
+}
+
+// check returns an *httpserver.Error that names the first field at fault.
+func (a *Announcement) check() error {
+	if a.Name == "" || len(a.Name) > maxNameBytes {
+		return httpserver.BadRequest("name has %d bytes; it must have from 1 to %d", len(a.Name), maxNameBytes)
+	}
+	if _, err := netip.ParseAddrPort(a.Addr); err != nil {
+		return httpserver.BadRequest("addr is %q; an IP and port is expected, such as 127.0.0.1:8080", a.Addr)
+	}
+	if a.Slots < 1 || a.Slots > maxSlots {
+		return httpserver.BadRequest("slots is %d; it must be from 1 to %d", a.Slots, maxSlots)
+	}
+	if a.Connections < 1 || a.Connections > maxConnections {
+		return httpserver.BadRequest("connections is %d; it must be from 1 to %d", a.Connections, maxConnections)
+	}
+	if len(a.Labels) > job.MaxLabels {
+		return httpserver.BadRequest("labels has %d items; the limit is %d", len(a.Labels), job.MaxLabels)
+	}
+	if a.TTLMillis < 1 || a.TTLMillis > maxTTL.Milliseconds() {
+		return httpserver.BadRequest("ttl_ms is %d; it must be from 1 to %d", a.TTLMillis, maxTTL.Milliseconds())
+	}
+	return nil
+}
+
+func (a *Announcement) ttl() time.Duration {
+	return time.Duration(a.TTLMillis) * time.Millisecond
+}
+
+// handler returns the handler of the agent's HTTP interface: announcements of
+// upstreams, state, metrics and health.
+func (d *Daemon) handler() http.Handler {
+	e := httpserver.NewRouter(d.metrics)
+	e.POST("/v1/upstream", d.announce)
+	e.DELETE("/v1/upstream/:name", d.withdraw)
+	e.GET("/v1/status", d.status)
+	httpserver.Health(e, d.Ready, d.WriteMetrics)
+	return e
+}
+
+func (d *Daemon) announce(c echo.Context) error {
+	body, err := httpserver.ReadBody(c, maxAnnouncementBytes)
+	if err != nil {
+		return err
+	}
+	a, err := DecodeAnnouncement(body)
+	if err != nil {
+		return err
+	}
+	if err := d.upstreams.set(a, d.loop.Mono()); err != nil {
+		return err
+	}
+	d.loop.PostWait(agent.UpstreamAnnounced{
+		Name:        a.Name,
+		Slots:       a.Slots,
+		Connections: a.Connections,
+		Labels:      a.Labels,
+		TTL:         a.ttl(),
+	})
+	return c.NoContent(http.StatusNoContent)
+}
+
+// DecodeAnnouncement parses and checks a body. The error is an
+// *httpserver.Error.
+func DecodeAnnouncement(body []byte) (Announcement, error) {
+	var a Announcement
+	if err := httpserver.Decode(body, &a); err != nil {
+		return Announcement{}, err
+	}
+	return a, a.check()
+}
+
+// withdraw answers once no further task can start on the upstream. A name that
+// is not known is withdrawn already.
+func (d *Daemon) withdraw(c echo.Context) error {
+	name := c.Param("name")
+	d.loop.PostWait(agent.UpstreamWithdrawn{Name: name})
+	d.upstreams.remove(name)
+	return c.NoContent(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/agentd/daemon.go
@@ -0,0 +1,182 @@
+package agentd
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+	"github.com/oklog/run"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/agent"
+	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/follow"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/httpserver"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/lifecycle"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/loop"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/settings"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/telemetry"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/transport"
+)
+
+// Errors of Run.
+var (
+	// ErrKilled says that Kill ended the daemon.
+	ErrKilled = errors.New("the agent was killed")
+	// ErrCut says that the grace time ended with tasks or jobs in flight.
+	ErrCut = errors.New("the grace time ended with work in flight")
+
+	errStopped = errors.New("the agent has stopped")
+)
+
+// Daemon is one agent. Its methods are safe for concurrent use.
+type Daemon struct {
+	cfg       Config
+	self      node.Ref
+	logs      *telemetry.Logger
+	metrics   *telemetry.Metrics
+	tracer    *telemetry.Tracer
+	core      *agent.Core
+	loop      *loop.Loop[agent.Event, agent.Action]
+	transport *transport.Transport
+	reader    *follow.Reader
+	appender  *follow.Appender
+	http      *httpserver.Server
+	upstreams upstreams
+	tasks     *tasks
+	spans     homeSpans
+
+	said    atomic.Pointer[said]
+	scraped atomic.Pointer[Status]
+	// sent is the number of messages given to the transport.
+	sent     atomic.Uint64
+	draining atomic.Bool
+	drained  *lifecycle.Signal
+	killed   *lifecycle.Signal
+}
+
+// New opens the sockets of an agent. Run must be called next, or Kill.
+func New(cfg Config) (*Daemon, error) {
+	tracer, err := telemetry.NewTracer(cfg.Settings.Trace, settings.RoleAgent, cfg.Settings.Node.ID)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		cfg:     cfg,
+		self:    node.Ref{ID: cfg.Settings.Node.ID, Incarnation: node.Incarnation(lifecycle.RandomNumber())},
+		logs:    telemetry.Part("agent"),
+		metrics: telemetry.NewMetrics(),
+		tracer:  tracer,
+		tasks:   newTasks(),
+		spans:   homeSpans{tracer: tracer, open: make(map[submission]telemetry.Span)},
+		drained: lifecycle.NewSignal(),
+		killed:  lifecycle.NewSignal(),
+	}
+	d.loop = loop.New(loop.Config[agent.Event, agent.Action]{
+		Step:       d.step,
+		Do:         d.do,
+		AfterBatch: d.publish,
+		Tick:       agent.Tick{},
+		Queue:      eventQueue,
+	})
+	d.upstreams.mono = d.loop.Mono
+	if err := d.listen(); err != nil {
+		d.Kill()
+		return nil, err
+	}
+	d.core = agent.New(cfg.core(d.self, d.transport.Addr()))
+	d.followLog()
+	d.registerGauges()
+	return d, nil
+}
+
+// listen opens the sockets.
+func (d *Daemon) listen() error {
+	s := d.cfg.Settings
+	var err error
+	d.transport, err = transport.Listen(transport.Config{
+		Self:     d.self,
+		Listen:   s.Listen.Transport.String(),
+		Handler:  handler{d},
+		Annotate: d.annotate,
+		Delay:    d.cfg.Delay,
+		Cut:      d.cfg.Cut,
+	})
+	if err != nil {
+		return err
+	}
+	d.http, err = httpserver.Listen(httpserver.Config{
+		Listen:  s.Listen.Upstream.String(),
+		Handler: d.handler(),
+	})
+	return err
+}
+
+func (d *Daemon) followLog() {
+	log, stream := d.cfg.log(), d.cfg.Settings.Log.Stream
+	d.appender = follow.NewAppender(log, stream, d.logs, d.metrics)
+	d.reader = &follow.Reader{
+		Log:     log,
+		Stream:  stream,
+		Offset:  d.offset,
+		Mono:    d.loop.Mono,
+		Wait:    min(follow.DefaultWait, d.cfg.Settings.Timing.Lease/3),
+		Logs:    d.logs,
+		Metrics: d.metrics,
+		Deliver: func(r follow.Read) bool {
+			return d.loop.PostWait(agent.LogRead{
+				From: r.From, Records: r.Records, End: r.End, Oldest: r.Oldest, AskedAt: r.AskedAt,
+			})
+		},
+	}
+}
+
+// step hands one event to the core.
+func (d *Daemon) step(now clock.Now, event agent.Event) []agent.Action {
+	if e, ok := event.(agent.Received); ok {
+		d.spans.received(&e.Envelope)
+	}
+	return d.core.Step(now, event)
+}
+
+// Self returns the name of this run.
+func (d *Daemon) Self() node.Ref { return d.self }
+
+// Addr returns the IP:port of the transport.
+func (d *Daemon) Addr() string { return d.transport.Addr() }
+
+// HTTPAddr returns the IP:port for upstreams, metrics, health and readiness.
+func (d *Daemon) HTTPAddr() string { return d.http.Addr() }
+
+// Kill stops the daemon at once: tasks are cut and nothing is finished. The
+// transport closes last, because a refused connection proves to the other
+// processes that this run can start nothing any more.
+func (d *Daemon) Kill() {
+	d.killed.Give()
+	d.tasks.stop()
+	if d.http != nil {
+		_ = d.http.Close()
+	}
+	if d.transport != nil {
+		_ = d.transport.Close()
+	}
+}
+
+// Run serves until ctx ends and what is in flight is finished. It returns nil
+// after a whole stop, and ErrCut or ErrKilled otherwise.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.logs.Info("started", "id", d.self.ID, "http", d.HTTPAddr(), "transport", d.Addr())
+	var g run.Group
+	g.Add(func() error { return d.leave(ctx) }, func(error) { d.Kill() })
+	lifecycle.Add(&g, d.loop.Run)
+	lifecycle.Add(&g, d.transport.Run)
+	lifecycle.Add(&g, d.reader.Run)
+	lifecycle.Add(&g, d.appender.Run)
+	g.Add(d.http.Run, func(error) { _ = d.http.Close() })
+	err := g.Run()
+	if err := lifecycle.Bounded(tracerTime, d.tracer.Shutdown); err != nil {
+		d.logs.Error(err, "exporting the last spans failed")
+	}
+	d.logs.Info("stopped", "id", d.self.ID)
+	return err
+}
--- /dev/null
+++ b/internal/agentd/leave.go
@@ -0,0 +1,58 @@
+package agentd
+
+import (
+	"context"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/agent"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/lifecycle"
+)
+
+// flushPoll is the time between two looks at what the transport still holds.
+const flushPoll = 5 * time.Millisecond
+
+// leave waits for the end of ctx, then lets the core finish what is in flight.
+// The agent goes on serving until the core says that it may exit.
+func (d *Daemon) leave(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-d.killed.Given():
+		return ErrKilled
+	}
+	d.draining.Store(true)
+	d.logs.Info("leaving", "tasks", d.tasks.count())
+	d.loop.Post(agent.Drain{})
+	grace := time.NewTimer(d.cfg.Settings.Timing.Grace)
+	defer grace.Stop()
+	select {
+	case <-d.drained.Given():
+		d.flush()
+		return nil
+	case <-d.killed.Given():
+		d.logs.Info("tasks cut off by a kill", "tasks", d.tasks.count())
+		return ErrKilled
+	case <-grace.C:
+		d.logs.Info("tasks cut off at the end of the grace time", "tasks", d.tasks.count())
+		return ErrCut
+	}
+}
+
+// flush waits for the last control records and messages, for a bounded time.
+func (d *Daemon) flush() {
+	_ = lifecycle.Bounded(flushTime, d.appender.Flush)
+	_ = lifecycle.Bounded(flushTime, d.flushMessages)
+}
+
+// flushMessages waits until the transport has written or dropped every message.
+func (d *Daemon) flushMessages(ctx context.Context) error {
+	for d.unsent() && ctx.Err() == nil {
+		lifecycle.Wait(flushPoll, ctx.Done())
+	}
+	return ctx.Err()
+}
+
+func (d *Daemon) unsent() bool {
+	s := d.transport.Stats()
+	left := s.MessagesOut + s.DroppedFull + s.DroppedNoAddress + s.DroppedCut + s.DroppedStale + s.DroppedOther
+	return left < d.sent.Load()
+}
--- /dev/null
+++ b/internal/command/output.go
@@ -0,0 +1,18 @@
+package command
+
+import (
+	"encoding/json"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// jsonFlag adds the flag that asks for output for programs.
+func jsonFlag(cmd *kingpin.CmdClause) *bool {
+	return cmd.Flag("json", "Print JSON.").Bool()
+}
+
+// writeJSON writes v as one line of JSON.
+func writeJSON(w io.Writer, v any) error {
+	return json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/entryd/daemon.go
@@ -0,0 +1,206 @@
+package entryd
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oklog/run"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
+	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/follow"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/httpapi"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/httpserver"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/lifecycle"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/loop"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/settings"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/telemetry"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/transport"
+)
+
+// Errors of Run and of calls.
+var (
+	// ErrKilled says that Kill ended the daemon.
+	ErrKilled = errors.New("the entry was killed")
+	// ErrCut says that the grace time ended before every call was answered.
+	ErrCut = errors.New("the grace time ended with calls in flight")
+
+	errStopped = errors.New("the entry has stopped")
+)
+
+// Daemon is one entry. Its methods are safe for concurrent use.
+type Daemon struct {
+	cfg       Config
+	self      node.Ref
+	logs      *telemetry.Logger
+	metrics   *telemetry.Metrics
+	tracer    *telemetry.Tracer
+	core      *entry.Core
+	loop      *loop.Loop[entry.Event, entry.Action]
+	transport *transport.Transport
+	reader    *follow.Reader
+	appender  *follow.Appender
+	api       *httpserver.Server
+	monitor   *httpserver.Server
+	calls     calls
+
+	// offset is the core's offset after the last batch of events.
+	offset atomic.Int64
+	// members is the number of known agents at the last scrape.
+	members  atomic.Int64
+	draining atomic.Bool
+	drained  *lifecycle.Signal
+	killed   *lifecycle.Signal
+}
+
+// New opens the sockets of an entry. Run must be called next, or Kill.
+func New(cfg Config) (*Daemon, error) {
+	tracer, err := telemetry.NewTracer(cfg.Settings.Trace, settings.RoleEntry, cfg.Settings.Node.ID)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		cfg:     cfg,
+		self:    node.Ref{ID: cfg.Settings.Node.ID, Incarnation: node.Incarnation(lifecycle.RandomNumber())},
+		logs:    telemetry.Part("entry"),
+		metrics: telemetry.NewMetrics(),
+		tracer:  tracer,
+		drained: lifecycle.NewSignal(),
+		killed:  lifecycle.NewSignal(),
+	}
+	d.loop = loop.New(loop.Config[entry.Event, entry.Action]{
+		Step:       func(now clock.Now, e entry.Event) []entry.Action { return d.core.Step(now, e) },
+		Do:         d.do,
+		AfterBatch: func() { d.offset.Store(d.core.Offset()) },
+		Tick:       entry.Tick{},
+		Queue:      eventQueue,
+	})
+	if err := d.listen(); err != nil {
+		d.closeSockets()
+		return nil, err
+	}
+	d.core = entry.New(cfg.core(d.self, d.transport.Addr()))
+	d.followLog()
+	d.registerGauges()
+	return d, nil
+}
+
+// listen opens the sockets.
+func (d *Daemon) listen() error {
+	s := d.cfg.Settings
+	var err error
+	d.transport, err = transport.Listen(transport.Config{
+		Self:     d.self,
+		Listen:   s.Listen.Transport.String(),
+		Handler:  handler{d},
+		Annotate: func(env *message.Envelope) { env.Offset = d.offset.Load() },
+		Delay:    d.cfg.Delay,
+		Cut:      d.cfg.Cut,
+	})
+	if err != nil {
+		return err
+	}
+	d.api, err = httpserver.Listen(httpserver.Config{
+		Listen:         s.Listen.HTTP.String(),
+		Handler:        d.apiHandler(),
+		MaxConnections: s.Limits.Connections,
+		HeaderTime:     s.Limits.HeaderTime,
+	})
+	if err != nil {
+		return err
+	}
+	d.monitor, err = httpserver.Listen(httpserver.Config{
+		Listen:  s.Listen.Metrics.String(),
+		Handler: d.monitorHandler(),
+	})
+	return err
+}
+
+func (d *Daemon) followLog() {
+	log, stream := d.cfg.log(), d.cfg.Settings.Log.Stream
+	d.appender = follow.NewAppender(log, stream, d.logs, d.metrics)
+	d.reader = &follow.Reader{
+		Log:     log,
+		Stream:  stream,
+		Offset:  d.offset.Load,
+		Mono:    d.loop.Mono,
+		Wait:    follow.DefaultWait,
+		Logs:    d.logs,
+		Metrics: d.metrics,
+		Deliver: func(r follow.Read) bool {
+			return d.loop.PostWait(entry.LogRead{
+				From: r.From, Records: r.Records, End: r.End, Oldest: r.Oldest, AskedAt: r.AskedAt,
+			})
+		},
+	}
+}
+
+func (d *Daemon) apiHandler() http.Handler {
+	return httpapi.New(httpapi.Config{
+		Service: d,
+		Limits:  d.cfg.limits(),
+		Metrics: d.metrics,
+		Tracer:  d.tracer,
+		Now:     func() int64 { return time.Now().UnixMilli() },
+	})
+}
+
+func (d *Daemon) monitorHandler() http.Handler {
+	router := httpserver.NewRouter(d.metrics)
+	httpserver.Health(router, d.Ready, d.WriteMetrics)
+	return router
+}
+
+// Self returns the name of this run.
+func (d *Daemon) Self() node.Ref { return d.self }
+
+// Addr returns the IP:port of the transport.
+func (d *Daemon) Addr() string { return d.transport.Addr() }
+
+// HTTPAddr returns the IP:port of the callers' interface.
+func (d *Daemon) HTTPAddr() string { return d.api.Addr() }
+
+// MetricsAddr returns the IP:port of metrics, health and readiness.
+func (d *Daemon) MetricsAddr() string { return d.monitor.Addr() }
+
+// Kill stops the daemon at once: connections are cut and nothing is finished.
+func (d *Daemon) Kill() {
+	d.killed.Give()
+	d.closeSockets()
+}
+
+func (d *Daemon) closeSockets() {
+	for _, s := range []*httpserver.Server{d.api, d.monitor} {
+		if s != nil {
+			_ = s.Close()
+		}
+	}
+	if d.transport != nil {
+		_ = d.transport.Close()
+	}
+}
+
+// Run serves until ctx ends and every call that came before is answered. It
+// returns nil after a whole stop, and ErrCut or ErrKilled otherwise.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.logs.Info("started", "id", d.self.ID, "http", d.HTTPAddr(), "transport", d.Addr())
+	var g run.Group
+	g.Add(func() error { return d.leave(ctx) }, func(error) { d.Kill() })
+	lifecycle.Add(&g, d.loop.Run)
+	lifecycle.Add(&g, d.transport.Run)
+	lifecycle.Add(&g, d.reader.Run)
+	lifecycle.Add(&g, d.appender.Run)
+	g.Add(d.api.Run, func(error) { _ = d.api.Close() })
+	g.Add(d.monitor.Run, func(error) { _ = d.monitor.Close() })
+	err := g.Run()
+	if err := lifecycle.Bounded(tracerTime, d.tracer.Shutdown); err != nil {
+		d.logs.Error(err, "exporting the last spans failed")
+	}
+	d.logs.Info("stopped", "id", d.self.ID)
+	return err
+}
--- /dev/null
+++ b/internal/entryd/leave.go
@@ -0,0 +1,54 @@
+package entryd
+
+import (
+	"context"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/lifecycle"
+)
+
+// leave waits for the end of ctx, then answers what is in flight. Readiness
+// fails at once; calls are taken until the readiness delay has passed.
+func (d *Daemon) leave(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-d.killed.Given():
+		return ErrKilled
+	}
+	d.draining.Store(true)
+	d.logs.Info("leaving", "calls", d.calls.count())
+	grace, cancel := context.WithTimeout(context.Background(), d.cfg.Settings.Timing.Grace)
+	defer cancel()
+	if !lifecycle.Wait(d.cfg.ReadinessDelay, d.killed.Given()) {
+		return ErrKilled
+	}
+	if err := d.finish(grace); err != nil {
+		d.logs.Info("calls cut off", "calls", d.calls.count())
+		return err
+	}
+	return nil
+}
+
+// finish waits until every call is answered.
+func (d *Daemon) finish(grace context.Context) error {
+	answered := make(chan error, 1)
+	go func() { answered <- d.api.Shutdown(grace) }()
+	select {
+	case err := <-answered:
+		if err != nil {
+			return ErrCut
+		}
+	case <-d.killed.Given():
+		return ErrKilled
+	}
+	d.loop.Post(entry.Drain{})
+	select {
+	case <-d.drained.Given():
+		_ = lifecycle.Bounded(flushTime, d.appender.Flush)
+		return nil
+	case <-grace.Done():
+		return ErrCut
+	case <-d.killed.Given():
+		return ErrKilled
+	}
+}
--- /dev/null
+++ b/internal/entryd/status.go
@@ -0,0 +1,100 @@
+package entryd
+
+import (
+	"context"
+	"io"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/telemetry"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/transport"
+)
+
+// Status is what an entry tells operators of itself and of the agents it knows.
+type Status struct {
+	entry.Status
+	Draining  bool            `json:"draining"`
+	Transport transport.Stats `json:"transport"`
+}
+
+// Status implements httpapi.Service. The value is a Status.
+func (d *Daemon) Status(ctx context.Context) (any, error) {
+	return d.Snapshot(ctx)
+}
+
+// Snapshot returns the state of the entry.
+func (d *Daemon) Snapshot(ctx context.Context) (Status, error) {
+	snapshot := make(chan entry.Status, 1)
+	go d.loop.Call(func() { snapshot <- d.core.Status() })
+	select {
+	case s := <-snapshot:
+		return Status{Status: s, Draining: d.draining.Load(), Transport: d.transport.Stats()}, nil
+	case <-ctx.Done():
+		return Status{}, ctx.Err()
+	case <-d.loop.Done():
+		return Status{}, errStopped
+	}
+}
+
+// Draining implements httpapi.Service.
+func (d *Daemon) Draining() bool { return d.draining.Load() }
+
+// Ready implements httpapi.Service. An entry is ready when it has read the
+// configuration, knows an agent that is alive, and is not leaving.
+func (d *Daemon) Ready() error {
+	if d.draining.Load() {
+		return errors.New("the entry is leaving")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+	defer cancel()
+	s, err := d.Snapshot(ctx)
+	switch {
+	case err != nil:
+		return errors.Wrap(err, "the core does not answer")
+	case !s.Synced:
+		return errors.New("the configuration has not been read yet")
+	}
+	for _, a := range s.Agents {
+		if !a.Dead && a.Load.Slots > 0 && !a.Load.Draining {
+			return nil
+		}
+	}
+	return errors.New("no agent with slots is known")
+}
+
+// WriteMetrics implements httpapi.Service.
+func (d *Daemon) WriteMetrics(w io.Writer) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+	defer cancel()
+	if s, err := d.Snapshot(ctx); err == nil {
+		d.collect(s)
+	}
+	d.metrics.Write(w)
+}
+
+// registerGauges adds the gauges, which are read at every scrape.
+func (d *Daemon) registerGauges() {
+	d.metrics.Gauge(telemetry.CallsInFlight, func() float64 { return float64(d.calls.count()) })
+	d.metrics.Gauge(telemetry.ControlOffset, func() float64 { return float64(d.offset.Load()) })
+	d.metrics.Gauge(telemetry.Members, func() float64 { return float64(d.members.Load()) })
+	d.metrics.Gauge(telemetry.Draining, func() float64 {
+		if d.draining.Load() {
+			return 1
+		}
+		return 0
+	})
+}
+
+// collect copies a snapshot into the metrics.
+func (d *Daemon) collect(s Status) {
+	d.members.Store(int64(len(s.Agents)))
+	for name, count := range s.Violations {
+		d.metrics.InvariantViolations(string(name)).Set(count)
+	}
+	d.metrics.Messages("sent").Set(s.Transport.MessagesOut)
+	d.metrics.Messages("received").Set(s.Transport.MessagesIn)
+	d.metrics.MessageBytes("sent").Set(s.Transport.BytesOut)
+	d.metrics.MessageBytes("received").Set(s.Transport.BytesIn)
+	d.metrics.FramesRejected("bad").Set(s.Transport.BadFrames)
+}
--- a/internal/follow/appender.go
+++ b/internal/follow/appender.go
@@ -60,14 +60,15 @@
 }
 
 // Flush waits until no record is queued or ctx ends.
-func (a *Appender) Flush(ctx context.Context) {
+func (a *Appender) Flush(ctx context.Context) error {
 	for a.pending.Load() > 0 {
 		select {
 		case <-ctx.Done():
-			return
+			return ctx.Err()
 		case <-a.idle:
 		}
 	}
+	return nil
 }
 
 func (a *Appender) append(ctx context.Context, record []byte) {
--- /dev/null
+++ b/internal/httpserver/json.go
@@ -0,0 +1,89 @@
+package httpserver
+
+import (
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
+)
+
+// Error is a refusal of a request. Its kind is never errkind.None.
+type Error struct {
+	Kind   errkind.Kind
+	Detail string
+}
+
+// Error returns the kind and the detail.
+func (e *Error) Error() string { return string(e.Kind) + ": " + e.Detail }
+
+// BadRequest returns an Error of kind errkind.BadRequest.
+func BadRequest(format string, args ...any) *Error {
+	return &Error{Kind: errkind.BadRequest, Detail: fmt.Sprintf(format, args...)}
+}
+
+// TooLarge returns an Error of kind errkind.TooLarge.
+func TooLarge(format string, args ...any) *Error {
+	return &Error{Kind: errkind.TooLarge, Detail: fmt.Sprintf(format, args...)}
+}
+
+// ReadBody reads a request body of at most limit bytes. The error is an *Error.
+func ReadBody(c echo.Context, limit int64) ([]byte, error) {
+	response := http.NewResponseController(c.Response())
+	_ = response.SetReadDeadline(time.Now().Add(bodyTime))
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	if err == nil {
+		_ = response.SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, TooLarge("the body exceeds %d bytes", limit)
+	}
+	return nil, BadRequest("the body could not be read: %v", err)
+}
+
+// Decode parses a JSON object into v. Unknown fields and trailing data are
+// refused. The error is an *Error.
+func Decode(body []byte, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return decodeError(err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return BadRequest("the body holds data after the JSON object")
+	}
+	return nil
+}
+
+func decodeError(err error) *Error {
+	var wrongType *json.UnmarshalTypeError
+	var corrupt base64.CorruptInputError
+	switch {
+	case errors.Is(err, io.EOF):
+		return BadRequest("the body is empty; a JSON object is expected")
+	case errors.As(err, &wrongType):
+		return BadRequest("field %s: a %s is expected, got a %s", wrongType.Field, wrongType.Type, wrongType.Value)
+	case errors.As(err, &corrupt):
+		return BadRequest("a payload is not base64: %v", corrupt)
+	default:
+		return BadRequest("the body is not valid: %v", err)
+	}
+}
+
+// WriteJSON answers with a status and a JSON body. A client that does not take
+// the answer in time loses the connection.
+func WriteJSON(c echo.Context, status int, v any) error {
+	response := http.NewResponseController(c.Response())
+	_ = response.SetWriteDeadline(time.Now().Add(writeTime))
+	defer func() { _ = response.SetWriteDeadline(time.Time{}) }()
+	return c.JSON(status, v)
+}
