cluster, loadgen: a whole cluster over loopback and its open-loop clients

Cause: the demo and the experiment tool need real entries and agents with faults, and clients that check every answer.

Change: cluster runs entries, agents and stand-ins in one process with failure domains, racks, link delays, partitions, kills, planned stops and restarts at the same addresses; loadgen plans arrivals from a seed, sends them at their time whatever the answers, resubmits through other entries, and compares each answer with its request. The transport no longer logs an error when it is closed.

Conclusion: a job passes through both entries with one start a task; a domain goes out and comes back.

--- /dev/null
+++ b/internal/cluster/process.go
@@ -0,0 +1,240 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/agentd"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/entryd"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/settings"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/standin/upstream"
+)
+
+// daemon is what entries and agents have in common.
+type daemon interface {
+	Run(ctx context.Context) error
+	Kill()
+}
+
+// process runs one daemon after the other at the same addresses.
+type process[D daemon] struct {
+	mu      sync.Mutex
+	current D
+	cancel  context.CancelFunc
+	done    chan struct{}
+	err     error
+}
+
+// run starts a daemon in the background.
+func (p *process[D]) run(d D) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	p.mu.Lock()
+	p.current, p.cancel, p.done = d, cancel, done
+	p.mu.Unlock()
+	go func() {
+		err := d.Run(ctx)
+		p.mu.Lock()
+		p.err = err
+		p.mu.Unlock()
+		close(done)
+	}()
+}
+
+func (p *process[D]) daemon() D {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.current
+}
+
+// stop ends the daemon by a planned stop and returns what it cut off.
+func (p *process[D]) stop() error {
+	p.mu.Lock()
+	cancel, done := p.cancel, p.done
+	p.mu.Unlock()
+	cancel()
+	<-done
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.err
+}
+
+// kill ends the daemon at once.
+func (p *process[D]) kill() {
+	p.mu.Lock()
+	d, done := p.current, p.done
+	p.mu.Unlock()
+	if done == nil {
+		return
+	}
+	d.Kill()
+	<-done
+}
+
+// Entry is one entry of a cluster.
+type Entry struct {
+	process[*entryd.Daemon]
+	ID     node.ID
+	Domain string
+
+	cluster  *Cluster
+	settings settings.Entry
+}
+
+func newEntry(c *Cluster, i int) *Entry {
+	e := &Entry{
+		ID:      node.ID(fmt.Sprintf("entry-%d", i+1)),
+		Domain:  domainName(i % c.cfg.Domains),
+		cluster: c,
+	}
+	s := settings.DefaultEntry()
+	s.Node = settings.Node{Role: settings.RoleEntry, ID: e.ID, Domain: e.Domain}
+	s.Listen = settings.EntryListen{HTTP: loopback, Transport: loopback, Metrics: loopback}
+	if c.cfg.Grace > 0 {
+		s.Timing.Grace = c.cfg.Grace
+	}
+	e.settings = s
+	c.place(e.ID, e.Domain)
+	return e
+}
+
+// Start starts the entry, again at the same addresses after a stop.
+func (e *Entry) Start() error {
+	c := e.cluster
+	d, err := entryd.New(entryd.Config{
+		Settings:         e.settings,
+		Log:              &gatedLog{cluster: c, id: e.ID, log: c.log},
+		Seed:             c.cfg.Seed,
+		ReadinessDelay:   c.cfg.ReadinessDelay,
+		PanicOnViolation: c.cfg.PanicOnViolation,
+		Delay:            c.delay(e.ID),
+		Cut:              c.cut(e.ID),
+	})
+	if err != nil {
+		return err
+	}
+	e.settings.Listen.HTTP = netip.MustParseAddrPort(d.HTTPAddr())
+	e.settings.Listen.Transport = netip.MustParseAddrPort(d.Addr())
+	e.settings.Listen.Metrics = netip.MustParseAddrPort(d.MetricsAddr())
+	e.run(d)
+	return nil
+}
+
+// HTTPAddr returns the callers' address.
+func (e *Entry) HTTPAddr() string { return e.settings.Listen.HTTP.String() }
+
+// Kill ends the entry at once.
+func (e *Entry) Kill() { e.kill() }
+
+// Stop ends the entry by a planned stop.
+func (e *Entry) Stop() error { return e.stop() }
+
+// sees reports whether the entry knows agents with this many slots in all.
+func (e *Entry) sees(ctx context.Context, slots int) bool {
+	s, err := e.daemon().Snapshot(ctx)
+	if err != nil || !s.Synced {
+		return false
+	}
+	sum := 0
+	for _, a := range s.Agents {
+		if !a.Dead {
+			sum += a.Load.Slots
+		}
+	}
+	return sum >= slots
+}
+
+// Agent is one agent of a cluster and the upstream beside it.
+type Agent struct {
+	process[*agentd.Daemon]
+	ID       node.ID
+	Domain   string
+	Rack     string
+	Upstream *upstream.Upstream
+
+	cluster  *Cluster
+	settings settings.Agent
+	// upstreamAddr is kept over restarts of the worker.
+	upstreamAddr string
+}
+
+func newAgent(c *Cluster, i int) *Agent {
+	rack := i / c.cfg.RackSize
+	a := &Agent{
+		ID:           node.ID(fmt.Sprintf("agent-%d", i+1)),
+		Domain:       domainName(rack % c.cfg.Domains),
+		Rack:         fmt.Sprintf("rack-%d", rack+1),
+		cluster:      c,
+		upstreamAddr: loopback.String(),
+	}
+	s := settings.DefaultAgent()
+	s.Node = settings.Node{Role: settings.RoleAgent, ID: a.ID, Domain: a.Domain}
+	s.Worker.Name = "worker-" + fmt.Sprint(i+1)
+	s.Listen = settings.AgentListen{Transport: loopback, Upstream: loopback}
+	if c.cfg.Grace > 0 {
+		s.Timing.Grace = c.cfg.Grace
+	}
+	if c.cfg.Placement != "" {
+		s.Policy.Placement = settings.Placement(c.cfg.Placement)
+	}
+	a.settings = s
+	c.place(a.ID, a.Domain)
+	return a
+}
+
+// Start starts the worker: the agent and its upstream, again at the same
+// addresses after a kill.
+func (a *Agent) Start() error {
+	if err := a.StartAgent(); err != nil {
+		return err
+	}
+	a.Upstream = upstream.New(upstream.Config{
+		Name:        "upstream-" + string(a.ID),
+		Listen:      a.upstreamAddr,
+		Agent:       a.settings.Listen.Upstream.String(),
+		Slots:       a.cluster.cfg.Slots,
+		Connections: a.cluster.cfg.Connections,
+		Labels:      map[string]string{"rack": a.Rack},
+		Domain:      a.Domain,
+		Ledger:      a.cluster.Ledger,
+	})
+	if err := a.Upstream.Start(); err != nil {
+		return err
+	}
+	a.upstreamAddr = a.Upstream.Addr()
+	return nil
+}
+
+// StartAgent starts only the agent, after Stop.
+func (a *Agent) StartAgent() error {
+	c := a.cluster
+	d, err := agentd.New(agentd.Config{
+		Settings:         a.settings,
+		Log:              &gatedLog{cluster: c, id: a.ID, log: c.log},
+		Seed:             c.cfg.Seed,
+		PanicOnViolation: c.cfg.PanicOnViolation,
+		Delay:            c.delay(a.ID),
+		Cut:              c.cut(a.ID),
+	})
+	if err != nil {
+		return err
+	}
+	a.settings.Listen.Transport = netip.MustParseAddrPort(d.Addr())
+	a.settings.Listen.Upstream = netip.MustParseAddrPort(d.HTTPAddr())
+	a.run(d)
+	return nil
+}
+
+// Kill ends the worker at once: the agent and its upstream.
+func (a *Agent) Kill() {
+	if a.Upstream != nil {
+		_ = a.Upstream.Close()
+	}
+	a.kill()
+}
+
+// Stop ends the agent by a planned stop. Its upstream goes on.
+func (a *Agent) Stop() error { return a.stop() }
--- /dev/null
+++ b/internal/loadgen/mix.go
@@ -0,0 +1,87 @@
+package loadgen
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/label"
+)
+
+// Kind is one kind of job in a Mix.
+type Kind struct {
+	Name  string
+	Team  string
+	Class job.Class
+	// Weight is the kind's share of the jobs, relative to the other kinds.
+	Weight float64
+	// MinTasks and MaxTasks bound the number of tasks.
+	MinTasks, MaxTasks int
+	// MinTask and MaxTask bound the duration of most tasks, which is distributed
+	// evenly on a logarithmic scale.
+	MinTask, MaxTask time.Duration
+	// LongShare is the share of tasks that take from MaxTask to LongTask.
+	LongShare float64
+	LongTask  time.Duration
+	// Timeout is the time until the deadline.
+	Timeout time.Duration
+	// Idempotent is the caller's declaration.
+	Idempotent bool
+	// Labels are the labels of each task.
+	Labels label.Set
+}
+
+// Mix is a set of kinds.
+type Mix []Kind
+
+// pick draws a kind by weight.
+func (m Mix) pick(rng *rand.Rand) *Kind {
+	var total float64
+	for i := range m {
+		total += m[i].Weight
+	}
+	x := rng.Float64() * total
+	for i := range m {
+		x -= m[i].Weight
+		if x < 0 {
+			return &m[i]
+		}
+	}
+	return &m[len(m)-1]
+}
+
+// tasks draws the durations of a job's tasks.
+func (k *Kind) tasks(rng *rand.Rand) []time.Duration {
+	n := k.MinTasks + rng.IntN(k.MaxTasks-k.MinTasks+1)
+	durations := make([]time.Duration, n)
+	for i := range durations {
+		if rng.Float64() < k.LongShare {
+			durations[i] = logUniform(rng, k.MaxTask, k.LongTask)
+		} else {
+			durations[i] = logUniform(rng, k.MinTask, k.MaxTask)
+		}
+	}
+	return durations
+}
+
+// logUniform draws a duration in whole milliseconds.
+func logUniform(rng *rand.Rand, low, high time.Duration) time.Duration {
+	x := math.Exp(rng.Float64() * math.Log(float64(high)/float64(low)))
+	return time.Duration(float64(low) * x).Round(time.Millisecond)
+}
+
+// workSamples is the number of jobs drawn to estimate the mean work of a job.
+const workSamples = 20000
+
+// meanWork returns the mean sum of the durations of a job's tasks.
+func (m Mix) meanWork() time.Duration {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var sum time.Duration
+	for range workSamples {
+		for _, d := range m.pick(rng).tasks(rng) {
+			sum += d
+		}
+	}
+	return sum / workSamples
+}
--- /dev/null
+++ b/internal/loadgen/result.go
@@ -0,0 +1,155 @@
+package loadgen
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+)
+
+// Outcome is what became of one job.
+type Outcome struct {
+	At    time.Duration
+	Class job.Class
+	Tasks int
+	// Kind is errkind.None for a complete answer.
+	Kind errkind.Kind
+	// Unanswered is true when no final answer came.
+	Unanswered bool
+	// Cancelled is true when the caller cancelled the job.
+	Cancelled bool
+	// Response is the time from the intended arrival to the final answer, Ideal
+	// that of an idle system.
+	Response, Ideal time.Duration
+}
+
+// Complete reports whether the whole answer came.
+func (o *Outcome) Complete() bool { return !o.Unanswered && o.Kind == errkind.None }
+
+// Counts are the totals of a run.
+type Counts struct {
+	Jobs, Tasks int
+	// Complete, Failed and Unanswered count jobs by their outcome.
+	Complete, Failed, Unanswered int
+	// NotRun and OutcomeUnknown are part of Failed.
+	NotRun, OutcomeUnknown int
+	// Resubmissions counts submissions beyond the first of each job.
+	Resubmissions int
+	// PartialAnswers counts answers that are neither whole nor failed.
+	PartialAnswers int
+	// MisdeliveredAnswers counts answers with content of another job or task.
+	MisdeliveredAnswers int
+	// CutOffRequests counts requests whose connection ended before the answer.
+	CutOffRequests int
+}
+
+// KindCount is the number of jobs that failed with one kind.
+type KindCount struct {
+	Kind  errkind.Kind `json:"kind"`
+	Count int          `json:"count"`
+}
+
+// Result is the record of a run.
+type Result struct {
+	Counts   Counts
+	Outcomes []Outcome
+	// Errors holds the first few errors of the client itself.
+	Errors []string
+}
+
+// maxErrors bounds Result.Errors.
+const maxErrors = 10
+
+// recorder gathers a Result from many goroutines.
+type recorder struct {
+	mu     sync.Mutex
+	result Result
+}
+
+func (r *recorder) count(add func(c *Counts)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	add(&r.result.Counts)
+}
+
+func (r *recorder) fault(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.result.Errors) < maxErrors {
+		r.result.Errors = append(r.result.Errors, text)
+	}
+}
+
+func (r *recorder) outcome(o Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := &r.result.Counts
+	c.Jobs++
+	c.Tasks += o.Tasks
+	switch {
+	case o.Unanswered:
+		c.Unanswered++
+	case o.Complete():
+		c.Complete++
+	default:
+		c.Failed++
+	}
+	switch o.Kind {
+	case errkind.NotRun:
+		c.NotRun++
+	case errkind.OutcomeUnknown:
+		c.OutcomeUnknown++
+	}
+	r.result.Outcomes = append(r.result.Outcomes, o)
+}
+
+// FailedKinds returns the failed jobs by kind, in the order of the kinds' table.
+func (r *Result) FailedKinds() []KindCount {
+	var counts []KindCount
+	for _, row := range errkind.Table() {
+		n := 0
+		for i := range r.Outcomes {
+			if r.Outcomes[i].Kind == row.Kind {
+				n++
+			}
+		}
+		if n > 0 {
+			counts = append(counts, KindCount{Kind: row.Kind, Count: n})
+		}
+	}
+	return counts
+}
+
+// ratioScale is the resolution of the histogram of ratios.
+const ratioScale = 1000
+
+// RatioQuantiles are quantiles of response over ideal. Zero means no job.
+type RatioQuantiles struct {
+	P50, P99, P999 float64
+	// Jobs is the number of complete jobs.
+	Jobs int
+}
+
+// Ratios returns the quantiles over the complete jobs that keep selects.
+func (r *Result) Ratios(keep func(o *Outcome) bool) RatioQuantiles {
+	const lowest, highest, digits = 1, 10_000_000, 3
+	h := hdrhistogram.New(lowest, highest, digits)
+	q := RatioQuantiles{}
+	for i := range r.Outcomes {
+		o := &r.Outcomes[i]
+		if !o.Complete() || !keep(o) {
+			continue
+		}
+		ratio := float64(o.Response) / float64(o.Ideal)
+		_ = h.RecordValue(min(int64(ratio*ratioScale), highest))
+		q.Jobs++
+	}
+	at := func(percent float64) float64 { return float64(h.ValueAtPercentile(percent)) / ratioScale }
+	if q.Jobs > 0 {
+		q.P50, q.P99, q.P999 = at(50), at(99), at(99.9)
+	}
+	return q
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -293,8 +293,8 @@
 	t.mu.Lock()
 	t.closed = true
 	t.mu.Unlock()
-	err := t.listener.Close()
 	t.cancel()
+	err := t.listener.Close()
 	if errors.Is(err, net.ErrClosed) {
 		return nil
 	}
