A published change reaches the fleet although the log fails at once

Ruled out: an expired lease (evidence was fresh), a revision conflict (the change was accepted). Change: whoever publishes hands the accepted record to the entries; a process that hears of a higher offset asks its sender for the records; the last 256 are kept for that. Also: repetitions wait for a lost connection instead of a short timer, timeouts shrink by delay beyond the clock bound, and a join at the address of a former run proves that run ended.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/catchup"
 	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
 	"github.com/dogwoodgauge/dogwoodgauge/core/control"
 	"github.com/dogwoodgauge/dogwoodgauge/core/executor"
@@ -77,6 +78,7 @@
 	cfg        Config
 	invariants invariant.Recorder
 	state      *control.State
+	tail       catchup.Tail
 	lease      *freshness.Lease
 	owners     *ownership.Tracker
 	home       *home.Core
@@ -117,9 +119,10 @@
 		}),
 		peers: make(map[node.Ref]*peer),
 	}
+	c.tail.State = c.state
 	c.exec = executor.New(executor.Config{
 		QueueLimit: cfg.QueueLimit, ReservedSlots: cfg.ReservedSlots, RetainIdle: cfg.Retention,
-		Gate: gate{c}, Invariants: &c.invariants,
+		ClockBound: cfg.ClockBound, Gate: gate{c}, Invariants: &c.invariants,
 	})
 	c.home = home.New(home.Config{
 		Self: cfg.Self, Window: cfg.Retention, ClockBound: cfg.ClockBound,
@@ -138,6 +141,8 @@
 	case Tick:
 	case Received:
 		c.received(&e.Envelope)
+	case PeerReset:
+		c.home.Resend(now, e.Ref, &c.homeOut)
 	case PeerDead:
 		c.peerDead(e.Ref)
 	case UpstreamAnnounced:
--- a/core/agent/api.go
+++ b/core/agent/api.go
@@ -48,6 +48,10 @@
 	Detail string
 }
 
+// PeerReset says that a connection with Ref was lost, so that messages sent on it
+// may be lost too.
+type PeerReset struct{ Ref node.Ref }
+
 // LogRead reports one successful read of the control stream. Records are
 // consecutive from offset From. End is the end of the stream when the log
 // service answered, AskedAt the monotonic time at which the read was sent.
@@ -66,6 +70,7 @@
 
 func (Tick) isEvent()              {}
 func (Received) isEvent()          {}
+func (PeerReset) isEvent()         {}
 func (PeerDead) isEvent()          {}
 func (UpstreamAnnounced) isEvent() {}
 func (UpstreamWithdrawn) isEvent() {}
--- a/core/agent/gossip.go
+++ b/core/agent/gossip.go
@@ -93,6 +93,9 @@
 func (c *Core) observe(e *message.Envelope) *peer {
 	c.heard = max(c.heard, e.Offset)
 	c.owners.Heard(c.now, e.From, e.Offset)
+	if e.Offset > c.state.Next() {
+		c.askRecords(e.From)
+	}
 	p, ok := c.peers[e.From]
 	if !ok {
 		return nil
--- a/core/agent/membership.go
+++ b/core/agent/membership.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/control"
@@ -17,8 +18,8 @@
 	evictStep = 200 * time.Millisecond
 	// evictSpread bounds the number of steps.
 	evictSpread = 16
-	// teachRecords bounds the records kept for peers that are behind.
-	teachRecords = 256
+	// askPause is the least time between two requests for missing records.
+	askPause = 20 * time.Millisecond
 )
 
 // memberState is the agent's own membership.
@@ -29,17 +30,18 @@
 	// oldest and end bound the stream as of the last read.
 	oldest int64
 	end    int64
+	// askAgainAt is when records may be asked for again.
+	askAgainAt time.Duration
 	// snapshotAt is when this agent appends a snapshot that is still due.
 	snapshotAt time.Duration
-	// recent holds the last records read, ending at the state's offset.
-	recent [][]byte
 }
 
 // logRead folds records of the control stream.
 func (c *Core) logRead(e LogRead) {
-	c.apply(e.From, e.Records)
 	c.members.oldest = e.Oldest
 	c.members.end = e.End
+	before := c.state.Next()
+	c.changed(before, c.tail.Apply(e.From, e.Records))
 	if c.state.Next() == e.End && c.state.Synced() {
 		c.lease.LogEvidence(e.End, e.AskedAt)
 	}
@@ -47,43 +49,15 @@
 
 // records folds records that a peer has sent.
 func (c *Core) records(m *message.Records) {
-	if m.Snapshot != nil && m.Offset > c.state.Next() {
-		if c.state.ResetTo(m.Snapshot) == nil {
-			c.members.recent = nil
-			c.changed(control.Effect{ConfigChanged: true, MembersChanged: true})
-		}
-	}
-	if m.Offset <= c.state.Next() {
-		c.apply(m.Offset, m.Records)
-	}
-}
-
-func (c *Core) apply(from int64, records [][]byte) {
-	var sum control.Effect
 	before := c.state.Next()
-	for i, r := range records {
-		offset := from + int64(i)
-		if offset < c.state.Next() {
-			continue
-		}
-		if offset > c.state.Next() {
-			c.members.recent = nil
-		}
-		effect := c.state.Apply(offset, r)
-		sum.ConfigChanged = sum.ConfigChanged || effect.ConfigChanged
-		sum.MembersChanged = sum.MembersChanged || effect.MembersChanged
-		c.members.recent = append(c.members.recent, r)
-	}
-	if over := len(c.members.recent) - teachRecords; over > 0 {
-		c.members.recent = append([][]byte(nil), c.members.recent[over:]...)
-	}
-	if c.state.Next() != before {
-		c.changed(sum)
-	}
+	c.changed(before, c.tail.Take(m))
 }
 
 // changed puts a new state in force.
-func (c *Core) changed(e control.Effect) {
+func (c *Core) changed(before int64, e control.Effect) {
+	if c.state.Next() == before {
+		return
+	}
 	c.lease.Advance(c.state.Next())
 	if e.MembersChanged {
 		c.membersChanged()
@@ -100,6 +74,7 @@
 func (c *Core) membersChanged() {
 	agents := c.state.Agents()
 	c.lease.SetMembers(c.state.Members())
+	c.replaced(agents)
 	known := make(map[node.Ref]*peer, len(agents))
 	peers := make([]Peer, 0, len(agents))
 	ids := make([]node.ID, 0, len(agents))
@@ -122,6 +97,35 @@
 	c.setExecutors()
 }
 
+// replaced finds the runs whose address another run has taken over. A run binds
+// its port before it joins, so the former one has ended.
+func (c *Core) replaced(agents []control.Member) {
+	for _, m := range agents {
+		for _, old := range c.refsOf(m.Ref.ID) {
+			if old != m.Ref && c.peers[old].member.Addr == m.Addr {
+				c.peerDead(old)
+			}
+		}
+	}
+}
+
+// refsOf returns the known runs of a process, ordered.
+func (c *Core) refsOf(id node.ID) []node.Ref {
+	var refs []node.Ref
+	for ref := range c.peers {
+		if ref.ID == id {
+			refs = append(refs, ref)
+		}
+	}
+	slices.SortFunc(refs, func(a, b node.Ref) int {
+		if a.Less(b) {
+			return -1
+		}
+		return 1
+	})
+	return refs
+}
+
 func (c *Core) watchSubset(ids []node.ID) {
 	set := make(map[node.ID]bool)
 	for _, id := range placement.Subset(c.cfg.Self.ID, ids, watchFanOut) {
@@ -230,15 +234,18 @@
 	c.actions = append(c.actions, AppendControl{Record: record})
 }
 
-// teach sends a peer the records that it lacks, or the whole state.
+// teach sends a process the records that it lacks.
 func (c *Core) teach(to node.Ref, offset int64) {
-	first := c.state.Next() - int64(len(c.members.recent))
-	m := &message.Records{Offset: offset}
-	if offset >= first {
-		m.Records = c.members.recent[offset-first:]
-	} else {
-		m.Offset = c.state.Next()
-		m.Snapshot = c.state.Snapshot()
-	}
-	c.send(to, message.Message{Records: m})
+	if m := c.tail.For(offset); m != nil {
+		c.send(to, message.Message{Records: m})
+	}
+}
+
+// askRecords asks a process that is ahead for the records that are missing.
+func (c *Core) askRecords(from node.Ref) {
+	if c.now.Mono < c.members.askAgainAt {
+		return
+	}
+	c.members.askAgainAt = c.now.Mono + askPause
+	c.send(from, message.Message{Status: &message.Status{LogAge: -1, Query: true}})
 }
--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -16,3 +16,11 @@
 func (n Now) After(d time.Duration) Now {
 	return Now{Mono: n.Mono + d, Wall: n.Wall + d.Milliseconds()}
 }
+
+// Left returns what is left at n of a timeout that a message sent at wall-clock
+// time sentAt carries. Only delay beyond the bound on the difference of two
+// clocks is counted, so that it never returns too little.
+func (n Now) Left(timeout time.Duration, sentAt int64, bound time.Duration) time.Duration {
+	late := time.Duration(n.Wall-sentAt)*time.Millisecond - bound
+	return timeout - max(late, 0)
+}
--- a/core/entry/agents.go
+++ b/core/entry/agents.go
@@ -52,13 +52,17 @@
 		if a.dead || (a.upstreams != nil && c.now.Mono-a.loadAt < statusInterval) {
 			continue
 		}
-		c.send(a.member.Ref, message.Message{Status: &message.Status{
-			LogAge: -1, Query: true, Round: c.gossip.round,
-		}})
+		c.query(a)
 	}
 	c.join()
 }
 
+func (c *Core) query(a *agent) {
+	c.send(a.member.Ref, message.Message{Status: &message.Status{
+		LogAge: -1, Query: true, Round: c.gossip.round,
+	}})
+}
+
 // join makes the entry known, so that quotas are shared among live entries.
 func (c *Core) join() {
 	if c.drain || !c.state.Synced() {
@@ -88,29 +92,41 @@
 	a.sent = 0
 }
 
-func (c *Core) status(from node.Ref, s *message.Status) {
-	if a, ok := c.agents[from]; ok {
+// status takes an agent's description of itself, or teaches an agent that asks
+// for records.
+func (c *Core) status(e *message.Envelope, s *message.Status) {
+	if s.Query {
+		if m := c.tail.For(e.Offset); m != nil {
+			c.send(e.From, message.Message{Records: m})
+		}
+		return
+	}
+	if a, ok := c.agents[e.From]; ok {
 		a.upstreams = s.Upstreams
 	}
 }
 
 // logRead folds records of the control stream.
-func (c *Core) logRead(e LogRead) {
-	members := false
-	config := false
-	for i, r := range e.Records {
-		offset := e.From + int64(i)
-		if offset < c.state.Next() {
-			continue
-		}
-		effect := c.state.Apply(offset, r)
-		members = members || effect.MembersChanged
-		config = config || effect.ConfigChanged
+func (c *Core) logRead(e LogRead) { c.changed(c.tail.Apply(e.From, e.Records)) }
+
+// published folds records that an operator has handed over and makes every
+// agent ask for them.
+func (c *Core) published(e Published) {
+	before := c.state.Next()
+	c.changed(c.tail.Take(&message.Records{Offset: e.From, Records: e.Records}))
+	if c.state.Next() == before {
+		return
+	}
+	for _, a := range c.order {
+		c.query(a)
 	}
-	if members {
+}
+
+func (c *Core) changed(e control.Effect) {
+	if e.MembersChanged {
 		c.membersChanged()
 	}
-	if members || config {
+	if e.MembersChanged || e.ConfigChanged {
 		c.version++
 	}
 }
--- a/core/entry/api.go
+++ b/core/entry/api.go
@@ -23,6 +23,10 @@
 // connection or is served by another incarnation. Silence is never PeerDead.
 type PeerDead struct{ Ref node.Ref }
 
+// PeerReset says that a connection with Ref was lost, so that messages sent on it
+// may be lost too.
+type PeerReset struct{ Ref node.Ref }
+
 // LogRead reports one successful read of the control stream; see the event of
 // the same name in package agent.
 type LogRead struct {
@@ -34,6 +38,14 @@
 	AskedAt time.Duration
 }
 
+// Published hands over records of the control stream that an operator has just
+// had accepted, consecutive from offset From. The entry passes them on, so that
+// they are in force even if the log fails before anybody has read them.
+type Published struct {
+	From    int64
+	Records [][]byte
+}
+
 // SubmitCall is a caller's submission. Call is the shell's handle; every call
 // gets exactly one Reply. A job without an ID is given a minted one. With Wait
 // false the reply is Pending as soon as the home has the job.
@@ -76,8 +88,10 @@
 
 func (Tick) isEvent()       {}
 func (Received) isEvent()   {}
+func (PeerReset) isEvent()  {}
 func (PeerDead) isEvent()   {}
 func (LogRead) isEvent()    {}
+func (Published) isEvent()  {}
 func (SubmitCall) isEvent() {}
 func (FetchCall) isEvent()  {}
 func (CancelCall) isEvent() {}
--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -16,8 +16,9 @@
 
 const (
 	// firstResend is the delay after which a request without word is repeated.
-	firstResend = 500 * time.Millisecond
-	maxResend   = 2 * time.Second
+	// A lost connection is reported by the transport and repeats at once.
+	firstResend = 2 * time.Second
+	maxResend   = 8 * time.Second
 	// answerGrace is how long after the deadline a home's answer is awaited.
 	answerGrace = 400 * time.Millisecond
 	// fetchTimeout bounds a request that names no timeout.
@@ -169,7 +170,7 @@
 	j := *k.job
 	j.Timeout = k.deadline - answerGrace - c.now.Mono
 	c.send(k.home, message.Message{Submit: &message.Submit{
-		Request: k.request, Job: j, Refuse: k.refuse, RetryAfter: k.retry, Trace: k.trace,
+		Request: k.request, Job: j, SentAt: c.now.Wall, Refuse: k.refuse, RetryAfter: k.retry, Trace: k.trace,
 	}})
 }
 
@@ -291,6 +292,22 @@
 	request uint64
 }
 
+// repeat asks the home again after the connection with it was lost.
+func (c *Core) repeat(ref node.Ref) {
+	for _, k := range c.callsOf(ref) {
+		c.ask(k)
+	}
+}
+
+// ask repeats the request in its short form.
+func (c *Core) ask(k *call) {
+	if k.kind == callCancel {
+		c.send(k.home, message.Message{Cancel: &message.Cancel{Request: k.request, ID: k.id, Attempt: k.attempt}})
+		return
+	}
+	c.sendFetch(k)
+}
+
 func (c *Core) fire(t timer) {
 	k, ok := c.requests[t.request]
 	if !ok {
@@ -302,11 +319,7 @@
 	}
 	k.resend = min(2*k.resend, maxResend)
 	c.timers.Add(c.now.Mono+k.resend, timer{kind: timerResend, request: k.request})
-	if k.kind == callCancel {
-		c.send(k.home, message.Message{Cancel: &message.Cancel{Request: k.request, ID: k.id, Attempt: k.attempt}})
-		return
-	}
-	c.sendFetch(k)
+	c.ask(k)
 }
 
 // expire answers a call without word from the home.
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/catchup"
 	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
 	"github.com/dogwoodgauge/dogwoodgauge/core/control"
 	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
@@ -40,6 +41,7 @@
 	cfg        Config
 	invariants invariant.Recorder
 	state      *control.State
+	tail       catchup.Tail
 	picker     placement.Picker
 	limiter    *quota.Limiter
 	agents     map[node.Ref]*agent
@@ -78,10 +80,12 @@
 	if err != nil {
 		panic(err)
 	}
+	state := control.NewState()
 	return &Core{
 		cfg:        cfg,
 		invariants: invariant.Recorder{Panic: cfg.PanicOnViolation},
-		state:      control.NewState(),
+		state:      state,
+		tail:       catchup.Tail{State: state},
 		picker:     picker,
 		limiter:    quota.New(cfg.Seed),
 		agents:     make(map[node.Ref]*agent),
@@ -102,8 +106,12 @@
 	case Tick:
 	case Received:
 		c.received(&e.Envelope)
+	case PeerReset:
+		c.repeat(e.Ref)
 	case PeerDead:
 		c.peerDead(e.Ref)
+	case Published:
+		c.published(e)
 	case LogRead:
 		c.logRead(e)
 	case SubmitCall:
@@ -164,7 +172,9 @@
 		case m.NotHome != nil:
 			c.notHome(m.NotHome)
 		case m.Status != nil:
-			c.status(e.From, m.Status)
+			c.status(e, m.Status)
+		case m.Records != nil:
+			c.changed(c.tail.Take(m.Records))
 		}
 	}
 }
--- a/core/executor/executor.go
+++ b/core/executor/executor.go
@@ -32,6 +32,8 @@
 	ReservedSlots int
 	// RetainIdle is how long results of a silent home are kept.
 	RetainIdle time.Duration
+	// ClockBound is the largest difference between two wall clocks.
+	ClockBound time.Duration
 	Gate       Gate
 	Invariants *invariant.Recorder
 }
@@ -102,6 +104,7 @@
 		c.reply(from, unknownResult(s, "the result is no longer held"))
 		return
 	}
+	s.Timeout = now.Left(s.Timeout, s.SentAt, c.cfg.ClockBound)
 	e := &entry{home: w, start: s, deadline: now.Mono + s.Timeout}
 	w.entries[s.Seq] = e
 	c.admit(now, e)
--- a/core/home/admission.go
+++ b/core/home/admission.go
@@ -84,7 +84,7 @@
 	c.records.reopen(r)
 	c.fill(r, j, trace)
 	r.subscribe(sub)
-	c.begin2(r)
+	c.open(r)
 }
 
 func (c *Core) answerConflict(j *job.Job, sub subscriber, detail string) {
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -124,6 +124,7 @@
 	c.begin(now, out)
 	sub := subscriber{entry: from, request: s.Request}
 	j := &s.Job
+	j.Timeout = now.Left(j.Timeout, s.SentAt, c.cfg.ClockBound)
 	if r, ok := c.records.get(j.ID); ok {
 		c.resubmit(r, j, sub, s)
 		return
@@ -139,11 +140,17 @@
 		c.finishRefused(r)
 		return
 	}
-	c.begin2(r)
+	c.open(r)
 }
 
-// begin2 admits the tasks of a new record to the wait list and places them.
-func (c *Core) begin2(r *record) {
+// open admits the tasks of a new attempt to the wait list and places them.
+func (c *Core) open(r *record) {
+	if r.job.Timeout <= 0 {
+		r.failing = errkind.NotRun
+		r.detail = "the submission arrived after its deadline"
+		c.finishRefused(r)
+		return
+	}
 	if c.waiting.tasks+len(r.tasks) > c.cfg.MaxWaiting {
 		r.failing = errkind.NotRun
 		r.detail = "too many tasks are waiting"
--- a/core/home/outcome.go
+++ b/core/home/outcome.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -96,12 +97,7 @@
 	}
 	l.dead = true
 	c.linksVersion++
-	seqs := make([]uint64, 0, len(l.outstanding))
-	for seq := range l.outstanding {
-		seqs = append(seqs, seq)
-	}
-	slices.Sort(seqs)
-	for _, seq := range seqs {
+	for _, seq := range slices.Sorted(maps.Keys(l.outstanding)) {
 		t, open := l.outstanding[seq]
 		if !open {
 			continue
--- a/core/home/place.go
+++ b/core/home/place.go
@@ -23,9 +23,10 @@
 	// retryDelay is the pause after all candidates have refused a task.
 	retryDelay = 20 * time.Millisecond
 	// firstResend is the delay after which an unanswered Start is repeated;
-	// later repetitions back off up to maxResend.
-	firstResend = time.Second
-	maxResend   = 4 * time.Second
+	// later repetitions back off up to maxResend. A lost connection is
+	// reported by the transport and repeats at once.
+	firstResend = 3 * time.Second
+	maxResend   = 12 * time.Second
 )
 
 // waitlist holds the records with waiting tasks, by class, in turn order.
@@ -246,7 +247,7 @@
 	s := &message.Start{
 		Seq: t.seq, Floor: t.link.floor, ID: r.id, Attempt: r.attempt, Index: t.index,
 		Team: r.job.Team, Class: r.job.Class, Timeout: r.deadline - c.now.Mono,
-		Task: r.job.Tasks[t.index], Trace: r.trace,
+		SentAt: c.now.Wall, Task: r.job.Tasks[t.index], Trace: r.trace,
 	}
 	c.reply(t.link.ref, message.Message{Start: s})
 }
--- a/core/home/timers.go
+++ b/core/home/timers.go
@@ -1,8 +1,13 @@
 package home
 
 import (
+	"maps"
+	"slices"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
 	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 )
 
 // timerKind says what is due.
@@ -75,3 +80,19 @@
 	k.excluded = nil
 	k.readmitting = false
 }
+
+// Resend repeats what an executor has not answered, after the connection with
+// it was lost.
+func (c *Core) Resend(now clock.Now, ref node.Ref, out *Output) {
+	c.begin(now, out)
+	l, ok := c.links[ref]
+	if !ok || l.dead {
+		return
+	}
+	for _, seq := range slices.Sorted(maps.Keys(l.outstanding)) {
+		t := l.outstanding[seq]
+		if !t.record.settling {
+			c.sendStart(t)
+		}
+	}
+}
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -53,6 +53,9 @@
 type Submit struct {
 	Request uint64  `json:"req"`
 	Job     job.Job `json:"job"`
+	// SentAt is the sender's wall-clock time in milliseconds since the Unix
+	// epoch.
+	SentAt int64 `json:"at"`
 	// Refuse, when set, asks the home to give this kind as the final answer
 	// unless it already holds the job. The entry uses it for refusals that it
 	// decides itself, so that they are true for every copy of the submission.
@@ -114,7 +117,10 @@
 	Team    string        `json:"team"`
 	Class   job.Class     `json:"class,omitempty"`
 	Timeout time.Duration `json:"timeout"`
-	Task    job.Task      `json:"task"`
+	// SentAt is the sender's wall-clock time in milliseconds since the Unix
+	// epoch.
+	SentAt int64    `json:"at"`
+	Task   job.Task `json:"task"`
 	// Trace is a W3C traceparent value, or empty.
 	Trace string `json:"trace,omitempty"`
 }
--- a/core/sessions/main_test.go
+++ b/core/sessions/main_test.go
@@ -6,7 +6,10 @@
 	"testing"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
+var (
+	update  = flag.Bool("update", false, "rewrite the golden files")
+	verbose = flag.Bool("sessions.trace", false, "print every message of the randomised runs")
+)
 
 // TestMain fixes the seed of the randomised runs unless one is given, so that a
 // run has the same verdict every time.
--- a/core/sessions/random_test.go
+++ b/core/sessions/random_test.go
@@ -45,7 +45,13 @@
 	}
 	agents := rapid.IntRange(3, 6).Draw(t, "agents")
 	seed := rapid.Uint64().Draw(t, "seed")
-	return &chaos{cluster: newCluster(seed, cond, agents, 2), t: t}
+	c := &chaos{cluster: newCluster(seed, cond, agents, 2), t: t}
+	if *verbose {
+		c.trace = func(format string, args ...any) {
+			t.Logf("%8.3f  %s", c.now.Seconds(), fmt.Sprintf(format, args...))
+		}
+	}
+	return c
 }
 
 func (c *chaos) pickAgent() *process {
@@ -190,10 +196,11 @@
 		edit = config.Edit{Delete: &key}
 	}
 	c.changes++
-	c.publish(control.EncodeChange(control.Change{
+	record := control.EncodeChange(control.Change{
 		ID: fmt.Sprintf("change-%d", c.changes), From: state.Config().Revision(),
 		Author: "operator", Edits: []config.Edit{edit},
-	}))
+	})
+	c.handOver(c.publish(record))
 	if isOut {
 		delete(c.ledger.outSince, domain)
 	} else {
@@ -201,6 +208,19 @@
 	}
 }
 
+// handOver passes a record that was accepted to the entries, as the operators'
+// command does.
+func (c *chaos) handOver(offset int64) {
+	records := slices.Clone(c.log[offset:])
+	for _, p := range c.processes() {
+		if p.entry != nil && p.group == 0 {
+			c.at(c.latency(), func() {
+				c.deliver(p, func() { c.step(p, nil, entry.Published{From: offset, Records: records}) })
+			})
+		}
+	}
+}
+
 // outage takes the log down, or up again.
 func (c *chaos) outage() { c.cond.logDown = !c.cond.logDown }
 
