--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -46,10 +46,12 @@
 	cmd.Flag("ttl", "Life of an announcement.").Default("10s").DurationVar(&cfg.TTL)
 	cmd.Flag("task", "Duration of a task whose payload names none.").Default("100ms").DurationVar(&cfg.DefaultTask)
 	cmd.Action(action(func() error {
-		return untilSignal(func(ctx context.Context) error {
-			fmt.Fprintln(std.Out, "upstream stand-in", cfg.Name, "beside", cfg.Agent)
-			return upstream.Run(ctx, cfg)
-		})
+		cfg.Ledger = upstream.NewLedger()
+		fmt.Fprintln(std.Out, "upstream stand-in", cfg.Name, "beside", cfg.Agent)
+		err := untilSignal(func(ctx context.Context) error { return upstream.Run(ctx, cfg) })
+		counts := cfg.Ledger.Counts()
+		fmt.Fprintf(std.Out, "starts %d ended %d duplicates %d\n", counts.Starts, counts.Ended, counts.DuplicateStarts)
+		return err
 	}))
 }
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -40,8 +41,10 @@
 
 // Server serves one listening socket. Its methods are safe for concurrent use.
 type Server struct {
-	listener net.Listener
-	server   *http.Server
+	listener  net.Listener
+	server    *http.Server
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
 // Listen opens the socket. Requests are handled once Run is called.
@@ -57,6 +60,7 @@
 		return nil, errors.Wrap(err, "listen for HTTP")
 	}
 	return &Server{
+		closed:   make(chan struct{}),
 		listener: netutil.LimitListener(listener, cfg.MaxConnections),
 		server: &http.Server{
 			Handler:           cfg.Handler,
@@ -70,13 +74,14 @@
 // Addr returns the bound IP:port.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Run serves until Shutdown or Close.
+// Run serves until Close. Shutdown alone does not end it.
 func (s *Server) Run() error {
 	err := s.server.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+	if !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve HTTP")
 	}
-	return errors.Wrap(err, "serve HTTP")
+	<-s.closed
+	return nil
 }
 
 // Shutdown closes the socket and waits until every request is answered or ctx
@@ -85,6 +90,7 @@
 
 // Close closes the socket and cuts all connections.
 func (s *Server) Close() error {
+	s.closeOnce.Do(func() { close(s.closed) })
 	err := s.server.Close()
 	_ = s.listener.Close()
 	return err
