Report lost connections; state the offset before what is sent

Cause: the cores repeat what is unanswered after a lost connection, and nothing reported one; a process published its new offset to the transport after the actions of the batch, so that an answer could state an offset below what the core had applied, which the argument for leases excludes; wall-clock time could step back, on which the age of job records depends. Change: transport.Handler.PeerReset; loop.Config.Stepped in place of AfterBatch; wall-clock time is that of the start plus monotonic time.

--- a/core/sessions/world_test.go
+++ b/core/sessions/world_test.go
@@ -23,14 +23,13 @@
 
 // conditions are the faults of the network, the log and the upstreams.
 type conditions struct {
-	delay, jitter  time.Duration
-	drop, dup      float64
-	lostAnswer     float64
-	taskFails      float64
-	service        time.Duration
-	serviceJitter  time.Duration
-	logDown        bool
-	lostLogReplies float64
+	delay, jitter time.Duration
+	drop, dup     float64
+	lostAnswer    float64
+	taskFails     float64
+	service       time.Duration
+	serviceJitter time.Duration
+	logDown       bool
 }
 
 // process is one run of an agent or an entry.
--- a/internal/agentd/actions.go
+++ b/internal/agentd/actions.go
@@ -15,6 +15,11 @@
 	h.d.loop.Post(agent.Received{Envelope: env})
 }
 
+// PeerReset implements transport.Handler.
+func (h handler) PeerReset(ref node.Ref) {
+	h.d.loop.Post(agent.PeerReset{Ref: ref})
+}
+
 // PeerDead implements transport.Handler.
 func (h handler) PeerDead(ref node.Ref) {
 	h.d.loop.Post(agent.PeerDead{Ref: ref})
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -73,11 +73,11 @@
 		killed:  lifecycle.NewSignal(),
 	}
 	d.loop = loop.New(loop.Config[agent.Event, agent.Action]{
-		Step:       d.step,
-		Do:         d.do,
-		AfterBatch: d.publish,
-		Tick:       agent.Tick{},
-		Queue:      eventQueue,
+		Step:    d.step,
+		Do:      d.do,
+		Stepped: d.publish,
+		Tick:    agent.Tick{},
+		Queue:   eventQueue,
 	})
 	d.upstreams.mono = d.loop.Mono
 	if err := d.listen(); err != nil {
--- a/internal/entryd/actions.go
+++ b/internal/entryd/actions.go
@@ -15,6 +15,11 @@
 	h.d.loop.Post(entry.Received{Envelope: env})
 }
 
+// PeerReset implements transport.Handler.
+func (h handler) PeerReset(ref node.Ref) {
+	h.d.loop.Post(entry.PeerReset{Ref: ref})
+}
+
 // PeerDead implements transport.Handler.
 func (h handler) PeerDead(ref node.Ref) {
 	h.d.loop.Post(entry.PeerDead{Ref: ref})
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -74,11 +74,11 @@
 		killed:  lifecycle.NewSignal(),
 	}
 	d.loop = loop.New(loop.Config[entry.Event, entry.Action]{
-		Step:       func(now clock.Now, e entry.Event) []entry.Action { return d.core.Step(now, e) },
-		Do:         d.do,
-		AfterBatch: func() { d.offset.Store(d.core.Offset()) },
-		Tick:       entry.Tick{},
-		Queue:      eventQueue,
+		Step:    func(now clock.Now, e entry.Event) []entry.Action { return d.core.Step(now, e) },
+		Do:      d.do,
+		Stepped: func() { d.offset.Store(d.core.Offset()) },
+		Tick:    entry.Tick{},
+		Queue:   eventQueue,
 	})
 	if err := d.listen(); err != nil {
 		d.closeSockets()
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -22,8 +22,10 @@
 	Step func(now clock.Now, event E) []A
 	// Do carries out one action. It must not block.
 	Do func(action A)
-	// AfterBatch is called after the actions of a batch of events. It may be nil.
-	AfterBatch func()
+	// Stepped is called after the steps of a batch of events, before its actions
+	// are carried out, so that what the actions send states the core's offset as
+	// it is after the batch. It may be nil.
+	Stepped func()
 	// Tick is the event of an expired timer.
 	Tick E
 	// Queue is the number of events that wait before Post blocks.
@@ -64,10 +66,12 @@
 
 // Now returns the time on the scales of the core. The monotonic part is read
 // from CLOCK_MONOTONIC, which advances while the process is stopped by a signal
-// or waits for a processor. It does not advance while the whole host sleeps.
+// or waits for a processor. It does not advance while the whole host sleeps. The
+// wall-clock part is that of the start plus the monotonic part, so that it never
+// steps back: the age of a job record depends on it.
 func (l *Loop[E, A]) Now() clock.Now {
-	now := time.Now()
-	return clock.Now{Mono: now.Sub(l.start), Wall: now.UnixMilli()}
+	mono := time.Since(l.start)
+	return clock.Now{Mono: mono, Wall: l.start.Add(mono).UnixMilli()}
 }
 
 // Mono returns the monotonic part of Now.
@@ -148,14 +152,14 @@
 
 // finishBatch carries out the actions and wakes those who wait for them.
 func (l *Loop[E, A]) finishBatch() {
+	if l.cfg.Stepped != nil {
+		l.cfg.Stepped()
+	}
 	for _, a := range l.actions {
 		l.cfg.Do(a)
 	}
 	clear(l.actions)
 	l.actions = l.actions[:0]
-	if l.cfg.AfterBatch != nil {
-		l.cfg.AfterBatch()
-	}
 	for _, done := range l.waiters {
 		close(done)
 	}
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -244,15 +245,14 @@
 	return excess
 }
 
-func (l *link) detach(c *conn) {
+// detach removes a connection and reports whether none is left.
+func (l *link) detach(c *conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for i, have := range l.conns {
-		if have == c {
-			l.conns = append(l.conns[:i:i], l.conns[i+1:]...)
-			return
-		}
+	if i := slices.Index(l.conns, c); i >= 0 {
+		l.conns = slices.Delete(slices.Clone(l.conns), i, i+1)
 	}
+	return len(l.conns) == 0
 }
 
 // removeIfIdle marks a link that has neither address nor connection.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -48,6 +48,9 @@
 type Handler interface {
 	// Deliver receives an envelope that is addressed to this run.
 	Deliver(env message.Envelope)
+	// PeerReset says that the last connection with ref was lost, so that
+	// messages sent on it may be lost too.
+	PeerReset(ref node.Ref)
 	// PeerDead states that the run ref has ended.
 	PeerDead(ref node.Ref)
 }
@@ -276,16 +279,25 @@
 
 // detach forgets a connection, and its link when nothing else needs it.
 func (t *Transport) detach(c *conn) {
+	if t.forget(c) {
+		t.cfg.Handler.PeerReset(c.peer)
+	}
+}
+
+// forget removes a connection from its link. It reports whether that was the
+// last connection with the peer while the transport is open.
+func (t *Transport) forget(c *conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if _, ok := t.conns[c]; !ok {
-		return
+		return false
 	}
 	delete(t.conns, c)
-	c.link.detach(c)
+	last := c.link.detach(c)
 	if c.link.removeIfIdle() {
 		delete(t.links, c.peer)
 	}
+	return last && !t.closed
 }
 
 // Close closes the socket and all connections. What is queued is dropped.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -25,6 +25,7 @@
 }
 
 func (r *recorder) Deliver(env message.Envelope) { r.envs <- env }
+func (r *recorder) PeerReset(node.Ref)           {}
 func (r *recorder) PeerDead(ref node.Ref)        { r.dead <- ref }
 
 func (r *recorder) next(t *testing.T) message.Envelope {
