A leaving home hands its answers over; changed and lost homes are asked for

Cause: after a planned stop of an agent, or a change of the home of a caller's own ID, a resubmission got outcome_unknown although the answer existed. Change: a leaving agent sends its final answers to the first agent in rank order of its own name and waits for the acknowledgement, at most 2 s; an entry whose home has ended asks that agent, and for a caller's own ID the former homes by rank, before it says outcome_unknown. Nothing is submitted to them.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -88,6 +88,7 @@
 	gossip     gossip
 	members    memberState
 	drain      drainState
+	heritage   heritage
 	// version counts the changes that may alter where tasks may run.
 	version uint64
 	// heard is the highest offset that another process has stated.
@@ -285,6 +286,9 @@
 	p := c.observe(e)
 	for i := range e.Messages {
 		m := &e.Messages[i]
+		if c.inherited(e.From, m) {
+			continue
+		}
 		switch {
 		case m.Submit != nil:
 			c.home.Submit(c.now, e.From, m.Submit, &c.homeOut)
@@ -300,6 +304,10 @@
 			c.status(e, p, m.Status)
 		case m.Records != nil:
 			c.records(m.Records)
+		case m.Handoff != nil:
+			c.takeHandoff(e.From, m.Handoff)
+		case m.HandoffAck != nil:
+			c.handoffAcked(m.HandoffAck)
 		default:
 			c.toHome(e.From, m)
 		}
--- a/core/agent/gate.go
+++ b/core/agent/gate.go
@@ -53,7 +53,7 @@
 	case ownership.TooOld:
 		return home.Admission{Detail: "the job is older than the admission window"}
 	default:
-		return home.Admission{Detail: "a former home of the ID may have started the job"}
+		return home.Admission{Former: true, Detail: "a former home of the ID may have started the job"}
 	}
 }
 
--- /dev/null
+++ b/core/agent/heritage.go
@@ -0,0 +1,103 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+)
+
+// maxHeritageBytes bounds the results held for homes that have left.
+const maxHeritageBytes = 8 << 20
+
+// heritage holds the final answers of homes that have left.
+type heritage struct {
+	answers map[job.ID]job.Answer
+	parts   []heritagePart
+	bytes   int
+}
+
+// heritagePart is one part that was taken, until its answers expire.
+type heritagePart struct {
+	home    node.Ref
+	part    int
+	ids     []job.ID
+	bytes   int
+	expires time.Duration
+}
+
+// takeHandoff keeps the answers of a home that leaves, if there is room.
+func (c *Core) takeHandoff(from node.Ref, m *message.Handoff) {
+	h := &c.heritage
+	h.expire(c.now.Mono)
+	part := heritagePart{home: m.Home, part: m.Part, expires: c.now.Mono + c.cfg.Retention}
+	for _, a := range m.Answers {
+		for _, b := range a.Results {
+			part.bytes += len(b)
+		}
+		part.ids = append(part.ids, a.ID)
+	}
+	if !h.has(part) {
+		if h.bytes+part.bytes > maxHeritageBytes {
+			return
+		}
+		h.add(part, m.Answers)
+	}
+	c.send(from, message.Message{HandoffAck: &message.HandoffAck{Home: m.Home, Part: m.Part}})
+}
+
+func (h *heritage) has(p heritagePart) bool {
+	for _, q := range h.parts {
+		if q.home == p.home && q.part == p.part {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *heritage) add(p heritagePart, answers []job.Answer) {
+	if h.answers == nil {
+		h.answers = make(map[job.ID]job.Answer)
+	}
+	for _, a := range answers {
+		h.answers[a.ID] = a
+	}
+	h.parts = append(h.parts, p)
+	h.bytes += p.bytes
+}
+
+func (h *heritage) expire(now time.Duration) {
+	for len(h.parts) > 0 && h.parts[0].expires <= now {
+		for _, id := range h.parts[0].ids {
+			delete(h.answers, id)
+		}
+		h.bytes -= h.parts[0].bytes
+		h.parts = h.parts[1:]
+	}
+}
+
+// inherited answers a request about a job of a home that has left. It reports
+// whether m was such a request.
+func (c *Core) inherited(from node.Ref, m *message.Message) bool {
+	var request uint64
+	var id job.ID
+	switch {
+	case len(c.heritage.answers) == 0:
+		return false
+	case m.Submit != nil:
+		request, id = m.Submit.Request, m.Submit.Job.ID
+	case m.Fetch != nil:
+		request, id = m.Fetch.Request, m.Fetch.ID
+	case m.Cancel != nil:
+		request, id = m.Cancel.Request, m.Cancel.ID
+	default:
+		return false
+	}
+	a, ok := c.heritage.answers[id]
+	if !ok {
+		return false
+	}
+	c.send(from, message.Message{Answer: &message.Answer{Request: request, Answer: a}})
+	return true
+}
--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/control"
 	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
 	"github.com/dogwoodgauge/dogwoodgauge/core/invariant"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
@@ -25,6 +26,9 @@
 	fetchTimeout = 2 * time.Second
 	// maxRedirects bounds the homes that one call is sent to.
 	maxRedirects = 3
+	// formerHomes is the number of processes that may have been the home of an
+	// ID of the caller's own and are asked for its answer.
+	formerHomes = 3
 	// unknownAgentsRetry is the pause told to a caller when no agent is known.
 	unknownAgentsRetry = time.Second
 )
@@ -52,8 +56,12 @@
 	retry     time.Duration
 	home      node.Ref
 	redirects int
-	deadline  time.Duration
-	resend    time.Duration
+	// heirs are the processes still to ask for the answer of a job whose home
+	// has ended or changed. Once they are asked the job is never submitted.
+	heirs    []node.Ref
+	asking   bool
+	deadline time.Duration
+	resend   time.Duration
 }
 
 // submit takes a job from a caller.
@@ -133,26 +141,65 @@
 	c.begin(k, home.Ref)
 }
 
-// homeLost answers a call whose home is gone or not known.
+// homeLost handles a call whose home is gone or not known: another process may
+// hold the answer.
 func (c *Core) homeLost(k *call) {
-	c.replyKind(k, errkind.OutcomeUnknown, "the home of the job has ended or is not known; nothing is started again", 0)
+	if k.asking {
+		c.askHeir(k)
+		return
+	}
+	k.asking = true
+	for _, m := range c.heirsOf(k) {
+		if m.Ref != k.home && !c.dead[m.Ref] {
+			k.heirs = append(k.heirs, m.Ref)
+		}
+	}
+	c.askHeir(k)
+}
+
+// heirsOf returns the processes that may hold the answer of a lost home.
+func (c *Core) heirsOf(k *call) []control.Member {
+	if m, ok := k.id.Minted(); ok {
+		return rendezvous.Candidates(m.Home.String(), c.state.Agents(), 1)
+	}
+	return rendezvous.Candidates(string(k.id), c.state.Agents(), formerHomes)
+}
+
+// askHeir asks the next process for the answer, or gives up.
+func (c *Core) askHeir(k *call) {
+	if len(k.heirs) == 0 {
+		c.replyKind(k, errkind.OutcomeUnknown,
+			"the home of the job has ended or is not known; nothing is started again", 0)
+		return
+	}
+	k.home = k.heirs[0]
+	k.heirs = k.heirs[1:]
+	if k.request == 0 {
+		c.register(k)
+	}
+	c.sendFetch(k)
 }
 
 // begin registers the call and sends it to the home.
 func (c *Core) begin(k *call, home node.Ref) {
+	k.home = home
+	c.register(k)
+	c.transmit(k)
+}
+
+// register gives the call a request number.
+func (c *Core) register(k *call) {
 	c.lastReq++
 	k.request = c.lastReq
-	k.home = home
+	k.resend = firstResend
 	c.calls[k.call] = k
 	c.requests[k.request] = k
 	c.timers.Add(k.deadline, timer{kind: timerDeadline, request: k.request})
-	c.transmit(k)
+	c.timers.Add(c.now.Mono+k.resend, timer{kind: timerResend, request: k.request})
 }
 
 // transmit sends the request for the first time.
 func (c *Core) transmit(k *call) {
-	k.resend = firstResend
-	c.timers.Add(c.now.Mono+k.resend, timer{kind: timerResend, request: k.request})
 	switch k.kind {
 	case callSubmit:
 		c.sendSubmit(k)
@@ -211,6 +258,10 @@
 	if !ok {
 		return
 	}
+	if k.asking {
+		c.askHeir(k)
+		return
+	}
 	if k.kind == callSubmit {
 		c.sendSubmit(k)
 		if !k.wait {
@@ -228,7 +279,7 @@
 		return
 	}
 	k.redirects++
-	if m.Home == k.home || c.dead[m.Home] || k.redirects > maxRedirects {
+	if m.Home.IsZero() || m.Home == k.home || c.dead[m.Home] || k.redirects > maxRedirects {
 		c.homeLost(k)
 		return
 	}
@@ -301,7 +352,7 @@
 
 // ask repeats the request in its short form.
 func (c *Core) ask(k *call) {
-	if k.kind == callCancel {
+	if k.kind == callCancel && !k.asking {
 		c.send(k.home, message.Message{Cancel: &message.Cancel{Request: k.request, ID: k.id, Attempt: k.attempt}})
 		return
 	}
--- a/core/home/admission.go
+++ b/core/home/admission.go
@@ -24,8 +24,10 @@
 	switch {
 	case a.Granted:
 		return true
-	case !a.Home.IsZero():
-		c.reply(sub.entry, message.Message{NotHome: &message.NotHome{Request: sub.request, Home: a.Home}})
+	case !a.Home.IsZero() || a.Former:
+		c.reply(sub.entry, message.Message{NotHome: &message.NotHome{
+			Request: sub.request, Home: a.Home, Detail: a.Detail,
+		}})
 	default:
 		c.answerUnknown(j, sub, a.Detail)
 	}
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -1,6 +1,8 @@
 package home
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
@@ -25,6 +27,8 @@
 	Granted bool
 	// Home is the home of the ID when it is another process.
 	Home node.Ref
+	// Former is true when a former home may hold the job.
+	Former bool
 	// Detail says why it is not granted.
 	Detail string
 }
@@ -116,6 +120,16 @@
 	return s
 }
 
+// Final returns the final answers that are held, ordered by job ID.
+func (c *Core) Final() []job.Answer {
+	var list []job.Answer
+	for _, r := range c.records.final {
+		list = append(list, *r.final)
+	}
+	slices.SortFunc(list, func(a, b job.Answer) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
 // Idle reports whether every record is final.
 func (c *Core) Idle() bool { return c.records.open == 0 }
 
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -46,6 +46,8 @@
 	Status   *Status   `json:"status,omitempty"`
 	Records  *Records  `json:"records,omitempty"`
 	Handoff  *Handoff  `json:"handoff,omitempty"`
+
+	HandoffAck *HandoffAck `json:"handoffack,omitempty"`
 }
 
 // Submit asks a home to run a job. Request is unique within the entry's
@@ -95,12 +97,13 @@
 	Request uint64 `json:"req"`
 }
 
-// NotHome says that the receiver of a Submit, Fetch or Cancel is not the home
-// of the job as far as it knows, and has not created a record of it.
+// NotHome says that the receiver of a Submit has not created a record of the
+// job: another process is its home, or (Home zero) a former home may have it.
 type NotHome struct {
 	Request uint64 `json:"req"`
-	// Home is the home that the sender knows of.
-	Home node.Ref `json:"home"`
+	// Home is the home that the sender knows of, or zero.
+	Home   node.Ref `json:"home"`
+	Detail string   `json:"detail,omitempty"`
 }
 
 // Start asks an executor to start a task. Seq numbers the tasks that one home
@@ -225,8 +228,16 @@
 	Snapshot []byte `json:"snap,omitempty"`
 }
 
-// Handoff carries final job records from a home that is leaving.
+// Handoff carries final answers from a home that is leaving to the process that
+// gives them from then on. Part counts from 0.
 type Handoff struct {
 	Home    node.Ref     `json:"home"`
+	Part    int          `json:"part"`
 	Answers []job.Answer `json:"answers"`
 }
+
+// HandoffAck says that a part has been taken.
+type HandoffAck struct {
+	Home node.Ref `json:"home"`
+	Part int      `json:"part"`
+}
--- a/core/sessions/golden_test.go
+++ b/core/sessions/golden_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/rendezvous"
 )
 
 // steady has no faults and no randomness in time.
@@ -58,6 +59,20 @@
 	panic("no ID was minted for " + string(p.ref.ID))
 }
 
+// ownedBy returns an ID whose home is owner, and would be another without it.
+func ownedBy(owner node.ID, others ...node.ID) job.ID {
+	for i := 0; ; i++ {
+		id := fmt.Sprintf("order-%d", i)
+		first := true
+		for _, other := range others {
+			first = first && rendezvous.Above(id, owner, other)
+		}
+		if first {
+			return job.ID(id)
+		}
+	}
+}
+
 var sessions = []struct {
 	name string
 	run  func(c *cluster)
@@ -157,6 +172,23 @@
 		c.drain(c.agents[0])
 		c.run(3 * time.Second)
 	}},
+	{"resubmission_after_leaving", func(c *cluster) {
+		j := c.newJob(c.mintFor(c.agents[0]), 1)
+		c.submit(c.e1, j, nil)
+		c.drain(c.agents[0])
+		c.run(4 * time.Second)
+		c.submit(c.e2, j, nil)
+		c.run(time.Second)
+	}},
+	{"home_of_own_id_changes", func(c *cluster) {
+		j := c.newJob(ownedBy("b1", "a1", "a2", "a3"), 1)
+		c.submit(c.e1, j, nil)
+		c.run(time.Second)
+		c.addAgent("b1", "d1", 2)
+		c.run(4 * time.Second)
+		c.submit(c.e2, j, nil)
+		c.run(time.Second)
+	}},
 }
 
 // TestGolden replays whole sessions and compares every message about a job.
--- a/core/sessions/world_test.go
+++ b/core/sessions/world_test.go
@@ -357,11 +357,24 @@
 	return fmt.Appendf(nil, "%s/%d/%s", id, index, payload)
 }
 
-// kill ends a process without notice.
+// kill ends a process without notice. Its connections are reset.
 func (w *world) kill(p *process) {
 	w.trace("%s is killed", p.ref.ID)
 	p.alive = false
 	p.held = nil
+	refs := make([]node.Ref, 0, len(w.byRef))
+	for ref, q := range w.byRef {
+		if q.alive && q.group == p.group {
+			refs = append(refs, ref)
+		}
+	}
+	slices.SortFunc(refs, func(a, b node.Ref) int { return int(a.Incarnation) - int(b.Incarnation) })
+	for _, ref := range refs {
+		q := w.byRef[ref]
+		w.at(w.latency(), func() {
+			w.deliver(q, func() { w.step(q, agent.PeerReset{Ref: p.ref}, entry.PeerReset{Ref: p.ref}) })
+		})
+	}
 }
 
 // restart starts the next incarnation of an agent.
