--- a/core/control/change.go
+++ b/core/control/change.go
@@ -131,7 +131,7 @@
 }
 
 func (l *changeLog) record(o Outcome) {
-	outcomes := append(slices.Clone(l.outcomes), o)
+	outcomes := append(l.outcomes, o)
 	if extra := len(outcomes) - maxOutcomes; extra > 0 {
 		outcomes = outcomes[extra:]
 	}
--- a/core/control/control_test.go
+++ b/core/control/control_test.go
@@ -163,6 +163,15 @@
 	}
 }
 
+func TestRecordsBeforeNextAreIgnored(t *testing.T) {
+	s := control.NewState()
+	read(s, join("a", 1), join("b", 1))
+	before := string(s.Snapshot())
+	if e := s.Apply(1, control.EncodeLeave(ref("a", 1))); e != (control.Effect{}) || string(s.Snapshot()) != before {
+		t.Errorf("effect %+v, state %s", e, s.Snapshot())
+	}
+}
+
 func TestGapKeepsConfigurationUntilSnapshot(t *testing.T) {
 	s := control.NewState()
 	read(s, out("x", -1, "south"))
@@ -264,7 +273,9 @@
 		{"both sets", grown, 7, readers("b", "c", "d", "e", "f", "g"), true},
 		{"ended counts", append(three[:3:3], control.EncodeEvict(ref("a", 1), ref("b", 1))), 3, readers("b"), true},
 		{"restart of all but one", append(three[:3:3], join("a", 2), join("b", 2)), 4, readers("a"), true},
+		{"replaced runs are no part of later sets", append(three[:3:3], join("a", 2), join("b", 2)), 5, readers("c"), false},
 		{"confirmed sets are not counted", append(three[:3:3], control.EncodeConfirm(3, ref("a", 1)), join("d", 1)), 4, readers("a", "b"), true},
+		{"a join at the confirmed offset is not folded", append(three[:3:3], join("d", 1), control.EncodeConfirm(3, ref("a", 1))), 3, readers("a", "b"), true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := control.NewState()
--- a/core/control/member.go
+++ b/core/control/member.go
@@ -145,7 +145,7 @@
 }
 
 func (ms *members) end(e Ended) {
-	ended := append(slices.Clone(ms.ended), e)
+	ended := append(ms.ended, e)
 	if extra := len(ended) - maxEnded; extra > 0 {
 		ms.forgotten = ended[extra-1].Offset
 		ended = ended[extra:]
--- /dev/null
+++ b/core/control/property_test.go
@@ -0,0 +1,163 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/config"
+	"github.com/dogwoodgauge/dogwoodgauge/core/control"
+)
+
+// drawRecord draws a record of a small world of names, so that conflicts,
+// doubles and late copies are frequent.
+func drawRecord(t *rapid.T, s *control.State, written [][]byte) []byte {
+	by := ref(fmt.Sprintf("n%d", rapid.IntRange(0, 3).Draw(t, "by")), rapid.IntRange(1, 3).Draw(t, "by run"))
+	who := ref(fmt.Sprintf("n%d", rapid.IntRange(0, 3).Draw(t, "node")), rapid.IntRange(1, 3).Draw(t, "run"))
+	switch rapid.IntRange(0, 9).Draw(t, "type") {
+	case 0:
+		return control.EncodeJoin(control.Member{Ref: who, Role: control.RoleAgent})
+	case 1:
+		return control.EncodeJoin(control.Member{Ref: who, Role: control.RoleEntry})
+	case 2:
+		return control.EncodeLeave(who)
+	case 3:
+		return control.EncodeEvict(who, by)
+	case 4:
+		return control.EncodeConfirm(int64(rapid.IntRange(0, len(written)).Draw(t, "through")), by)
+	case 5:
+		return s.SnapshotRecord()
+	case 6:
+		if len(written) > 0 {
+			return rapid.SampledFrom(written).Draw(t, "copy")
+		}
+		return nil
+	case 7:
+		return rapid.SliceOf(rapid.Byte()).Draw(t, "garbage")
+	default:
+		return drawChange(t, len(written))
+	}
+}
+
+func drawChange(t *rapid.T, written int) []byte {
+	c := control.Change{
+		ID:     fmt.Sprintf("c%d", rapid.IntRange(0, written+1).Draw(t, "id")),
+		From:   int64(rapid.IntRange(-1, written).Draw(t, "from")),
+		Author: "op",
+	}
+	for range rapid.IntRange(1, 2).Draw(t, "edits") {
+		out := config.Out{Domain: rapid.SampledFrom([]string{"south", "north", ""}).Draw(t, "domain")}
+		edit := config.Edit{Put: &config.Object{Out: &out}}
+		if rapid.Bool().Draw(t, "delete") {
+			key := out.Key()
+			edit = config.Edit{Delete: &key}
+		}
+		c.Edits = append(c.Edits, edit)
+	}
+	return control.EncodeChange(c)
+}
+
+// drawLog draws a log and returns the encoded state before each offset.
+func drawLog(t *rapid.T) (records [][]byte, states []string) {
+	full := control.NewState()
+	for range rapid.IntRange(1, 60).Draw(t, "records") {
+		states = append(states, string(full.Snapshot()))
+		r := drawRecord(t, full, records)
+		records = append(records, r)
+		full.Apply(full.Next(), r)
+	}
+	return records, append(states, string(full.Snapshot()))
+}
+
+// TestReadersAgree asserts that a reader that starts at any offset or from any
+// snapshot has, once it is synced, the state of one that read everything, and
+// that a reader that meets a gap never shows an older configuration.
+func TestReadersAgree(t *testing.T) {
+	synced, compared := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		records, states := drawLog(t)
+		s := control.NewState()
+		if at := rapid.IntRange(-1, len(records)).Draw(t, "peer snapshot"); at >= 0 {
+			if err := s.ResetTo([]byte(states[at])); err != nil {
+				t.Fatal(err)
+			}
+		}
+		start := rapid.IntRange(0, len(records)).Draw(t, "oldest")
+		revision := s.Config().Revision()
+		for offset := start; offset < len(records); offset++ {
+			s.Apply(int64(offset), records[offset])
+			if s.Config().Revision() < revision {
+				t.Fatalf("revision went from %d to %d at %d", revision, s.Config().Revision(), offset)
+			}
+			revision = s.Config().Revision()
+			if !s.Synced() {
+				continue
+			}
+			compared++
+			if got := string(s.Snapshot()); got != states[s.Next()] {
+				t.Fatalf("after %d:\n%s\nwant\n%s", offset, got, states[s.Next()])
+			}
+		}
+		if s.Synced() {
+			synced++
+		}
+	})
+	t.Logf("%d states compared, %d readers in sync at the end", compared, synced)
+	if !t.Failed() && compared == 0 {
+		t.Error("no state was compared")
+	}
+}
+
+// TestOneChangeWins asserts that of changes made from one revision to one
+// object exactly one is accepted, and that each loser learns it.
+func TestOneChangeWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := control.NewState()
+		read(s, quota("base", -1, "t", 1))
+		n := rapid.IntRange(2, 6).Draw(t, "racers")
+		order := rapid.SliceOfN(rapid.IntRange(0, n-1), n, 3*n).Draw(t, "appends")
+		for _, i := range order {
+			read(s, quota(fmt.Sprintf("c%d", i), 0, "t", float64(i+2)))
+			if rapid.Bool().Draw(t, "unrelated") {
+				read(s, join(fmt.Sprintf("n%d", s.Next()), 1))
+			}
+		}
+		winner := fmt.Sprintf("c%d", order[0])
+		for _, i := range order {
+			id := fmt.Sprintf("c%d", i)
+			o, ok := s.Outcome(id)
+			if !ok || o.Accepted != (id == winner) {
+				t.Fatalf("outcome of %s is %+v, winner is %s", id, o, winner)
+			}
+			if !o.Accepted && o.WinnerID != winner {
+				t.Fatalf("%s was told that %q won, not %q", id, o.WinnerID, winner)
+			}
+		}
+		if team, _ := s.Config().Team("t"); team.Quota != float64(order[0]+2) {
+			t.Fatalf("quota %v is not the winner's", team.Quota)
+		}
+	})
+}
+
+// FuzzApply asserts that no record makes a state fail or skip an offset.
+func FuzzApply(f *testing.F) {
+	s := control.NewState()
+	read(s, join("a", 1), quota("x", -1, "t", 1))
+	for _, seed := range [][]byte{
+		join("a", 1), control.EncodeLeave(ref("a", 1)), control.EncodeEvict(ref("a", 1), ref("a", 1)),
+		control.EncodeConfirm(1, ref("a", 1)), quota("y", 1, "t", 2), out("z", 1, "south"),
+		s.SnapshotRecord(), []byte("{}"), []byte(`{"change":{"id":"a","edits":[{}]}}`), nil,
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, record []byte) {
+		synced := control.NewState()
+		read(synced, join("a", 1), quota("x", -1, "t", 1), record, record)
+		fresh := control.NewState()
+		fresh.Apply(2, record)
+		if synced.Next() != 4 || fresh.Next() != 3 {
+			t.Errorf("next %d and %d", synced.Next(), fresh.Next())
+		}
+	})
+}
