demo and experiment: real processes over loopback under load and faults

Cause: the promises and the policy need runs that anyone can repeat, counted outside the system.

Change: demo.Run sends jobs through three entries and eleven agents while a failure domain goes out and comes back; experiment.Run measures the two sites' work with faults none, crash, domain-out, log-outage, log-slow, lost-replies, partition, straggler, burst, black-hole, cancel-wave and rolling-restart, combinable, and compares with a run without faults.

--- a/internal/cluster/change.go
+++ b/internal/cluster/change.go
@@ -88,7 +88,7 @@
 }
 
 func (c *Cluster) inForce(ctx context.Context, revision int64) bool {
-	for _, r := range c.Revisions(ctx) {
+	for _, r := range c.Observe(ctx) {
 		if r.Revision < revision {
 			return false
 		}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -13,6 +13,7 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/logclient"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/settings"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/standin/logservice"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/standin/upstream"
 )
@@ -165,6 +166,17 @@
 	return true
 }
 
+// settleMargin is added to the lease and the clock bound for the confirmation
+// of the agent set.
+const settleMargin = 1500 * time.Millisecond
+
+// Settle waits until the agents that have started may take jobs whose IDs come
+// from callers: a lease and the clock bound after a majority knows of them.
+func (c *Cluster) Settle(ctx context.Context) {
+	timing := settings.DefaultAgent().Timing
+	sleep(ctx, timing.Lease+timing.ClockBound+settleMargin)
+}
+
 // sleep reports false when ctx ended before d had passed.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/cluster/observe.go
+++ b/internal/cluster/observe.go
@@ -3,50 +3,41 @@
 import (
 	"context"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/invariant"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/transport"
 )
 
-// Revision is the configuration revision that one run has.
-type Revision struct {
-	Ref      node.Ref
+// Observation is what one run of a process says of itself.
+type Observation struct {
+	Ref node.Ref
+	// Revision is the configuration revision that it has applied.
 	Revision int64
+	Stats    transport.Stats
+	// Violations counts the invariants that it saw broken.
+	Violations uint64
 }
 
-// Revisions returns the revision of every process that runs.
-func (c *Cluster) Revisions(ctx context.Context) []Revision {
-	var all []Revision
+// Observe returns an observation of every process that runs.
+func (c *Cluster) Observe(ctx context.Context) []Observation {
+	var all []Observation
 	for _, e := range c.Entries {
 		if s, err := e.daemon().Snapshot(ctx); err == nil {
-			all = append(all, Revision{Ref: s.Self, Revision: s.Revision})
+			all = append(all, Observation{s.Self, s.Revision, s.Transport, total(s.Violations)})
 		}
 	}
 	for _, a := range c.Agents {
 		if s, err := a.daemon().Snapshot(ctx); err == nil {
-			all = append(all, Revision{Ref: s.Self, Revision: s.Revision})
+			all = append(all, Observation{s.Self, s.Revision, s.Transport, total(s.Violations)})
 		}
 	}
 	return all
 }
 
-// RunStats is the transport's counters of one run.
-type RunStats struct {
-	Ref   node.Ref
-	Stats transport.Stats
-}
-
-// Stats returns the counters of every process that runs.
-func (c *Cluster) Stats(ctx context.Context) []RunStats {
-	var all []RunStats
-	for _, e := range c.Entries {
-		if s, err := e.daemon().Snapshot(ctx); err == nil {
-			all = append(all, RunStats{Ref: s.Self, Stats: s.Transport})
-		}
+func total(violations map[invariant.Name]uint64) uint64 {
+	var sum uint64
+	for _, n := range violations {
+		sum += n
 	}
-	for _, a := range c.Agents {
-		if s, err := a.daemon().Snapshot(ctx); err == nil {
-			all = append(all, RunStats{Ref: s.Self, Stats: s.Transport})
-		}
-	}
-	return all
+	return sum
 }
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,90 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/transport"
+)
+
+func TestShortRunWithCombinedFaults(t *testing.T) {
+	report, err := Run(context.Background(), Options{
+		Scenario: "quitanda", Faults: []string{"domain-out", "straggler"}, Seed: 1,
+		Duration: 3 * time.Second, SkipBaseline: true,
+	})
+	if err != nil {
+		t.Fatalf("%v: %+v", err, report)
+	}
+	if report.Jobs == 0 || report.Complete == 0 || report.Starts == 0 || report.MaxInForceSeconds <= 0 {
+		t.Errorf("report: %+v", report)
+	}
+	if report.CompletedDuringFaultFraction != nil {
+		t.Error("compared with a run that was not made")
+	}
+}
+
+func TestUnknownNames(t *testing.T) {
+	for _, o := range []Options{{Scenario: "nowhere"}, {Faults: []string{"crash", "nothing"}}} {
+		if _, err := Run(context.Background(), o); err == nil || errors.Is(err, ErrInvariant) {
+			t.Errorf("%+v: %v", o, err)
+		}
+	}
+}
+
+func TestBrokenInvariantsAreFound(t *testing.T) {
+	tests := map[string]Report{
+		"duplicate":    {DuplicateStarts: 1},
+		"partial":      {PartialAnswers: 1},
+		"misdelivered": {MisdeliveredAnswers: 1},
+		"untrue":       {UntrueNotRun: 1},
+		"late":         {LateDomainStarts: 1},
+		"revert":       {ConfigReverts: 1},
+		"cut off":      {CutOffRequests: 1},
+		"internal":     {InternalViolations: 1},
+	}
+	for name, r := range tests {
+		if !r.broken(nil) {
+			t.Errorf("%s: not found", name)
+		}
+	}
+	crashed := Report{CutOffRequests: 1}
+	if crashed.broken([]fault{{name: "crash", cutsOff: true}}) {
+		t.Error("a crash must be allowed to cut requests off")
+	}
+}
+
+func TestFaultNames(t *testing.T) {
+	for _, name := range []string{
+		"none", "crash", "domain-out", "log-outage", "burst", "black-hole",
+		"rolling-restart", "straggler", "cancel-wave", "lost-replies", "partition",
+	} {
+		if !slices.Contains(FaultNames(), name) {
+			t.Errorf("%s is missing", name)
+		}
+	}
+}
+
+func TestMessageTotals(t *testing.T) {
+	kinds := func(counts map[string]uint64) []transport.KindCount {
+		var all []transport.KindCount
+		for kind, n := range counts {
+			all = append(all, transport.KindCount{Kind: kind, Sent: n})
+		}
+		return all
+	}
+	o := observed{stats: map[node.Ref]transport.Stats{
+		{ID: "e1"}: {MessagesOut: 12, Kinds: kinds(map[string]uint64{"submit": 10, "status": 2})},
+		{ID: "a1"}: {MessagesOut: 33, Kinds: kinds(map[string]uint64{"start": 12, "result": 9, "refused": 3, "answer": 9})},
+	}}
+	if got := o.work(); got != 43 {
+		t.Errorf("work: %d", got)
+	}
+	// Three refusals, three refused starts and one unanswered submission.
+	if got := o.wasted(); got != 7 {
+		t.Errorf("wasted: %d", got)
+	}
+}
