--- a/core/config/config.go
+++ b/core/config/config.go
@@ -11,8 +11,8 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/label"
 )
 
-// noRevision is the revision before the first change.
-const noRevision = -1
+// NoRevision is the revision before the first change.
+const NoRevision = -1
 
 // Config is the folded configuration. It is immutable and safe for concurrent
 // use.
@@ -35,7 +35,7 @@
 
 // Empty returns the configuration before the first change.
 func Empty() *Config {
-	return &Config{revision: noRevision, objects: make(map[Key]Object)}
+	return &Config{revision: NoRevision, objects: make(map[Key]Object)}
 }
 
 // Fold returns the configuration after the edits of the change at offset
