--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -72,6 +72,8 @@
 func Main(args []string, std Streams) Code {
 	app := newApp("dogwoodgauge", "Dispatcher for sub-second tasks. "+exitCodes, std)
 	addEntry(app)
+	addDemo(app, std)
+	addExperiment(app, std)
 	addJob(app, std)
 	addIDs(app, std)
 	addStatus(app, std)
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -60,7 +58,7 @@
 
 // untilSignal calls f with a context that ends with SIGTERM or SIGINT.
 func untilSignal(f func(context.Context) error) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := signalContext()
 	defer stop()
 	done := make(chan error, 1)
 	go func() { done <- f(ctx) }()
--- a/internal/entryd/config.go
+++ b/internal/entryd/config.go
@@ -67,6 +67,7 @@
 		Addr:             addr,
 		Domain:           cfg.Settings.Node.Domain,
 		Seed:             seed,
+		Policy:           string(cfg.Settings.Policy.Placement),
 		ClockBound:       cfg.Settings.Timing.ClockBound,
 		PanicOnViolation: cfg.PanicOnViolation,
 	}
