experiment: faults pause and never-runnable

Cause: the list of faults lacked a process that is paused past its lease, and jobs that no upstream can run.

Change: a paused process blocks where it next touches the log or sends; jobs whose labels no upstream has, sent by routes that are published during the run. A caller that submits again now asks for the time left until its deadline, not for the whole timeout anew; before, refused jobs were answered up to twice their timeout after arrival.

--- a/internal/cluster/change.go
+++ b/internal/cluster/change.go
@@ -58,26 +58,27 @@
 	return Change{Offset: offset, Accepted: time.Now()}, nil
 }
 
-// revision returns the highest revision that an entry has.
+// revision returns the highest revision that a process has.
 func (c *Cluster) revision(ctx context.Context) (int64, error) {
 	best, found := int64(0), false
-	for _, e := range c.Entries {
-		s, err := e.daemon().Snapshot(ctx)
-		if err != nil || !s.Synced {
-			continue
-		}
-		if !found || s.Revision > best {
-			best, found = s.Revision, true
+	for _, o := range c.Observe(ctx) {
+		if o.Synced && (!found || o.Revision > best) {
+			best, found = o.Revision, true
 		}
 	}
 	if !found {
-		return 0, errors.New("no entry has the configuration")
+		return 0, errors.New("no process has the configuration")
 	}
 	return best, nil
 }
 
-// AwaitInForce waits until every running process has the change, and returns
-// the time since it was accepted.
+// SetRoutes publishes the routes.
+func (c *Cluster) SetRoutes(ctx context.Context, routes config.Routes) (Change, error) {
+	return c.publish(ctx, config.Edit{Put: &config.Object{Routes: &routes}})
+}
+
+// AwaitInForce waits until every process that answers has the change, and
+// returns the time since it was accepted.
 func (c *Cluster) AwaitInForce(ctx context.Context, change Change) (time.Duration, error) {
 	for !c.inForce(ctx, change.Offset) {
 		if !sleep(ctx, pollInterval) {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -63,6 +63,8 @@
 	// island is the side of a partition that a process is on; zero is the side
 	// of the log service.
 	island map[node.ID]int
+	// paused holds a channel for each paused process, closed when it resumes.
+	paused map[node.ID]chan struct{}
 }
 
 // Start starts a cluster and waits until every entry knows every agent.
@@ -73,6 +75,7 @@
 		Ledger: upstream.NewLedger(),
 		domain: make(map[node.ID]string),
 		island: make(map[node.ID]int),
+		paused: make(map[node.ID]chan struct{}),
 	}
 	if err := c.Log.Listen(); err != nil {
 		return nil, err
@@ -105,6 +108,7 @@
 
 // Close kills everything.
 func (c *Cluster) Close() {
+	c.resumeAll()
 	for _, e := range c.Entries {
 		e.Kill()
 	}
--- a/internal/cluster/links.go
+++ b/internal/cluster/links.go
@@ -27,9 +27,11 @@
 	}
 }
 
-// cut reports whether the links from one process are cut.
+// cut reports whether the links from one process are cut. It blocks while the
+// process is paused.
 func (c *Cluster) cut(from node.ID) func(to node.ID) bool {
 	return func(to node.ID) bool {
+		c.awaitResume(from)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		return c.island[from] != c.island[to]
@@ -71,6 +73,7 @@
 
 // Append implements logclient.Log.
 func (g *gatedLog) Append(ctx context.Context, stream string, record []byte) (int64, error) {
+	g.cluster.awaitResume(g.id)
 	if g.cluster.isolated(g.id) {
 		return 0, logclient.ErrUnavailable
 	}
@@ -83,6 +86,7 @@
 		return logclient.ReadResult{}, logclient.ErrUnavailable
 	}
 	result, err := g.log.Read(ctx, stream, from, limit, wait)
+	g.cluster.awaitResume(g.id)
 	if g.cluster.isolated(g.id) {
 		return logclient.ReadResult{}, logclient.ErrUnavailable
 	}
--- a/internal/cluster/observe.go
+++ b/internal/cluster/observe.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/invariant"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
@@ -13,27 +15,52 @@
 	Ref node.Ref
 	// Revision is the configuration revision that it has applied.
 	Revision int64
-	Stats    transport.Stats
+	// Synced is true once it has the configuration.
+	Synced bool
+	Stats  transport.Stats
 	// Violations counts the invariants that it saw broken.
 	Violations uint64
 }
 
-// Observe returns an observation of every process that runs.
+// snapshotTime bounds the wait for processes that may be paused.
+const snapshotTime = 100 * time.Millisecond
+
+// Observe returns an observation of every process that answers.
 func (c *Cluster) Observe(ctx context.Context) []Observation {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTime)
+	defer cancel()
+	var mu sync.Mutex
 	var all []Observation
-	for _, e := range c.Entries {
-		if s, err := e.daemon().Snapshot(ctx); err == nil {
-			all = append(all, Observation{s.Self, s.Revision, s.Transport, total(s.Violations)})
+	var wait sync.WaitGroup
+	observe := func(look func(context.Context) (Observation, error)) {
+		o, err := look(ctx)
+		if err != nil {
+			return
 		}
+		mu.Lock()
+		defer mu.Unlock()
+		all = append(all, o)
+	}
+	for _, e := range c.Entries {
+		wait.Go(func() { observe(e.observe) })
 	}
 	for _, a := range c.Agents {
-		if s, err := a.daemon().Snapshot(ctx); err == nil {
-			all = append(all, Observation{s.Self, s.Revision, s.Transport, total(s.Violations)})
-		}
+		wait.Go(func() { observe(a.observe) })
 	}
+	wait.Wait()
 	return all
 }
 
+func (e *Entry) observe(ctx context.Context) (Observation, error) {
+	s, err := e.daemon().Snapshot(ctx)
+	return Observation{s.Self, s.Revision, s.Synced, s.Transport, total(s.Violations)}, err
+}
+
+func (a *Agent) observe(ctx context.Context) (Observation, error) {
+	s, err := a.daemon().Snapshot(ctx)
+	return Observation{s.Self, s.Revision, s.Synced, s.Transport, total(s.Violations)}, err
+}
+
 func total(violations map[invariant.Name]uint64) uint64 {
 	var sum uint64
 	for _, n := range violations {
--- a/internal/experiment/fault.go
+++ b/internal/experiment/fault.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/config"
+	"github.com/dogwoodgauge/dogwoodgauge/core/label"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/cluster"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/loadgen"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/standin/logservice"
@@ -55,9 +58,11 @@
 	{name: "log-slow", begin: logFault(logservice.Faults{Delay: slowLog}), end: logFault(logservice.Faults{})},
 	{name: "lost-replies", begin: loseReplies, end: keepReplies},
 	{name: "partition", begin: partition, end: heal},
+	{name: "pause", begin: pause, end: resume},
 	{name: "straggler", begin: upstreamFault(upstream.Faults{Slow: stragglerFactor}), end: upstreamFault(upstream.Faults{})},
 	{name: "burst", plan: planBurst},
 	{name: "black-hole", begin: upstreamFault(upstream.Faults{FailAll: true}), end: upstreamFault(upstream.Faults{})},
+	{name: "never-runnable", plan: planNeverRunnable, begin: routeSpecialTasks},
 	{name: "cancel-wave", plan: planCancel},
 	{name: "rolling-restart", begin: rollingRestart},
 }
@@ -162,6 +167,39 @@
 	return nil
 }
 
+func pause(_ context.Context, r *runner) error {
+	r.cluster.Pause(r.victim().ID)
+	return nil
+}
+
+func resume(_ context.Context, r *runner) error {
+	r.cluster.Resume(r.victim().ID)
+	return nil
+}
+
+// specialLabel marks tasks that no upstream can run.
+const specialLabel = "accelerator"
+
+// planNeverRunnable adds jobs that no upstream can run once the routes are set.
+func planNeverRunnable(cfg *loadgen.Config, _ window) {
+	kind := cfg.Mix[0]
+	kind.Name = "never-runnable"
+	kind.Labels = label.Set{specialLabel: "yes"}
+	kind.NeverRuns = true
+	kind.Weight /= 10
+	cfg.Mix = append(slices.Clone(cfg.Mix), kind)
+}
+
+// routeSpecialTasks sends special tasks to upstreams that do not exist.
+func routeSpecialTasks(ctx context.Context, r *runner) error {
+	special := label.Selector{{Key: specialLabel, Operator: label.Exists}}
+	change, err := r.cluster.SetRoutes(ctx, config.Routes{Routes: []config.Route{
+		{Name: "special", Tasks: special, Upstreams: special},
+		{Name: "rest"},
+	}})
+	return r.awaitInForce(ctx, change, err)
+}
+
 // rollingRestart restarts every process by planned stops, a rack of agents at a
 // time, then one entry after the other. It ends early with ctx.
 func rollingRestart(ctx context.Context, r *runner) error {
--- a/internal/loadgen/call.go
+++ b/internal/loadgen/call.go
@@ -106,6 +106,7 @@
 		if !ok {
 			return httpapi.JobAnswer{}, false
 		}
+		c.setTimeout(&request)
 		answer, err := c.g.client.submit(ctx, entry, &request)
 		if err != nil {
 			if !c.retryError(ctx, err, request.ID) {
@@ -128,6 +129,12 @@
 	}
 }
 
+// setTimeout asks for the time that is left until the deadline.
+func (c *call) setTimeout(request *httpapi.JobRequest) {
+	left := time.Until(c.due.Add(c.arrival.Kind.Timeout))
+	request.TimeoutMillis = max(1, left.Milliseconds())
+}
+
 // retryError reports whether to submit again after an error of the connection.
 // Without an ID of its own the job may have started and is not sent again.
 func (c *call) retryError(ctx context.Context, err error, id job.ID) bool {
@@ -171,6 +178,7 @@
 		return
 	}
 	request := c.request
+	c.setTimeout(&request)
 	answer, err := c.g.client.submit(ctx, entry, &request)
 	if err != nil {
 		c.retryError(ctx, err, request.ID)
@@ -218,6 +226,7 @@
 		Tasks:      len(c.arrival.Payloads),
 		Unanswered: !ok,
 		Cancelled:  c.arrival.Cancel > 0,
+		NeverRuns:  c.arrival.Kind.NeverRuns,
 		Response:   time.Since(c.due),
 		Ideal:      c.arrival.Longest + 2*c.g.target.ClientDelay,
 	}
--- a/internal/loadgen/mix.go
+++ b/internal/loadgen/mix.go
@@ -30,6 +30,8 @@
 	Idempotent bool
 	// Labels are the labels of each task.
 	Labels label.Set
+	// NeverRuns says that no upstream can run these tasks.
+	NeverRuns bool
 }
 
 // Mix is a set of kinds.
--- a/internal/loadgen/result.go
+++ b/internal/loadgen/result.go
@@ -19,8 +19,9 @@
 	Kind errkind.Kind
 	// Unanswered is true when no final answer came.
 	Unanswered bool
-	// Cancelled is true when the caller cancelled the job.
-	Cancelled bool
+	// Cancelled is true when the caller cancelled the job, NeverRuns when no
+	// upstream could run it.
+	Cancelled, NeverRuns bool
 	// Response is the time from the intended arrival to the final answer, Ideal
 	// that of an idle system.
 	Response, Ideal time.Duration
