httpapi: refuse a minted ID whose time is not after 1970

Cause: FuzzDecodeJob found, within 2 s, that the minted ID dg1.0.1.0.0.0 gave a job created at 0. Change: a creation time of 0 or below is a bad request, whichever way it comes.

--- a/internal/httpapi/request.go
+++ b/internal/httpapi/request.go
@@ -174,6 +174,9 @@
 	case r.Created != 0 && r.Created != created:
 		return 0, httpserver.BadRequest("created is %d, but the ID carries %d", r.Created, created)
 	}
+	if created <= 0 {
+		return 0, httpserver.BadRequest("created is %d; it must be above 0", created)
+	}
 	if latest := now + l.ClockBound.Milliseconds(); created > latest {
 		return 0, httpserver.BadRequest("created is %d, which is %d ms ahead of the clock; the limit is %d ms",
 			created, created-now, l.ClockBound.Milliseconds())
--- a/internal/httpapi/request_test.go
+++ b/internal/httpapi/request_test.go
@@ -119,6 +119,7 @@
 		{"created in the future", fmt.Sprintf(`{"id":"a","created":%d,"team":"t","tasks":[{}]}`, testNow+501), errkind.BadRequest, "501 ms ahead of the clock; the limit is 500 ms"},
 		{"UUIDv7 in the future", fmt.Sprintf(`{"id":%q,"team":"t","tasks":[{}]}`, uuidAt(testNow+501)), errkind.BadRequest, "ahead of the clock"},
 		{"minted in the future", fmt.Sprintf(`{"id":%q,"team":"t","tasks":[{}]}`, mintedAt(testNow+501)), errkind.BadRequest, "ahead of the clock"},
+		{"minted before 1970", fmt.Sprintf(`{"id":%q,"team":"t","tasks":[{}]}`, mintedAt(-1)), errkind.BadRequest, "created is -1"},
 		{"created differs from the ID", fmt.Sprintf(`{"id":%q,"created":3,"team":"t","tasks":[{}]}`, uuidAt(testNow)), errkind.BadRequest, "created is 3, but the ID carries"},
 	}
 	for _, tt := range tests {
