control, freshness: leaving runs and runs replaced elsewhere no longer weaken a majority

Cause: a take-over counted every removed run as ended. A run that has appended its Leave still counted itself as one of a majority, and a run replaced by another at a different address may be alive and cut off; in both cases a former home could hold a valid lease after its successor became usable.

A run replaced at another address counts as ended only once an Evict says so; an Evict may now name such a run.

--- a/core/control/agentset.go
+++ b/core/control/agentset.go
@@ -7,11 +7,13 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 )
 
-// agentOp adds an agent to the set of agents or removes it.
+// agentOp adds an agent to the set of agents or removes it. Ended says that the
+// end of a removed run is proven.
 type agentOp struct {
 	Offset int64    `json:"offset"`
 	Ref    node.Ref `json:"ref"`
 	Add    bool     `json:"add,omitempty"`
+	Ended  bool     `json:"ended,omitempty"`
 }
 
 // agentSets holds every set of agents that a process may still count a majority
@@ -28,6 +30,29 @@
 
 func (a *agentSets) add(op agentOp) { a.ops = append(a.ops, op) }
 
+// prove notes that the end of a removed run is proven. It reports whether that
+// was open.
+func (a *agentSets) prove(ref node.Ref) bool {
+	i := slices.IndexFunc(a.ops, func(op agentOp) bool { return op.Ref == ref && !op.Add && !op.Ended })
+	if i < 0 {
+		return false
+	}
+	a.ops = slices.Clone(a.ops)
+	a.ops[i].Ended = true
+	return true
+}
+
+// ended returns the removed runs whose end is proven.
+func (a *agentSets) ended() map[node.Ref]bool {
+	ended := make(map[node.Ref]bool)
+	for _, op := range a.ops {
+		if op.Ended {
+			ended[op.Ref] = true
+		}
+	}
+	return ended
+}
+
 // Confirmed returns the offset of the last confirmation: no process whose next
 // offset is below it can gather word from a majority any more.
 func (s *State) Confirmed() int64 { return s.sets.confirmed }
@@ -43,13 +68,11 @@
 
 // MajorityRead reports whether, for every set of agents that was in force at an
 // offset up to and including upTo since the last confirmation, more than half
-// has applied the record at upTo or has ended. Read tells whether an agent is
-// known to have applied it.
+// has applied the record at upTo or has provably ended. Read tells whether an
+// agent is known to have applied it.
 func (s *State) MajorityRead(upTo int64, read func(node.Ref) bool) bool {
-	t := tally{counts: func(ref node.Ref) bool {
-		_, current := s.Member(ref)
-		return !current || read(ref)
-	}}
+	ended := s.sets.ended()
+	t := tally{counts: func(ref node.Ref) bool { return ended[ref] || read(ref) }}
 	for ref := range s.sets.base {
 		t.add(ref)
 	}
--- a/core/control/control_test.go
+++ b/core/control/control_test.go
@@ -19,6 +19,10 @@
 	return control.EncodeJoin(control.Member{Ref: ref(id, inc), Role: control.RoleAgent, Addr: "10.0.0.1:1"})
 }
 
+func joinAt(id string, inc int, addr string) []byte {
+	return control.EncodeJoin(control.Member{Ref: ref(id, inc), Role: control.RoleAgent, Addr: addr})
+}
+
 func quota(id string, from int64, team string, q float64) []byte {
 	return control.EncodeChange(control.Change{
 		ID: id, From: from, Author: "op-" + id,
@@ -60,6 +64,7 @@
 		{"join after being replaced", [][]byte{join("a", 1), join("a", 2)}, join("a", 1), "run has ended"},
 		{"leave of a former run", [][]byte{join("a", 1), join("a", 2)}, control.EncodeLeave(ref("a", 1)), "not a member"},
 		{"evicted by a stranger", [][]byte{join("a", 1)}, control.EncodeEvict(ref("a", 1), ref("b", 1)), "evicted by a process that is not a member"},
+		{"evicted twice", [][]byte{join("a", 1), join("b", 1), control.EncodeEvict(ref("a", 1), ref("b", 1))}, control.EncodeEvict(ref("a", 1), ref("b", 1)), "not a member"},
 		{"confirm by a stranger", [][]byte{join("a", 1)}, control.EncodeConfirm(1, ref("b", 1)), "confirmed by a process that is not an agent"},
 		{"confirm of the future", [][]byte{join("a", 1)}, control.EncodeConfirm(2, ref("a", 1)), "confirms records that are not in the stream"},
 		{"confirm twice", [][]byte{join("a", 1), control.EncodeConfirm(1, ref("a", 1))}, control.EncodeConfirm(1, ref("a", 1)), "already confirmed"},
@@ -273,6 +278,8 @@
 		{"both sets", grown, 7, readers("b", "c", "d", "e", "f", "g"), true},
 		{"ended counts", append(three[:3:3], control.EncodeEvict(ref("a", 1), ref("b", 1))), 3, readers("b"), true},
 		{"restart of all but one", append(three[:3:3], join("a", 2), join("b", 2)), 4, readers("a"), true},
+		{"a run replaced at another address may live on", append(three[:3:3], joinAt("a", 2, "x"), joinAt("b", 2, "y")), 4, readers(), false},
+		{"until its end is proven", append(three[:3:3], joinAt("a", 2, "x"), joinAt("b", 2, "y"), control.EncodeEvict(ref("a", 1), ref("c", 1)), control.EncodeEvict(ref("b", 1), ref("c", 1))), 3, readers(), true},
 		{"replaced runs are no part of later sets", append(three[:3:3], join("a", 2), join("b", 2)), 5, readers("c"), false},
 		{"confirmed sets are not counted", append(three[:3:3], control.EncodeConfirm(3, ref("a", 1)), join("d", 1)), 4, readers("a", "b"), true},
 		{"a join at the confirmed offset is not folded", append(three[:3:3], join("d", 1), control.EncodeConfirm(3, ref("a", 1))), 3, readers("a", "b"), true},
--- a/core/control/member.go
+++ b/core/control/member.go
@@ -88,7 +88,9 @@
 		return Effect{Rejected: reason}
 	}
 	if former, ok := s.members.byID[m.Ref.ID]; ok {
-		s.remove(offset, former)
+		// A run binds its address before it joins, which proves the end of a
+		// former run at that address only.
+		s.remove(offset, former, former.Addr == m.Addr)
 	}
 	m.Joined = offset
 	s.members.byID[m.Ref.ID] = m
@@ -122,6 +124,9 @@
 	if _, ok := s.Member(e.By); !ok {
 		return Effect{Rejected: "evicted by a process that is not a member"}
 	}
+	if s.sets.prove(e.Ref) {
+		return Effect{}
+	}
 	return s.applyRemoval(offset, e.Ref)
 }
 
@@ -130,17 +135,18 @@
 	if !ok {
 		return Effect{Rejected: "not a member"}
 	}
-	s.remove(offset, m)
+	s.remove(offset, m, true)
 	s.members.rebuild()
 	return Effect{MembersChanged: true}
 }
 
-// remove removes a member; the caller rebuilds the lists.
-func (s *State) remove(offset int64, m Member) {
+// remove removes a member; the caller rebuilds the lists. Proven says that the
+// run provably makes no statement any more.
+func (s *State) remove(offset int64, m Member, proven bool) {
 	delete(s.members.byID, m.Ref.ID)
 	s.members.end(Ended{Ref: m.Ref, Role: m.Role, Offset: offset})
 	if m.Role == RoleAgent {
-		s.sets.add(agentOp{Offset: offset, Ref: m.Ref})
+		s.sets.add(agentOp{Offset: offset, Ref: m.Ref, Ended: proven})
 	}
 }
 
--- a/core/control/record.go
+++ b/core/control/record.go
@@ -36,7 +36,8 @@
 	Ref node.Ref `json:"ref"`
 }
 
-// Evict says that the member By holds proof that the run Ref has ended.
+// Evict says that the member By holds proof that the run Ref has ended. Ref may
+// also be a former member that a run at another address replaced.
 type Evict struct {
 	Ref node.Ref `json:"ref"`
 	By  node.Ref `json:"by"`
--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -55,6 +55,8 @@
 	// behind is the highest offset that others are known to have reached.
 	behind evidence
 
+	left bool
+
 	agents map[node.Ref]bool
 	words  map[node.Ref]evidence
 	// majority caches the instant since which a majority is known not to be
@@ -147,6 +149,14 @@
 	l.dirty = true
 }
 
+// Leave says that the process has announced that it leaves. Others may take it
+// for ended from then on, so it is no part of a majority any more and must not
+// answer a query.
+func (l *Lease) Leave() {
+	l.left = true
+	l.dirty = true
+}
+
 // Until returns the instant up to which the process may start work, or zero.
 func (l *Lease) Until() time.Duration {
 	if l.behind.offset > l.next {
@@ -213,7 +223,7 @@
 		return 0, false
 	}
 	need := len(l.agents)/2 + 1
-	if l.agents[l.config.Self] {
+	if l.agents[l.config.Self] && !l.left {
 		need--
 	}
 	if need == 0 {
--- a/core/freshness/freshness_test.go
+++ b/core/freshness/freshness_test.go
@@ -80,6 +80,15 @@
 			l.SetMembers(agents("a", "b", "c"))
 			l.PeerEvidence(ref("b"), 0, 5*second)
 		}, 5*second + lease},
+		{"leaving", func(l *freshness.Lease) {
+			l.SetMembers(agents("a", "b", "c"))
+			l.PeerEvidence(ref("b"), 0, 5*second)
+			l.Leave()
+		}, 0},
+		{"only agent, leaving", func(l *freshness.Lease) {
+			l.SetMembers(agents("a"))
+			l.Leave()
+		}, 0},
 		{"half is no majority", func(l *freshness.Lease) {
 			l.SetMembers(agents("a", "b", "c", "d"))
 			l.PeerEvidence(ref("b"), 0, 5*second)
--- a/core/ownership/model_run_test.go
+++ b/core/ownership/model_run_test.go
@@ -1,6 +1,7 @@
 package ownership_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -33,6 +34,8 @@
 	(*world).cutOff, (*world).cutOff,
 	(*world).heal,
 	(*world).grow,
+	(*world).leave,
+	(*world).move,
 	(*world).everybodySyncs, (*world).everybodySyncs,
 	(*world).toggleLog,
 	(*world).confirm,
@@ -85,7 +88,7 @@
 	}
 	m := &w.inflight[i]
 	switch {
-	case m.to != nil && reaches(m.by, m.to):
+	case m.to != nil && !m.to.left && reaches(m.by, m.to):
 		w.serveQuery(m)
 	case m.to == nil && w.logUp && m.by.group == 0:
 		w.serveRead(m)
@@ -161,7 +164,25 @@
 	}
 	slot := w.draw("slot", 0, modelSlots-1)
 	if !running[slot] {
-		w.start(slot)
+		w.start(slot, "")
+	}
+}
+
+// leave lets a process announce that it leaves.
+func (w *world) leave() {
+	p := w.pick()
+	if !w.logUp || p.group != 0 || p.left {
+		return
+	}
+	p.left = true
+	p.lease.Leave()
+	w.append(control.EncodeLeave(p.ref))
+}
+
+// move starts a run of a node elsewhere while its former run goes on.
+func (w *world) move() {
+	if p := w.pick(); w.logUp && w.draw("move", 0, 2) == 0 {
+		w.start(p.slot, fmt.Sprint(len(w.processes)))
 	}
 }
 
--- a/core/ownership/model_test.go
+++ b/core/ownership/model_test.go
@@ -62,12 +62,15 @@
 
 // process is one run with its clocks.
 type process struct {
-	ref     node.Ref
-	slot    int
-	rate    int64
-	skew    int64
-	group   int
-	dead    bool
+	ref   node.Ref
+	slot  int
+	rate  int64
+	skew  int64
+	group int
+	dead  bool
+	// left is true once the process has announced that it leaves. It goes on
+	// working and answers no query.
+	left    bool
 	state   *control.State
 	lease   *freshness.Lease
 	tracker *ownership.Tracker
@@ -87,7 +90,7 @@
 func newWorld(t *rapid.T, outage time.Duration) *world {
 	w := &world{t: t, logUp: true, agreed: control.NewState(), starters: make(map[job.ID]node.Ref), outage: outage}
 	for i := range modelNodes {
-		w.start(i)
+		w.start(i, "")
 	}
 	for range modelNodes {
 		w.everybodySyncs()
@@ -99,8 +102,8 @@
 	return rapid.IntRange(low, high).Draw(w.t, name)
 }
 
-// start runs a new incarnation of a node; its join is on the way to the log.
-func (w *world) start(slot int) {
+// start runs a new incarnation of a node at an address.
+func (w *world) start(slot int, addr string) {
 	ref := node.Ref{ID: node.ID(fmt.Sprintf("n%d", slot)), Incarnation: node.Incarnation(len(w.processes) + 1)}
 	p := &process{
 		ref:     ref,
@@ -112,7 +115,7 @@
 		tracker: ownership.NewTracker(ownership.Config{Self: ref, Lease: modelLease, ClockBound: modelBound, Window: modelWindow}),
 	}
 	w.processes = append(w.processes, p)
-	w.append(control.EncodeJoin(control.Member{Ref: ref, Role: control.RoleAgent}))
+	w.append(control.EncodeJoin(control.Member{Ref: ref, Role: control.RoleAgent, Addr: addr}))
 }
 
 func (w *world) clock(p *process) clock.Now {
@@ -202,7 +205,7 @@
 		w.read(p, m)
 	}
 	for _, q := range w.living() {
-		if q != p && reaches(p, q) {
+		if q != p && !q.left && reaches(p, q) {
 			m := w.ask(p, q)
 			w.serveQuery(&m)
 			w.hear(m)
