Operators' commands: config check, publish, get, history, diff; domain out and in

Cause: configuration could only be published by the experiments. Change: internal/publish drives control.Publisher against the log; a file carries the revision that it was made from, and what others have changed since then is kept or named as a conflict. An accepted record is handed to the entries (POST /v1/published on the operators' address) and the command returns when it is in force, naming who has not confirmed. An entry's status says how far each agent has read. Proof: go test -race .

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -76,6 +76,8 @@
 	addExperiment(app, std)
 	addJob(app, std)
 	addIDs(app, std)
+	addConfig(app, std)
+	addDomain(app, std)
 	addStatus(app, std)
 	addCheckSettings(app, std)
 	addStandin(app, std)
--- a/internal/entryd/actions.go
+++ b/internal/entryd/actions.go
@@ -46,6 +46,7 @@
 }
 
 func (d *Daemon) setPeers(peers []entry.Peer) {
+	d.reached.keep(peers)
 	list := make([]transport.Peer, len(peers))
 	for i, p := range peers {
 		list[i] = transport.Peer(p)
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -48,6 +48,8 @@
 	api       *httpserver.Server
 	monitor   *httpserver.Server
 	calls     calls
+	// reached belongs to the goroutine of the loop.
+	reached reached
 
 	// offset is the core's offset after the last batch of events.
 	offset atomic.Int64
@@ -72,9 +74,10 @@
 		tracer:  tracer,
 		drained: lifecycle.NewSignal(),
 		killed:  lifecycle.NewSignal(),
+		reached: make(reached),
 	}
 	d.loop = loop.New(loop.Config[entry.Event, entry.Action]{
-		Step:    func(now clock.Now, e entry.Event) []entry.Action { return d.core.Step(now, e) },
+		Step:    d.step,
 		Do:      d.do,
 		Stepped: func() { d.offset.Store(d.core.Offset()) },
 		Tick:    entry.Tick{},
@@ -152,10 +155,19 @@
 
 func (d *Daemon) monitorHandler() http.Handler {
 	router := httpserver.NewRouter(d.metrics)
+	router.POST(PublishedPath, d.takePublished)
 	httpserver.Health(router, d.Ready, d.WriteMetrics)
 	return router
 }
 
+// step hands one event to the core.
+func (d *Daemon) step(now clock.Now, event entry.Event) []entry.Action {
+	if e, ok := event.(entry.Received); ok {
+		d.reached.heard(e.Envelope.From, e.Envelope.Offset)
+	}
+	return d.core.Step(now, event)
+}
+
 // Self returns the name of this run.
 func (d *Daemon) Self() node.Ref { return d.self }
 
--- /dev/null
+++ b/internal/entryd/published.go
@@ -0,0 +1,86 @@
+package entryd
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/httpserver"
+)
+
+// PublishedPath is the path at which operators hand over accepted records, on
+// the address of metrics, which callers do not reach.
+const PublishedPath = "/v1/published"
+
+// maxPublishedBytes bounds the body of a handover.
+const maxPublishedBytes = 4 << 20
+
+// Published is the body of a handover: records of the control stream that have
+// been read there, consecutive from offset From.
+type Published struct {
+	From    int64    `json:"from"`
+	Records [][]byte `json:"records"`
+}
+
+// Publish passes records on to the agents, so that they come into force even if
+// the log fails before anybody has read them.
+func (d *Daemon) Publish(p Published) {
+	d.loop.PostWait(entry.Published{From: p.From, Records: p.Records})
+}
+
+func (d *Daemon) takePublished(c echo.Context) error {
+	body, err := httpserver.ReadBody(c, maxPublishedBytes)
+	if err != nil {
+		return err
+	}
+	var p Published
+	if err := httpserver.Decode(body, &p); err != nil {
+		return err
+	}
+	if p.From < 0 || len(p.Records) == 0 {
+		return httpserver.BadRequest("from is %d with %d records; at least one record is expected", p.From, len(p.Records))
+	}
+	d.Publish(p)
+	return c.NoContent(http.StatusNoContent)
+}
+
+// Reached says that a run has read the control stream up to Next.
+type Reached struct {
+	Ref node.Ref `json:"ref"`
+	// Next is the offset of the next record that it would read.
+	Next int64 `json:"next"`
+}
+
+// reached holds the highest offset that each run has stated.
+type reached map[node.Ref]int64
+
+func (r reached) heard(ref node.Ref, next int64) { r[ref] = max(r[ref], next) }
+
+// keep forgets the runs that are no longer known.
+func (r reached) keep(peers []entry.Peer) {
+	known := make(map[node.Ref]bool, len(peers))
+	for _, p := range peers {
+		known[p.Ref] = true
+	}
+	for ref := range r {
+		if !known[ref] {
+			delete(r, ref)
+		}
+	}
+}
+
+// list returns the runs in order.
+func (r reached) list() []Reached {
+	list := make([]Reached, 0, len(r))
+	for ref, next := range r {
+		list = append(list, Reached{Ref: ref, Next: next})
+	}
+	slices.SortFunc(list, func(a, b Reached) int {
+		return cmp.Or(cmp.Compare(a.Ref.ID, b.Ref.ID), cmp.Compare(a.Ref.Incarnation, b.Ref.Incarnation))
+	})
+	return list
+}
--- a/internal/entryd/status.go
+++ b/internal/entryd/status.go
@@ -14,8 +14,12 @@
 // Status is what an entry tells operators of itself and of the agents it knows.
 type Status struct {
 	entry.Status
-	Draining  bool            `json:"draining"`
-	Transport transport.Stats `json:"transport"`
+	Draining bool `json:"draining"`
+	// Reached says how far the agents have read the control stream.
+	Reached []Reached `json:"reached"`
+	// OperatorAddr is the IP:port of metrics and operators' requests.
+	OperatorAddr string          `json:"operator_addr"`
+	Transport    transport.Stats `json:"transport"`
 }
 
 // Status implements httpapi.Service. The value is a Status.
@@ -25,11 +29,16 @@
 
 // Snapshot returns the state of the entry.
 func (d *Daemon) Snapshot(ctx context.Context) (Status, error) {
-	snapshot := make(chan entry.Status, 1)
-	go d.loop.Call(func() { snapshot <- d.core.Status() })
+	snapshot := make(chan Status, 1)
+	go d.loop.Call(func() {
+		snapshot <- Status{Status: d.core.Status(), Reached: d.reached.list()}
+	})
 	select {
 	case s := <-snapshot:
-		return Status{Status: s, Draining: d.draining.Load(), Transport: d.transport.Stats()}, nil
+		s.Draining = d.draining.Load()
+		s.OperatorAddr = d.MetricsAddr()
+		s.Transport = d.transport.Stats()
+		return s, nil
 	case <-ctx.Done():
 		return Status{}, ctx.Err()
 	case <-d.loop.Done():
--- a/script_test.go
+++ b/script_test.go
@@ -50,6 +50,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"addresses": addresses,
 			"expand":    expand,
+			"edit":      edit,
 			"envfile":   envfile,
 			"until":     until,
 			"code":      code,
@@ -81,6 +82,16 @@
 	}
 }
 
+// edit FILE OLD NEW replaces the first OLD in a file, which must be there.
+func edit(ts *testscript.TestScript, _ bool, args []string) {
+	text := ts.ReadFile(args[0])
+	if !strings.Contains(text, args[1]) {
+		ts.Fatalf("%s does not hold %q", args[0], args[1])
+	}
+	text = strings.Replace(text, args[1], args[2], 1)
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
+}
+
 // envfile NAME FILE sets a variable to the trimmed contents of a file.
 func envfile(ts *testscript.TestScript, _ bool, args []string) {
 	ts.Setenv(args[0], strings.TrimSpace(ts.ReadFile(args[1])))
