--- a/core/policy/placement/placement.go
+++ b/core/policy/placement/placement.go
@@ -21,6 +21,11 @@
 // anywhere.
 const QueuePerSlot = 1
 
+// RemoteQueue is the number of tasks that a process lets wait at another
+// executor. It is less than what the executor accepts, since others send too.
+// Urgent tasks are sent only to a slot that is known to be free.
+const RemoteQueue = 2
+
 // Candidate is one executor that may run the task.
 type Candidate struct {
 	Ref    node.Ref
@@ -98,8 +103,8 @@
 // reserved slots.
 func Free(c Candidate) int { return max(0, free(&c)) }
 
-// Room returns the number of tasks that c can accept: its free slots and what
-// is left of its allowed queue. It is never below zero.
+// Room returns the number of tasks that may be sent to c: its free slots and
+// what is left of its allowed queue. It is never below zero.
 func Room(c Candidate) int { return max(0, room(&c)) }
 
 // AnyFree reports whether any candidate is known to have a free slot. An
@@ -137,7 +142,19 @@
 	if c.Load.Draining || c.Load.Slots <= 0 {
 		return 0
 	}
-	return free(c) + QueuePerSlot*c.Load.Slots
+	return free(c) + allowedQueue(c)
+}
+
+// allowedQueue returns the number of tasks that may wait at c.
+func allowedQueue(c *Candidate) int {
+	switch {
+	case c.Local:
+		return QueuePerSlot * c.Load.Slots
+	case c.Class == job.Urgent:
+		return 0
+	default:
+		return min(RemoteQueue, QueuePerSlot*c.Load.Slots)
+	}
 }
 
 // suspect reports whether c should get a task only as a last resort.
