Admission that sheds by class and queue delay

Cause: a burst must not leave a backlog behind, and batch must give way first.

Change: a CoDel-like controller for each class. The bound now holds until a second has passed without pressure; TestBurst, unchanged, passes: below 200 ms within the burst and below 50 ms two seconds after it.

Conclusion: hysteresis is needed; detection alone is not enough.

--- a/core/policy/admission/admission.go
+++ b/core/policy/admission/admission.go
@@ -1,5 +1,12 @@
 // Package admission sheds load before it waits: it refuses a task at once when
 // the observed queue delay shows that it would come too late.
+//
+// The controller follows CoDel: a class is over its target once its queue delay
+// has not fallen below the target for a whole interval. A class that is over
+// its target sheds every lower class, and bounds its own queue delay to the
+// target instead of the deadline. That ends once neither a delay nor a request
+// has been above the target for a recovery time, so that no backlog outlives a
+// burst and none builds up again while the burst lasts.
 package admission
 
 import (
@@ -8,35 +15,119 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 )
 
+// The queue delay that each class may have under lasting load.
+const (
+	UrgentTarget = 50 * time.Millisecond
+	NormalTarget = 500 * time.Millisecond
+	BatchTarget  = 2 * time.Second
+)
+
+// interval is the time for which the delay of a class must stay above its
+// target before the class counts as over it.
+const interval = 100 * time.Millisecond
+
+// recovery is the time without pressure after which a class is no longer over
+// its target.
+const recovery = time.Second
+
+// minRetryAfter is the least time given to a refused task.
+const minRetryAfter = interval
+
+// classes is the number of classes.
+const classes = 3
+
+// targets is indexed by rank.
+var targets = [classes]time.Duration{UrgentTarget, NormalTarget, BatchTarget}
+
 // Request describes a task that asks to be queued.
 type Request struct {
 	Class job.Class
 	// Timeout is the time that remains until the deadline.
 	Timeout time.Duration
-	// Wait is the expected time until a slot is free, and Service a high
-	// quantile of the service time; see package estimate.
+	// Wait is the expected time until a slot is free for the class, and Service
+	// the least time to allow for the task itself; see package estimate.
 	Wait    time.Duration
 	Service time.Duration
 }
 
+// Reason says why a task was refused.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	// Admitted: the task was not refused.
+	Admitted Reason = ""
+	// Late: the task could not end before its deadline.
+	Late Reason = "late"
+	// Shed: a higher class is over its target.
+	Shed Reason = "shed"
+	// Overload: the own class is over its target and the task would wait longer.
+	Overload Reason = "overload"
+)
+
 // Decision is the answer to a Request.
 type Decision struct {
-	OK bool
-	// RetryAfter is when a refused task may be sent again.
+	OK     bool
+	Reason Reason
+	// RetryAfter is when a refused task may be sent again. It is the same for
+	// tasks refused together; see retry.Backoff.Spread.
 	RetryAfter time.Duration
-	// Late is true when the refusal is due to the deadline and not to shedding.
-	Late bool
 }
 
 // Controller watches the queue delay of each class. It is not safe for
 // concurrent use.
-type Controller struct{}
+type Controller struct{ state [classes]delayState }
 
 // New returns a controller that has seen no delay.
 func New() *Controller { return &Controller{} }
 
 // Observe records the queue delay of a task that left the queue at now.
-func (c *Controller) Observe(now time.Duration, class job.Class, delay time.Duration) {}
+func (c *Controller) Observe(now time.Duration, class job.Class, delay time.Duration) {
+	r := rank(class)
+	c.state[r].observe(now, delay > targets[r])
+}
 
-// Admit decides on r at the monotonic time now.
-func (c *Controller) Admit(now time.Duration, r Request) Decision { return Decision{OK: true} }
+// Over reports whether class is over its target at now.
+func (c *Controller) Over(now time.Duration, class job.Class) bool {
+	return c.state[rank(class)].over(now)
+}
+
+// Admit decides on r at the monotonic time now. A task that finds a slot free
+// for its class is refused only when its deadline has passed.
+func (c *Controller) Admit(now time.Duration, r Request) Decision {
+	if r.Timeout <= 0 {
+		return refuse(Late, 0)
+	}
+	if r.Wait <= 0 {
+		return Decision{OK: true}
+	}
+	if late := r.Wait + r.Service - r.Timeout; late > 0 {
+		return refuse(Late, late)
+	}
+	own := rank(r.Class)
+	for higher := range own {
+		if c.state[higher].over(now) {
+			return refuse(Shed, r.Wait)
+		}
+	}
+	if r.Wait > targets[own] && c.state[own].press(now) {
+		return refuse(Overload, r.Wait-targets[own])
+	}
+	return Decision{OK: true}
+}
+
+func refuse(reason Reason, after time.Duration) Decision {
+	return Decision{Reason: reason, RetryAfter: max(after, minRetryAfter)}
+}
+
+// rank orders the classes from the most urgent. An empty class is normal.
+func rank(class job.Class) int {
+	switch class {
+	case job.Urgent:
+		return 0
+	case job.Batch:
+		return 2
+	default:
+		return 1
+	}
+}
