--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -57,6 +57,7 @@
 
 	left bool
 
+	set    agentSet
 	agents map[node.Ref]bool
 	words  map[node.Ref]evidence
 	// majority caches the instant since which a majority is known not to be
@@ -75,13 +76,12 @@
 	}
 }
 
-// SetMembers sets the members in force at the process's offset.
+// SetMembers sets the members in force at the process's offset, ordered by ref.
 func (l *Lease) SetMembers(members []control.Member) {
+	l.set = newAgentSet(members)
 	clear(l.agents)
-	for _, m := range members {
-		if m.Role == control.RoleAgent {
-			l.agents[m.Ref] = true
-		}
+	for _, ref := range l.set.refs {
+		l.agents[ref] = true
 	}
 	for ref := range l.words {
 		if !l.agents[ref] {
--- a/core/ownership/model_test.go
+++ b/core/ownership/model_test.go
@@ -85,6 +85,7 @@
 	records [][]byte
 	end     int64
 	age     time.Duration
+	digest  freshness.Digest
 }
 
 func newWorld(t *rapid.T, outage time.Duration) *world {
@@ -177,6 +178,7 @@
 
 func (w *world) serveQuery(m *message) {
 	m.end = m.to.state.Next()
+	m.digest = m.to.lease.Digest(w.clock(m.to).Mono)
 	m.age = -1
 	if _, since, ok := m.to.lease.Evidence(); ok {
 		m.age = w.clock(m.to).Mono - since
@@ -187,6 +189,7 @@
 	p := m.by
 	p.lease.PeerEvidence(m.to.ref, m.end, m.asked)
 	p.lease.RelayedEvidence(m.end, m.asked, m.age)
+	p.lease.MergeDigest(m.digest, m.asked)
 	p.tracker.Heard(w.clock(p), m.to.ref, m.end)
 }
 
