experiment: failures by detail and source of the ID

Cause: the count of failures by kind did not say which jobs failed and why.

Change: the report lists the most frequent failures with kind, detail and whether the job's ID was minted, made by the caller or absent.

--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -33,16 +33,16 @@
 	DurationSeconds float64  `json:"duration_seconds"`
 	Load            float64  `json:"load"`
 
-	Jobs           int                 `json:"jobs"`
-	Tasks          int                 `json:"tasks"`
-	Starts         int                 `json:"starts"`
-	Complete       int                 `json:"complete"`
-	Failed         int                 `json:"failed"`
-	Unanswered     int                 `json:"unanswered"`
-	NotRun         int                 `json:"not_run"`
-	OutcomeUnknown int                 `json:"outcome_unknown"`
-	FailedByKind   []loadgen.KindCount `json:"failed_by_kind"`
-	Resubmissions  int                 `json:"resubmissions"`
+	Jobs           int                    `json:"jobs"`
+	Tasks          int                    `json:"tasks"`
+	Starts         int                    `json:"starts"`
+	Complete       int                    `json:"complete"`
+	Failed         int                    `json:"failed"`
+	Unanswered     int                    `json:"unanswered"`
+	NotRun         int                    `json:"not_run"`
+	OutcomeUnknown int                    `json:"outcome_unknown"`
+	Failures       []loadgen.FailureCount `json:"failures"`
+	Resubmissions  int                    `json:"resubmissions"`
 
 	P50     float64  `json:"response_over_ideal_p50"`
 	P99     float64  `json:"response_over_ideal_p99"`
@@ -86,7 +86,7 @@
 		Jobs: c.Jobs, Tasks: c.Tasks, Starts: ledger.Starts,
 		Complete: c.Complete, Failed: c.Failed, Unanswered: c.Unanswered,
 		NotRun: c.NotRun, OutcomeUnknown: c.OutcomeUnknown,
-		FailedByKind: m.load.FailedKinds(), Resubmissions: c.Resubmissions,
+		Failures: m.load.Failures(), Resubmissions: c.Resubmissions,
 
 		MessagesPerTask:          ratio(float64(m.observed.work()), float64(ledger.Starts)),
 		WastedMessagesPerTask:    ratio(float64(m.observed.wasted()), float64(ledger.Starts)),
--- a/internal/loadgen/call.go
+++ b/internal/loadgen/call.go
@@ -224,6 +224,7 @@
 		At:         c.arrival.At,
 		Class:      c.arrival.Kind.Class,
 		Tasks:      len(c.arrival.Payloads),
+		Source:     c.arrival.Source,
 		Unanswered: !ok,
 		Cancelled:  c.arrival.Cancel > 0,
 		NeverRuns:  c.arrival.Kind.NeverRuns,
@@ -231,7 +232,7 @@
 		Ideal:      c.arrival.Longest + 2*c.g.target.ClientDelay,
 	}
 	if answer.Error != nil {
-		o.Kind = answer.Error.Kind
+		o.Kind, o.Detail = answer.Error.Kind, answer.Error.Detail
 	}
 	return o
 }
--- a/internal/loadgen/plan.go
+++ b/internal/loadgen/plan.go
@@ -39,16 +39,16 @@
 }
 
 // IDSource says where a job's ID comes from.
-type IDSource int
+type IDSource string
 
 // The sources of job IDs.
 const (
 	// Minted IDs come from an entry in batches.
-	Minted IDSource = iota
+	Minted IDSource = "minted"
 	// UUID IDs are made by the client.
-	UUID
+	UUID IDSource = "uuid"
 	// Absent leaves the ID to the entry; such a job cannot be submitted again.
-	Absent
+	Absent IDSource = "absent"
 )
 
 // Shares of the sources of IDs; the rest is UUID.
--- a/internal/loadgen/result.go
+++ b/internal/loadgen/result.go
@@ -1,6 +1,7 @@
 package loadgen
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +18,10 @@
 	Tasks int
 	// Kind is errkind.None for a complete answer.
 	Kind errkind.Kind
+	// Detail is the text that came with Kind.
+	Detail string
+	// Source says where the job's ID came from.
+	Source IDSource
 	// Unanswered is true when no final answer came.
 	Unanswered bool
 	// Cancelled is true when the caller cancelled the job, NeverRuns when no
@@ -47,10 +52,12 @@
 	CutOffRequests int
 }
 
-// KindCount is the number of jobs that failed with one kind.
-type KindCount struct {
-	Kind  errkind.Kind `json:"kind"`
-	Count int          `json:"count"`
+// FailureCount is the number of jobs that failed in one way.
+type FailureCount struct {
+	Kind   errkind.Kind `json:"kind"`
+	Detail string       `json:"detail,omitempty"`
+	Source IDSource     `json:"id_source"`
+	Count  int          `json:"count"`
 }
 
 // Result is the record of a run.
@@ -107,21 +114,32 @@
 	r.result.Outcomes = append(r.result.Outcomes, o)
 }
 
-// FailedKinds returns the failed jobs by kind, in the order of the kinds' table.
-func (r *Result) FailedKinds() []KindCount {
-	var counts []KindCount
-	for _, row := range errkind.Table() {
-		n := 0
-		for i := range r.Outcomes {
-			if r.Outcomes[i].Kind == row.Kind {
-				n++
-			}
+// maxFailures bounds the list of Failures.
+const maxFailures = 20
+
+// Failures returns the most frequent failures, the most frequent first.
+func (r *Result) Failures() []FailureCount {
+	var counts []FailureCount
+	for i := range r.Outcomes {
+		o := &r.Outcomes[i]
+		if o.Kind != errkind.None {
+			counts = countFailure(counts, FailureCount{Kind: o.Kind, Detail: o.Detail, Source: o.Source})
 		}
-		if n > 0 {
-			counts = append(counts, KindCount{Kind: row.Kind, Count: n})
+	}
+	slices.SortStableFunc(counts, func(a, b FailureCount) int { return b.Count - a.Count })
+	return counts[:min(len(counts), maxFailures)]
+}
+
+func countFailure(counts []FailureCount, f FailureCount) []FailureCount {
+	for i := range counts {
+		c := &counts[i]
+		if c.Kind == f.Kind && c.Detail == f.Detail && c.Source == f.Source {
+			c.Count++
+			return counts
 		}
 	}
-	return counts
+	f.Count = 1
+	return append(counts, f)
 }
 
 // ratioScale is the resolution of the histogram of ratios.
