transport, cluster: throughput benchmark, tests of pause and isolation

Cause: the cost of a message over a whole connection was not measured, and two faults of the experiments had no test of their own.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -126,3 +126,43 @@
 		t.Errorf("planned stop: %v", err)
 	}
 }
+
+func TestPausedAgentAnswersNothing(t *testing.T) {
+	c, ctx := start(t)
+	victim := c.Agents[0]
+	c.Pause(victim.ID)
+	answers := func() bool {
+		for _, o := range c.Observe(ctx) {
+			if o.Ref.ID == victim.ID {
+				return true
+			}
+		}
+		return false
+	}
+	for answers() {
+		if !sleep(ctx, pollInterval) {
+			t.Fatal("the agent goes on")
+		}
+	}
+	c.Resume(victim.ID)
+	for !answers() {
+		if !sleep(ctx, pollInterval) {
+			t.Fatal("the agent does not come back")
+		}
+	}
+}
+
+func TestIsolatedAgentLosesItsLease(t *testing.T) {
+	c, ctx := start(t)
+	victim := c.Agents[0]
+	c.Isolate(victim.Domain)
+	for victim.daemon().Ready() == nil {
+		if !sleep(ctx, pollInterval) {
+			t.Fatal("the lease does not lapse")
+		}
+	}
+	c.Heal()
+	if err := c.awaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/transport/stream_test.go
+++ b/internal/transport/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net"
 	"reflect"
@@ -11,6 +12,7 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -148,3 +150,48 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/messages, "ns/message")
 }
+
+// counter counts the messages that arrive and closes done at the last one.
+type counter struct {
+	want int
+	got  int
+	done chan struct{}
+}
+
+func (c *counter) Deliver(env message.Envelope) {
+	c.got += len(env.Messages)
+	if c.got == c.want {
+		close(c.done)
+	}
+}
+
+func (c *counter) PeerReset(node.Ref) {}
+func (c *counter) PeerDead(node.Ref)  {}
+
+// BenchmarkSend carries messages from one transport to another.
+func BenchmarkSend(b *testing.B) {
+	b.ReportAllocs()
+	in := &counter{want: b.N, done: make(chan struct{})}
+	to, err := Listen(Config{Self: ref("a2", 2), Listen: "127.0.0.1:0", Handler: in})
+	if err != nil {
+		b.Fatal(err)
+	}
+	from, err := Listen(Config{Self: ref("a1", 1), Listen: "127.0.0.1:0", Handler: newRecorder(), QueueBytes: 1 << 30})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer from.Close()
+	go func() { _ = to.Run(context.Background()) }()
+	defer to.Close()
+	from.SetPeers([]Peer{{Ref: ref("a2", 2), Addr: to.Addr()}})
+	m := sampleEnvelope(1).Messages[0]
+	for range b.N {
+		from.Send(ref("a2", 2), m)
+	}
+	select {
+	case <-in.done:
+	case <-time.After(testWait):
+		b.Fatalf("stats: %+v", from.Stats())
+	}
+	b.ReportMetric(float64(from.Stats().EnvelopesOut), "envelopes")
+}
