sessions: operators hand over the records before the accepted one too

The entries were one membership record behind when the operator handed the change over, so they could not fold it, and the log went down in the same poll interval. The operators' command hands over the tail that it has read, from before the change; the test handed over the one record. Change: the test hands over up to 64 records before the accepted one, as the command does. Conclusion: the check and its bound are unchanged.

--- a/core/sessions/random_test.go
+++ b/core/sessions/random_test.go
@@ -208,9 +208,14 @@
 	}
 }
 
+// handOverTail is the number of records before the accepted one that the
+// operators' command hands over with it.
+const handOverTail = 64
+
 // handOver passes a record that was accepted to the entries, as the operators'
 // command does.
-func (c *chaos) handOver(offset int64) {
+func (c *chaos) handOver(accepted int64) {
+	offset := max(accepted-handOverTail, 0)
 	records := slices.Clone(c.log[offset:])
 	for _, p := range c.processes() {
 		if p.entry != nil && p.group == 0 {
