transport: keep small buffers only

Cause: each connection could keep two buffers of 256 KiB, which 920 peers would turn into more than the 32 MB of a node.

Change: buffers above 16 KiB are dropped after use.

--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -26,7 +26,7 @@
 	// maxHelloBytes bounds frames until the peer has said hello.
 	maxHelloBytes = 4 << 10
 	// keepBufferBytes is the largest buffer kept between frames.
-	keepBufferBytes = 256 << 10
+	keepBufferBytes = 16 << 10
 	// writeTimeout bounds the write of one frame.
 	writeTimeout = 5 * time.Second
 )
