control, rendezvous: reset of a lost stream; a table for placing many jobs

Placing a job hashed every node name anew.

Change: the Reset record, the same for all readers; the revision does not go back and changes from before are rejected. rendezvous.Table keeps the hashes of the nodes; Tracker uses it.

--- a/core/control/control_test.go
+++ b/core/control/control_test.go
@@ -186,6 +186,22 @@
 	}
 }
 
+func TestResetIsTheSameForAllReaders(t *testing.T) {
+	records := [][]byte{join("a", 1), out("x", -1, "south"), control.EncodeReset("op"), join("a", 1), out("late", 1, "south"), out("y", 2, "north")}
+	full, fresh := control.NewState(), control.NewState()
+	read(full, records...)
+	for offset := 1; offset < len(records); offset++ {
+		fresh.Apply(int64(offset), records[offset])
+	}
+	if !fresh.Synced() || string(fresh.Snapshot()) != string(full.Snapshot()) {
+		t.Errorf("after a gap and a reset:\n%s\nwant\n%s", fresh.Snapshot(), full.Snapshot())
+	}
+	c := full.Config()
+	if c.Revision() != 5 || c.Out(config.Place{Domain: "south"}) || !c.Out(config.Place{Domain: "north"}) || len(full.Agents()) != 1 {
+		t.Errorf("state after a reset: %s", full.Snapshot())
+	}
+}
+
 func TestResetToNeverGoesBack(t *testing.T) {
 	old := control.NewState()
 	read(old, join("a", 1))
--- a/core/control/property_test.go
+++ b/core/control/property_test.go
@@ -34,6 +34,9 @@
 		}
 		return nil
 	case 7:
+		if rapid.IntRange(0, 3).Draw(t, "reset") == 0 {
+			return control.EncodeReset("op")
+		}
 		return rapid.SliceOf(rapid.Byte()).Draw(t, "garbage")
 	default:
 		return drawChange(t, len(written))
@@ -146,7 +149,7 @@
 	read(s, join("a", 1), quota("x", -1, "t", 1))
 	for _, seed := range [][]byte{
 		join("a", 1), control.EncodeLeave(ref("a", 1)), control.EncodeEvict(ref("a", 1), ref("a", 1)),
-		control.EncodeConfirm(1, ref("a", 1)), quota("y", 1, "t", 2), out("z", 1, "south"),
+		control.EncodeConfirm(1, ref("a", 1)), quota("y", 1, "t", 2), out("z", 1, "south"), control.EncodeReset("op"),
 		s.SnapshotRecord(), []byte("{}"), []byte(`{"change":{"id":"a","edits":[{}]}}`), nil,
 	} {
 		f.Add(seed)
--- a/core/control/record.go
+++ b/core/control/record.go
@@ -17,6 +17,7 @@
 	Evict    *Evict    `json:"evict,omitempty"`
 	Confirm  *Confirm  `json:"confirm,omitempty"`
 	Snapshot *Snapshot `json:"snapshot,omitempty"`
+	Reset    *Reset    `json:"reset,omitempty"`
 }
 
 // Change is a set of edits made from one revision.
@@ -51,6 +52,13 @@
 	By      node.Ref `json:"by"`
 }
 
+// Reset replaces the state of every reader by an empty one. It is for operators
+// whose stream has lost the records that readers need while no process ran: a
+// stream like that has no snapshot, and no process can make one.
+type Reset struct {
+	Author string `json:"author"`
+}
+
 // DecodeRecord parses a record and checks that exactly one field is set.
 func DecodeRecord(data []byte) (Record, error) {
 	var r Record
@@ -65,7 +73,7 @@
 
 func (r Record) fields() int {
 	n := 0
-	for _, set := range []bool{r.Change != nil, r.Join != nil, r.Leave != nil, r.Evict != nil, r.Confirm != nil, r.Snapshot != nil} {
+	for _, set := range []bool{r.Change != nil, r.Join != nil, r.Leave != nil, r.Evict != nil, r.Confirm != nil, r.Snapshot != nil, r.Reset != nil} {
 		if set {
 			n++
 		}
@@ -106,6 +114,11 @@
 	return Record{Confirm: &Confirm{Through: through, By: by}}.encode()
 }
 
+// EncodeReset returns the record of a Reset.
+func EncodeReset(author string) []byte {
+	return Record{Reset: &Reset{Author: author}}.encode()
+}
+
 // EncodeChange returns the record of a configuration change, or nil when an
 // edit holds a number that cannot be encoded.
 func EncodeChange(c Change) []byte {
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -89,6 +89,8 @@
 		return Effect{Rejected: "malformed: " + err.Error()}
 	case r.Snapshot != nil:
 		return s.applySnapshot(offset, r.Snapshot)
+	case r.Reset != nil:
+		return s.applyReset(offset)
 	case !s.synced:
 		return Effect{}
 	case r.Change != nil:
@@ -103,3 +105,17 @@
 		return s.applyConfirm(offset, r.Confirm)
 	}
 }
+
+// applyReset makes the state empty. The revision does not go back.
+func (s *State) applyReset(offset int64) Effect {
+	fresh := NewState()
+	empty, err := fresh.config.Fold(offset, nil)
+	if err != nil {
+		return Effect{Rejected: err.Error()}
+	}
+	fresh.config = empty
+	fresh.changes.floor = offset
+	fresh.rejected = s.rejected
+	*s = *fresh
+	return Effect{ConfigChanged: true, MembersChanged: true}
+}
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -58,6 +58,8 @@
 type Tracker struct {
 	config Config
 	state  *control.State
+	// homes places IDs on the agents at seen.
+	homes rendezvous.Table
 	// seen is the offset up to which the membership has been followed.
 	seen int64
 	// joined is true while this run is an agent.
@@ -104,6 +106,7 @@
 	t.followSelf(s)
 	t.followRemovals(s)
 	t.seen = s.Next()
+	t.homes = rendezvous.NewTable(s.Agents())
 	t.forgetFormer(s)
 	t.reached[t.config.Self] = s.Next()
 	t.settle(now)
@@ -240,10 +243,7 @@
 }
 
 func (t *Tracker) admitHashed(now clock.Now, id job.ID, created int64) Verdict {
-	if t.state == nil {
-		return Verdict{Kind: Elsewhere}
-	}
-	home, ok := rendezvous.Home(id, t.state.Agents())
+	home, ok := t.homes.Home(id)
 	if !ok || home.Ref != t.config.Self {
 		return Verdict{Kind: Elsewhere, Home: home.Ref}
 	}
--- a/core/rendezvous/rendezvous.go
+++ b/core/rendezvous/rendezvous.go
@@ -30,23 +30,32 @@
 // rank combines both hashes with a mixer, so that one hash of id serves for all
 // nodes.
 func rank(idHash uint64, n node.ID) uint64 {
-	x := idHash ^ xxhash.Sum64String(string(n))
+	return mix(idHash ^ xxhash.Sum64String(string(n)))
+}
+
+// mix is the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
 	x = (x ^ x>>mixShift1) * mixMul1
 	x = (x ^ x>>mixShift2) * mixMul2
 	return x ^ x>>mixShift3
 }
 
 // Home returns the agent with the highest rank for a job. It reports false when
-// agents is empty.
+// agents is empty. A Table does the same faster for many jobs.
 func Home(id job.ID, agents []control.Member) (control.Member, bool) {
+	idHash := xxhash.Sum64String(string(id))
+	return highest(agents, func(i int) uint64 { return rank(idHash, agents[i].Ref.ID) })
+}
+
+// highest returns the agent with the highest rank.
+func highest(agents []control.Member, rankOf func(i int) uint64) (control.Member, bool) {
 	if len(agents) == 0 {
 		return control.Member{}, false
 	}
-	idHash := xxhash.Sum64String(string(id))
 	best := 0
-	bestRank := rank(idHash, agents[0].Ref.ID)
+	bestRank := rankOf(0)
 	for i := 1; i < len(agents); i++ {
-		r := rank(idHash, agents[i].Ref.ID)
+		r := rankOf(i)
 		if r > bestRank || r == bestRank && agents[i].Ref.ID < agents[best].Ref.ID {
 			best, bestRank = i, r
 		}
@@ -54,6 +63,29 @@
 	return agents[best], true
 }
 
+// Table holds the hashes of a list of agents. It is immutable and safe for
+// concurrent use.
+type Table struct {
+	agents []control.Member
+	hashes []uint64
+}
+
+// NewTable returns the table of agents, which must not be modified after.
+func NewTable(agents []control.Member) Table {
+	hashes := make([]uint64, len(agents))
+	for i, m := range agents {
+		hashes[i] = xxhash.Sum64String(string(m.Ref.ID))
+	}
+	return Table{agents: agents, hashes: hashes}
+}
+
+// Home returns the agent with the highest rank for a job. It reports false when
+// the table is empty.
+func (t Table) Home(id job.ID) (control.Member, bool) {
+	idHash := xxhash.Sum64String(string(id))
+	return highest(t.agents, func(i int) uint64 { return mix(idHash ^ t.hashes[i]) })
+}
+
 // Above reports whether node a comes before node b in the rank order for id.
 func Above(id string, a, b node.ID) bool {
 	return compare(xxhash.Sum64String(id), a, b) < 0
--- a/core/rendezvous/rendezvous_test.go
+++ b/core/rendezvous/rendezvous_test.go
@@ -21,6 +21,7 @@
 
 func TestHomeIsFirstCandidate(t *testing.T) {
 	all := agents(11)
+	table := rendezvous.NewTable(all)
 	for i := range 200 {
 		id := fmt.Sprintf("job-%d", i)
 		home, ok := rendezvous.Home(job.ID(id), all)
@@ -28,6 +29,9 @@
 		if !ok || len(order) != len(all) || home.Ref != order[0].Ref {
 			t.Fatalf("home %v, first candidate %v", home.Ref, order[0].Ref)
 		}
+		if again, _ := table.Home(job.ID(id)); again.Ref != home.Ref {
+			t.Fatalf("home %v by the table, %v without", again.Ref, home.Ref)
+		}
 		for p, m := range order {
 			if got := rendezvous.Position(id, all, m.Ref.ID); got != p {
 				t.Fatalf("position of %v is %d, want %d", m.Ref, got, p)
@@ -40,6 +44,9 @@
 	if _, ok := rendezvous.Home("a", nil); ok {
 		t.Error("a home was found")
 	}
+	if _, ok := rendezvous.NewTable(nil).Home("a"); ok {
+		t.Error("a home was found in an empty table")
+	}
 	if got := rendezvous.Position("a", nil, "n"); got != 0 {
 		t.Errorf("position %d", got)
 	}
@@ -75,6 +82,13 @@
 	}
 }
 
+func BenchmarkTableHome920(b *testing.B) {
+	table := rendezvous.NewTable(agents(920))
+	for b.Loop() {
+		table.Home("0195d0a2-7c11-7abc-8def-0123456789ab")
+	}
+}
+
 func BenchmarkHome920(b *testing.B) {
 	all := agents(920)
 	for b.Loop() {
