--- /dev/null
+++ b/internal/capacity/fleet_test.go
@@ -0,0 +1,250 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/agent"
+	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
+	"github.com/dogwoodgauge/dogwoodgauge/core/control"
+	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/timerqueue"
+)
+
+const (
+	// wallStart is the wall-clock time of the start in milliseconds.
+	wallStart = int64(1_790_000_000_000)
+	linkDelay = 1500 * time.Microsecond
+	// logWait is how long a read waits at the end of the stream.
+	logWait = time.Second
+	// frameBytes is what a frame adds to the envelope: length, method, braces.
+	frameBytes = 55
+	slots      = 8
+)
+
+// member is one process of a fleet.
+type member struct {
+	ref   node.Ref
+	agent *agent.Core
+	entry *entry.Core
+	timer int
+	sent  traffic
+	got   traffic
+	reads int
+}
+
+// traffic counts frames and their bytes.
+type traffic struct{ frames, bytes int }
+
+func (t *traffic) add(bytes int) {
+	t.frames++
+	t.bytes += bytes
+}
+
+// fleet joins cores in virtual time over a network that loses nothing.
+type fleet struct {
+	now     time.Duration
+	queue   timerqueue.Queue[func()]
+	members []*member
+	byRef   map[node.Ref]*member
+	log     [][]byte
+	replies map[uint64]func(entry.Reply)
+	starts  int
+	logDown bool
+	// service is the time that a task takes.
+	service time.Duration
+}
+
+// newFleet returns a fleet whose log already holds every join.
+func newFleet(agents, entries int) *fleet {
+	f := &fleet{byRef: map[node.Ref]*member{}, replies: map[uint64]func(entry.Reply){}, service: 100 * time.Millisecond}
+	for i := range agents {
+		f.addAgent(i)
+	}
+	for i := range entries {
+		f.addEntry(i)
+	}
+	for i, m := range f.members {
+		// Spreads the periodic work of the processes over a second.
+		f.at(time.Duration(i)*time.Second/time.Duration(len(f.members)), func() { f.start(m) })
+	}
+	return f
+}
+
+func (f *fleet) addAgent(i int) {
+	ref := node.Ref{ID: node.ID(fmt.Sprintf("agent-%04d", i)), Incarnation: node.Incarnation(0x5a5a5a5a5a5a0000 + i)}
+	domain, worker := fmt.Sprintf("domain-%d", i%4), fmt.Sprintf("worker-%04d", i)
+	addr := fmt.Sprintf("10.0.%d.%d:7201", i/250, i%250+1)
+	m := &member{ref: ref, agent: agent.New(agent.Config{
+		Self: ref, Addr: addr, Domain: domain, Worker: worker, Seed: uint64(i), PanicOnViolation: true,
+	})}
+	f.add(m, control.Member{Ref: ref, Addr: addr, Role: control.RoleAgent, Domain: domain, Worker: worker})
+}
+
+func (f *fleet) addEntry(i int) {
+	ref := node.Ref{ID: node.ID(fmt.Sprintf("entry-%04d", i)), Incarnation: node.Incarnation(0x6b6b6b6b6b6b0000 + i)}
+	addr := fmt.Sprintf("10.1.0.%d:7100", i+1)
+	m := &member{ref: ref, entry: entry.New(entry.Config{Self: ref, Addr: addr, Seed: uint64(i), PanicOnViolation: true})}
+	f.add(m, control.Member{Ref: ref, Addr: addr, Role: control.RoleEntry, Domain: fmt.Sprintf("domain-%d", i%4)})
+}
+
+func (f *fleet) add(m *member, record control.Member) {
+	f.members = append(f.members, m)
+	f.byRef[m.ref] = m
+	f.log = append(f.log, control.EncodeJoin(record))
+}
+
+// start begins the periodic work of a process.
+func (f *fleet) start(m *member) {
+	f.read(m)
+	f.announce(m)
+}
+
+func (f *fleet) at(after time.Duration, do func()) { f.queue.Add(f.now+after, do) }
+
+// run advances virtual time by d.
+func (f *fleet) run(d time.Duration) {
+	end := f.now + d
+	for {
+		at, ok := f.queue.Next()
+		if !ok || at > end {
+			break
+		}
+		f.now = at
+		do, _ := f.queue.Pop(at)
+		do()
+	}
+	f.now = end
+}
+
+func (f *fleet) clock() clock.Now {
+	return clock.Now{Mono: f.now, Wall: wallStart + f.now.Milliseconds()}
+}
+
+func (f *fleet) step(m *member, a agent.Event, e entry.Event) {
+	if m.agent != nil {
+		for _, x := range slices.Clone(m.agent.Step(f.clock(), a)) {
+			f.agentAction(m, x)
+		}
+		return
+	}
+	for _, x := range slices.Clone(m.entry.Step(f.clock(), e)) {
+		f.entryAction(m, x)
+	}
+}
+
+func (f *fleet) agentAction(m *member, x agent.Action) {
+	switch x := x.(type) {
+	case agent.Send:
+		f.send(m, x.To, x.Message)
+	case agent.StartTask:
+		f.starts++
+		f.at(f.service, func() {
+			f.step(m, agent.TaskEnded{Handle: x.Handle, State: "done", Body: x.Payload}, nil)
+		})
+	case agent.SetTimer:
+		f.setTimer(m, x.At)
+	case agent.AppendControl:
+		f.log = append(f.log, x.Record)
+	}
+}
+
+func (f *fleet) entryAction(m *member, x entry.Action) {
+	switch x := x.(type) {
+	case entry.Send:
+		f.send(m, x.To, x.Message)
+	case entry.SetTimer:
+		f.setTimer(m, x.At)
+	case entry.AppendControl:
+		f.log = append(f.log, x.Record)
+	case entry.Reply:
+		f.replies[x.Call](x)
+		delete(f.replies, x.Call)
+	}
+}
+
+func (f *fleet) setTimer(m *member, at time.Duration) {
+	m.timer++
+	n := m.timer
+	f.at(max(at-f.now, 0), func() {
+		if m.timer == n {
+			f.step(m, agent.Tick{}, entry.Tick{})
+		}
+	})
+}
+
+// send encodes a message as the transport does and delivers it decoded.
+func (f *fleet) send(m *member, to node.Ref, msg message.Message) {
+	env := message.Envelope{From: m.ref, To: to, Offset: f.offset(m), Messages: []message.Message{msg}}
+	if m.agent != nil {
+		load := m.agent.Load()
+		env.Load = &load
+	}
+	data, err := json.Marshal(&env)
+	if err != nil {
+		panic(err)
+	}
+	m.sent.add(len(data) + frameBytes)
+	receiver := f.byRef[to]
+	f.at(linkDelay, func() {
+		receiver.got.add(len(data) + frameBytes)
+		var got message.Envelope
+		if err := json.Unmarshal(data, &got); err != nil {
+			panic(err)
+		}
+		f.step(receiver, agent.Received{Envelope: got}, entry.Received{Envelope: got})
+	})
+}
+
+func (f *fleet) offset(m *member) int64 {
+	if m.agent != nil {
+		return m.agent.Offset()
+	}
+	return m.entry.Offset()
+}
+
+// read keeps one read of the log waiting, as the shells do.
+func (f *fleet) read(m *member) {
+	m.reads++
+	asked, from := f.now, f.offset(m)
+	wait := logWait
+	if from < int64(len(f.log)) {
+		wait = linkDelay
+	}
+	f.at(wait, func() {
+		if f.logDown {
+			f.read(m)
+			return
+		}
+		end := int64(len(f.log))
+		records := f.log[min(from, end):]
+		f.step(m, agent.LogRead{From: from, Records: records, End: end, AskedAt: asked},
+			entry.LogRead{From: from, Records: records, End: end, AskedAt: asked})
+		f.read(m)
+	})
+}
+
+// announce renews the upstream beside an agent.
+func (f *fleet) announce(m *member) {
+	if m.agent == nil {
+		return
+	}
+	f.step(m, agent.UpstreamAnnounced{
+		Name: "upstream-" + string(m.ref.ID), Slots: slots, Connections: 64,
+		Labels: map[string]string{"service": "orders", "version": "7"}, TTL: 3 * time.Second,
+	}, nil)
+	f.at(time.Second, func() { f.announce(m) })
+}
+
+// readRecords lets one process read records that no other process sees.
+func readRecords(f *fleet, m *member, records [][]byte) {
+	from := f.offset(m)
+	end := from + int64(len(records))
+	f.now += time.Millisecond
+	f.step(m, agent.LogRead{From: from, Records: records, End: end, AskedAt: f.now},
+		entry.LogRead{From: from, Records: records, End: end, AskedAt: f.now})
+}
