experiment: load for entries that run already

Cause: the tool is to measure processes that were started elsewhere too.

Change: Options.Entries sends the load there and reports what the client counts; faults are refused.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -52,6 +52,9 @@
 	Duration time.Duration
 	// Load is the offered work as a share of the slots.
 	Load float64
+	// Entries are HTTP host:port addresses of entries that run already, to be
+	// used in place of a cluster of this process. No fault can be made then.
+	Entries []string
 	// SkipBaseline leaves out the run without faults that
 	// CompletedDuringFaultFraction needs.
 	SkipBaseline bool
@@ -91,7 +94,10 @@
 	if err != nil {
 		return Report{}, err
 	}
-	m, err := measure(ctx, o, scenario, chosen)
+	if len(o.Entries) > 0 && !isNone(chosen) {
+		return Report{}, errors.New("faults need a cluster of this process")
+	}
+	m, err := measureOnce(ctx, o, scenario, chosen)
 	if err != nil {
 		return Report{}, err
 	}
@@ -116,6 +122,13 @@
 	return report, nil
 }
 
+func measureOnce(ctx context.Context, o Options, s Scenario, chosen []fault) (measurement, error) {
+	if len(o.Entries) > 0 {
+		return measureRunning(ctx, o, s)
+	}
+	return measure(ctx, o, s, chosen)
+}
+
 func isNone(chosen []fault) bool {
 	for _, f := range chosen {
 		if f.plan != nil || f.begin != nil {
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/cluster"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/transport"
 )
 
@@ -41,6 +42,25 @@
 	}
 }
 
+func TestEntriesThatRunAlready(t *testing.T) {
+	c, err := cluster.Start(context.Background(), cluster.Config{
+		Entries: 1, Agents: 3, Domains: 1, RackSize: 3, Slots: 16, Connections: 32, Seed: 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	o := Options{Entries: c.EntryAddrs(), Seed: 1, Duration: time.Second, Load: 0.1}
+	report, err := Run(context.Background(), o)
+	if err != nil || report.Jobs == 0 {
+		t.Errorf("%v: %+v", err, report)
+	}
+	o.Faults = []string{"crash"}
+	if _, err := Run(context.Background(), o); err == nil {
+		t.Error("a fault was accepted")
+	}
+}
+
 func TestUnknownNames(t *testing.T) {
 	for _, o := range []Options{{Scenario: "nowhere"}, {Faults: []string{"crash", "nothing"}}} {
 		if _, err := Run(context.Background(), o); err == nil || errors.Is(err, ErrInvariant) {
