Faults in the queueing model: burst, black hole, domain return

Cause: the policies had been compared without faults only.

Change: the model drives the admission controller and the quarantine detector; an executor that has come into service gets tasks in a ramp of one second; requests count as samples of the queue delay.

--- a/core/policy/admission/admission.go
+++ b/core/policy/admission/admission.go
@@ -95,6 +95,8 @@
 // Admit decides on r at the monotonic time now. A task that finds a slot free
 // for its class is refused only when its deadline has passed.
 func (c *Controller) Admit(now time.Duration, r Request) Decision {
+	own := rank(r.Class)
+	c.state[own].observe(now, r.Wait > targets[own])
 	if r.Timeout <= 0 {
 		return refuse(Late, 0)
 	}
@@ -104,7 +106,6 @@
 	if late := r.Wait + r.Service - r.Timeout; late > 0 {
 		return refuse(Late, late)
 	}
-	own := rank(r.Class)
 	for higher := range own {
 		if c.state[higher].over(now) {
 			return refuse(Shed, r.Wait)
--- a/core/policy/placement/compare_test.go
+++ b/core/policy/placement/compare_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/slots"
 )
 
@@ -32,7 +33,12 @@
 		{"no-bounce", func(c *modelConfig) { c.bounce = false }},
 		{"straggler=4", func(c *modelConfig) { c.slow = 4 }},
 		{"domain-returns", func(c *modelConfig) { c.backAt = 60 * time.Second }},
-		{"burst=3", func(c *modelConfig) { c.burst = 3 }},
+		{"domain-returns,ramp", func(c *modelConfig) { c.backAt, c.ramp = 60*time.Second, true }},
+		{"burst=2,shed", func(c *modelConfig) { c.burst, c.length, c.shed = 2, 30*time.Second, true }},
+		{"burst=3", func(c *modelConfig) { c.burst, c.length = 3, 30*time.Second }},
+		{"burst=3,shed", func(c *modelConfig) { c.burst, c.length, c.shed = 3, 30*time.Second, true }},
+		{"black-hole", func(c *modelConfig) { c.blackHole = true }},
+		{"black-hole,detect", func(c *modelConfig) { c.blackHole, c.detect = true, true }},
 	}
 	for _, tt := range cases {
 		for _, name := range Names {
@@ -52,10 +58,15 @@
 func reportModel(b *testing.B, r *modelResult) {
 	tasks := float64(r.tasks)
 	b.ReportMetric(0, "ns/op")
-	b.ReportMetric(r.quantile(0.5), "p50")
-	b.ReportMetric(r.quantile(0.99), "p99")
-	b.ReportMetric(r.quantile(0.999), "p99.9")
+	b.ReportMetric(quantile(r.ratios, 0.5), "p50")
+	b.ReportMetric(quantile(r.ratios, 0.99), "p99")
+	b.ReportMetric(quantile(r.ratios, 0.999), "p99.9")
 	b.ReportMetric(r.normal/float64(r.ended-len(r.ratios)), "normal-mean")
+	b.ReportMetric(quantile(r.after, 0.99), "after-p99")
+	b.ReportMetric(float64(r.shed[job.Urgent])/tasks, "shed-urgent/task")
+	b.ReportMetric(float64(r.shed[job.Normal])/tasks, "shed-normal/task")
+	b.ReportMetric(float64(r.onReturn), "refused-on-return")
+	b.ReportMetric(float64(r.lost)/tasks, "lost/task")
 	b.ReportMetric(float64(r.remote)/tasks, "remote/task")
 	b.ReportMetric(float64(r.refused)/tasks, "refused/task")
 }
@@ -72,14 +83,14 @@
 	}
 	best := got[Default]
 	for _, name := range []string{Random, RoundRobin, LeastLoad} {
-		if a, b := best.quantile(0.99), got[name].quantile(0.99); a > b {
+		if a, b := quantile(best.ratios, 0.99), quantile(got[name].ratios, 0.99); a > b {
 			t.Errorf("p99 %.3f, %s has %.3f", a, name, b)
 		}
 		if a, b := best.refused, got[name].refused; a > b {
 			t.Errorf("%d refusals, %s has %d", a, name, b)
 		}
 	}
-	if p := best.quantile(0.99); p > 1.25 {
+	if p := quantile(best.ratios, 0.99); p > 1.25 {
 		t.Errorf("p99 is %.3f of the ideal", p)
 	}
 }
--- a/core/policy/placement/model_test.go
+++ b/core/policy/placement/model_test.go
@@ -9,7 +9,9 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/admission"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/estimate"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/quarantine"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/queue"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/slots"
 )
@@ -30,12 +32,19 @@
 	slow float64
 	// backAt is when nodes 0 to 3 come into service; zero is from the start.
 	backAt time.Duration
+	// ramp tells the pickers when those nodes came into service.
+	ramp bool
 	// burst multiplies the arrivals between a third and half of the run.
 	burst float64
 	// reserve is kept for urgent tasks, and bounce makes a full executor refuse
 	// an urgent task while another has a free slot.
 	reserve slots.Reserve
 	bounce  bool
+	// shed refuses jobs at their home by queue delay.
+	shed bool
+	// blackHole makes node 0 fail every task after a millisecond, and detect
+	// turns quarantines on.
+	blackHole, detect bool
 }
 
 // meanService is the mean of drawService.
@@ -53,6 +62,8 @@
 	home             int
 	class            job.Class
 	arrived, service time.Duration
+	// key names the job.
+	key string
 }
 
 type modelEvent struct {
@@ -87,6 +98,8 @@
 	busy    int
 	waiting *queue.Queue[*modelTask]
 	est     estimate.Estimator
+	adm     *admission.Controller
+	det     *quarantine.Detector
 }
 
 // model is one run in virtual time.
@@ -104,18 +117,24 @@
 // over the service time of urgent tasks.
 type modelResult struct {
 	ratios []float64
+	// after holds the ratios of urgent tasks that arrive two seconds after the
+	// burst or later.
+	after []float64
 	// normal is the sum of the ratios of the other tasks.
 	normal                        float64
 	tasks, remote, refused, ended int
+	lost, onReturn                int
+	shed                          map[job.Class]int
 }
 
-func (r *modelResult) quantile(q float64) float64 {
-	slices.Sort(r.ratios)
-	return r.ratios[int(q*float64(len(r.ratios)-1))]
+func quantile(v []float64, q float64) float64 {
+	slices.Sort(v)
+	return v[int(q*float64(len(v)-1))]
 }
 
 func runModel(cfg modelConfig) *modelResult {
 	m := &model{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, 1))}
+	m.result.shed = make(map[job.Class]int)
 	for i := range cfg.nodes {
 		m.nodes = append(m.nodes, m.newNode(i))
 	}
@@ -144,18 +163,31 @@
 		sent:    make([][]time.Duration, m.cfg.nodes),
 		pending: queue.New[*modelTask](1 << 20),
 		waiting: queue.New[*modelTask](m.cfg.slots * QueuePerSlot),
+		adm:     admission.New(),
+		det:     quarantine.New(),
 	}
 	for i := range n.cands {
 		n.cands[i] = Candidate{
-			Ref:    node.Ref{ID: node.ID(rune('a' + i)), Incarnation: 1},
+			Ref:    node.Ref{ID: modelIDs(m.cfg.nodes)[i], Incarnation: 1},
 			Domain: string(rune('A' + i/4)),
 			Local:  i == self,
 			Load:   message.Load{Slots: m.slotsOf(i)},
 		}
 	}
+	if m.cfg.detect {
+		n.det.SetWorkers(0, modelIDs(m.cfg.nodes))
+	}
 	return n
 }
 
+func modelIDs(n int) []node.ID {
+	ids := make([]node.ID, n)
+	for i := range ids {
+		ids[i] = node.ID(rune('a' + i))
+	}
+	return ids
+}
+
 func (m *model) slotsOf(i int) int {
 	if i < 4 && m.now < m.cfg.backAt {
 		return 0
@@ -186,16 +218,32 @@
 			return
 		}
 		home := m.rng.IntN(m.cfg.nodes)
+		ok := !m.cfg.shed || m.wants(home, class)
 		for range size {
-			t := &modelTask{home: home, class: class, arrived: m.now, service: drawService(m.rng)}
+			t := &modelTask{home: home, class: class, arrived: m.now, service: drawService(m.rng), key: m.now.String()}
 			m.result.tasks++
-			m.nodes[home].pending.Push(t, class, m.now)
+			if ok {
+				m.nodes[home].pending.Push(t, class, m.now)
+				continue
+			}
+			m.result.shed[class]++
 		}
 		m.place(home)
 		m.arrive(size, class)
 	})
 }
 
+// wants decides on a new job by the tasks that it would wait behind.
+func (m *model) wants(home int, class job.Class) bool {
+	n := m.nodes[home]
+	r := admission.Request{Class: class, Timeout: 10 * time.Second}
+	m.refresh(n, home, class)
+	if !AnyFree(n.cands) {
+		r.Wait = n.est.Wait(n.pending.Ahead(class), m.cfg.slots, m.cfg.slots)
+	}
+	return n.adm.Admit(m.now, r).OK
+}
+
 // place sends pending tasks of a home while an executor has room.
 func (m *model) place(home int) {
 	for _, class := range job.Classes {
@@ -212,6 +260,8 @@
 			return
 		}
 		t, _ := n.pending.Pop(func(c job.Class) bool { return c == class })
+		n.adm.Observe(m.now, class, m.now-t.arrived)
+		n.det.Sent(m.now, n.cands[i].Ref.ID)
 		if i != home {
 			n.sent[i] = append(n.sent[i], m.now)
 			m.result.remote++
@@ -231,15 +281,26 @@
 		n.cands[i].Class = class
 		n.cands[i].Sent = len(n.sent[i])
 		n.cands[i].Age = m.now - n.seen[i]
+		if i < 4 && m.cfg.ramp {
+			n.cands[i].UpFor = m.now - m.cfg.backAt
+		}
 	}
 	n.cands[home].Load = m.loadOf(home)
+	for i := range n.cands {
+		if n.det.Quarantined(m.now, n.cands[i].Ref.ID) {
+			n.cands[i].Load.Slots = 0
+		}
+	}
 	n.cands[home].QueuedUrgent = n.waiting.LenClass(job.Urgent)
 	n.cands[home].Age = 0
 }
 
 func (m *model) loadOf(i int) message.Load {
 	n := m.nodes[i]
-	return message.Load{Slots: m.slotsOf(i), Busy: n.busy, Queued: n.waiting.Len(), Service: n.est.Mean()}
+	return message.Load{
+		Slots: m.slotsOf(i), Busy: n.busy, Queued: n.waiting.Len(), Service: n.est.Mean(),
+		Failing: n.det.Quarantined(m.now, modelIDs(i + 1)[i]),
+	}
 }
 
 // admit reports whether node i may start a task of class now.
@@ -251,6 +312,10 @@
 // offer gives a task to an executor, which starts, queues or refuses it.
 func (m *model) offer(i int, t *modelTask) {
 	n := m.nodes[i]
+	if i != t.home && n.det.Quarantined(m.now, n.cands[i].Ref.ID) {
+		m.refuse(i, t)
+		return
+	}
 	if m.admit(i, t.class) {
 		m.start(i, t)
 		return
@@ -272,6 +337,9 @@
 // refuse sends a task back to its home, together with the load of node i.
 func (m *model) refuse(i int, t *modelTask) {
 	m.result.refused++
+	if m.now > m.cfg.backAt && m.now < m.cfg.backAt+2*time.Second {
+		m.result.onReturn++
+	}
 	m.reply(i, t.home, func() {
 		m.nodes[t.home].pending.Push(t, t.class, t.arrived)
 		m.place(t.home)
@@ -296,10 +364,22 @@
 	if i == 0 && m.cfg.slow > 0 {
 		took = time.Duration(float64(took) * m.cfg.slow)
 	}
+	fails := i == 0 && m.cfg.blackHole
+	if fails {
+		took = time.Millisecond
+		m.result.lost++
+	}
+	n.det.Sent(m.now, n.cands[i].Ref.ID)
 	m.schedule(took, func() {
 		n.busy--
+		n.det.Observe(m.now, n.cands[i].Ref.ID, t.key, fails)
 		n.est.Observe(took)
-		m.reply(i, t.home, func() { m.ended(t) })
+		m.reply(i, t.home, func() {
+			if i != t.home {
+				m.nodes[t.home].det.Observe(m.now, n.cands[i].Ref.ID, t.key, fails)
+			}
+			m.ended(t)
+		})
 		if next, ok := n.waiting.Pop(func(c job.Class) bool { return m.admit(i, c) }); ok {
 			m.start(i, next)
 		}
@@ -311,6 +391,9 @@
 	ratio := float64(m.now-t.arrived) / float64(t.service)
 	if t.class == job.Urgent {
 		m.result.ratios = append(m.result.ratios, ratio)
+		if t.arrived > m.cfg.length/2+2*time.Second {
+			m.result.after = append(m.result.after, ratio)
+		}
 	} else {
 		m.result.normal += ratio
 	}
@@ -333,6 +416,7 @@
 func (m *model) learn(home, i int, l message.Load, made time.Duration) {
 	n := m.nodes[home]
 	n.cands[i].Load = l
+	n.det.SetReported(n.cands[i].Ref.ID, l.Failing)
 	n.seen[i] = made
 	n.sent[i] = slices.DeleteFunc(n.sent[i], func(at time.Duration) bool { return at+m.cfg.delay <= made })
 	m.place(home)
--- a/core/policy/placement/placement.go
+++ b/core/policy/placement/placement.go
@@ -6,6 +6,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -26,6 +27,9 @@
 // Urgent tasks are sent only to a slot that is known to be free.
 const RemoteQueue = 2
 
+// rampTime is the time after which an executor in service gets its full share.
+const rampTime = time.Second
+
 // Candidate is one executor that may run the task.
 type Candidate struct {
 	Ref    node.Ref
@@ -47,6 +51,9 @@
 	// QueuedUrgent is the part of Load.Queued that is urgent, or zero when that
 	// is not known.
 	QueuedUrgent int
+	// UpFor is how long the executor has been in service. Zero is unknown and
+	// counts as long.
+	UpFor time.Duration
 }
 
 // Picker chooses among candidates.
@@ -142,7 +149,17 @@
 	if c.Load.Draining || c.Load.Slots <= 0 {
 		return 0
 	}
-	return free(c) + allowedQueue(c)
+	return min(free(c)+allowedQueue(c), rampRoom(c))
+}
+
+// rampRoom returns the number of tasks that may be sent to an executor that has
+// come into service. All processes see its free slots at the same moment; each
+// begins with one task and may have more under way as time passes.
+func rampRoom(c *Candidate) int {
+	if c.Local || c.UpFor <= 0 || c.UpFor >= rampTime {
+		return math.MaxInt
+	}
+	return 1 + int(int64(c.Load.Slots)*int64(c.UpFor)/int64(rampTime)) - c.Sent
 }
 
 // allowedQueue returns the number of tasks that may wait at c.
--- a/core/policy/placement/placement_test.go
+++ b/core/policy/placement/placement_test.go
@@ -55,6 +55,9 @@
 		{"urgent waits for urgent", Candidate{Local: true, Class: job.Urgent, QueuedUrgent: 3, Load: message.Load{Slots: 8, Busy: 8, Queued: 6}}, 0, 5},
 		{"normal waits for the queue", Candidate{Local: true, Load: message.Load{Slots: 8, Busy: 7, Queued: 6}}, 0, 2},
 		{"overfull", Candidate{Load: message.Load{Slots: 8, Busy: 8, Queued: 9}}, 0, 0},
+		{"just returned", Candidate{Class: job.Urgent, UpFor: 1, Load: message.Load{Slots: 8}}, 8, 1},
+		{"halfway through the ramp", Candidate{Class: job.Urgent, UpFor: rampTime / 2, Sent: 1, Load: message.Load{Slots: 8}}, 7, 4},
+		{"own executor has no ramp", Candidate{Local: true, Class: job.Urgent, UpFor: 1, Load: message.Load{Slots: 8}}, 8, 16},
 		{"draining", Candidate{Load: message.Load{Slots: 8, Draining: true}}, 7, 0},
 		{"no report", Candidate{}, 0, 0},
 	}
--- a/core/policy/queue/queue.go
+++ b/core/policy/queue/queue.go
@@ -121,6 +121,17 @@
 	return first
 }
 
+// Peek returns the first item of class without removing it. It reports false
+// when there is none.
+func (q *Queue[T]) Peek(class job.Class) (T, bool) {
+	list := q.levels[levelOf(class)].items
+	if len(list) == 0 {
+		var zero T
+		return zero, false
+	}
+	return list[0].value, true
+}
+
 // pass counts a turn given to level lvl against the waiting lower levels.
 func (q *Queue[T]) pass(lvl int) {
 	q.levels[lvl].passed = 0
--- a/core/policy/queue/queue_test.go
+++ b/core/policy/queue/queue_test.go
@@ -154,7 +154,16 @@
 			},
 			"pop": func(t *rapid.T) {
 				barred := rapid.SampledFrom(job.Classes).Draw(t, "barred")
+				first := make(map[int]bool)
+				for _, c := range job.Classes {
+					if v, ok := q.Peek(c); ok {
+						first[v] = true
+					}
+				}
 				v, ok := q.Pop(func(c job.Class) bool { return c != barred })
+				if ok && !first[v] {
+					t.Fatalf("popped %d, which no Peek gave", v)
+				}
 				if !ok {
 					if slices.ContainsFunc(held, func(x item) bool { return x.class != barred }) {
 						t.Fatal("nothing popped although an item is admitted")
