--- a/internal/telemetry/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"os"
+	"regexp"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -36,3 +39,22 @@
 		t.Errorf("the other registry has %q", got)
 	}
 }
+
+func TestPageDescribesEveryMetric(t *testing.T) {
+	source, err := os.ReadFile("names.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	pattern := regexp.MustCompile(`dogwoodgauge_[a-z_]+`)
+	names := pattern.FindAllString(string(source), -1)
+	described := pattern.FindAllString(string(page), -1)
+	slices.Sort(names)
+	slices.Sort(described)
+	if !slices.Equal(names, slices.Compact(described)) {
+		t.Errorf("the process has\n%v\nthe page has\n%v", names, described)
+	}
+}
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -1,6 +1,6 @@
 package telemetry
 
-// Names of metrics.
+// Names of counters and histograms. docs/METRICS.md describes each.
 const (
 	InvariantViolationsTotal = "dogwoodgauge_invariant_violations_total"
 	HTTPRequestsTotal        = "dogwoodgauge_http_requests_total"
@@ -16,18 +16,15 @@
 	LogRequestsTotal         = "dogwoodgauge_log_requests_total"
 )
 
-// Names of gauges.
+// Names of gauges. docs/METRICS.md describes each.
 const (
 	CallsInFlight    = "dogwoodgauge_calls_in_flight"
-	Connections      = "dogwoodgauge_connections"
 	ControlOffset    = "dogwoodgauge_control_offset"
-	LogAgeSeconds    = "dogwoodgauge_log_age_seconds"
 	Members          = "dogwoodgauge_members"
 	Slots            = "dogwoodgauge_slots"
 	SlotsBusy        = "dogwoodgauge_slots_busy"
 	QueueLength      = "dogwoodgauge_queue_length"
 	JobRecords       = "dogwoodgauge_job_records"
-	JobRecordBytes   = "dogwoodgauge_job_record_bytes"
 	UpstreamsCurrent = "dogwoodgauge_upstreams"
 	Draining         = "dogwoodgauge_draining"
 )
