--- /dev/null
+++ b/internal/capacity/jobs_test.go
@@ -0,0 +1,144 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/agent"
+	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+)
+
+// payload is the payload of a task; its result has the same size.
+var payload = make([]byte, 200)
+
+// submitter sends jobs through the entries of a fleet, in turn.
+type submitter struct {
+	fleet   *fleet
+	entries []*member
+	calls   uint64
+	done    int
+	failed  int
+}
+
+func newSubmitter(f *fleet) *submitter {
+	s := &submitter{fleet: f}
+	for _, m := range f.members {
+		if m.entry != nil {
+			s.entries = append(s.entries, m)
+		}
+	}
+	return s
+}
+
+// submit sends one job.
+func (s *submitter) submit(tasks int) {
+	s.calls++
+	j := job.Job{Team: "shop", Timeout: 30 * time.Second, Class: job.Normal, Tasks: make([]job.Task, tasks)}
+	for i := range j.Tasks {
+		j.Tasks[i] = job.Task{Labels: map[string]string{"kind": "stock"}, Payload: payload}
+	}
+	s.fleet.replies[s.calls] = func(r entry.Reply) {
+		s.done++
+		if !r.Answer.Complete() {
+			s.failed++
+		}
+	}
+	via := s.entries[s.calls%uint64(len(s.entries))]
+	s.fleet.step(via, agent.Tick{}, entry.SubmitCall{Call: s.calls, Job: j, Wait: true})
+}
+
+// offer sends jobs of the given size evenly for the duration.
+func (s *submitter) offer(tasks int, tasksPerSecond float64, d time.Duration) int {
+	gap := time.Duration(float64(tasks) / tasksPerSecond * float64(time.Second))
+	jobs := int(d / gap)
+	for i := range jobs {
+		s.fleet.at(time.Duration(i)*gap, func() { s.submit(tasks) })
+	}
+	return jobs
+}
+
+// BenchmarkTask reports what a task costs the whole system, encoding included,
+// beside the control traffic that runs anyway: the difference between a second
+// with and a second without jobs. Share is the share of slots in use.
+func BenchmarkTask(b *testing.B) {
+	for _, agents := range []int{11, 50, 200} {
+		for _, tasks := range []int{1, 10, 100, 1500} {
+			for _, percent := range []int{20, 40, 60} {
+				b.Run(fmt.Sprintf("agents=%d/tasks=%d/percent=%d", agents, tasks, percent), func(b *testing.B) {
+					measureTasks(b, agents, tasks, percent)
+				})
+			}
+		}
+	}
+}
+
+func measureTasks(b *testing.B, agents, tasks, percent int) {
+	b.Helper()
+	const duration = 10 * time.Second
+	f := newFleet(agents, entriesFor(agents))
+	f.run(5 * time.Second)
+	idle := spend(b, f, duration)
+	s := newSubmitter(f)
+	rate := float64(agents*slots) / f.service.Seconds() * float64(percent) / 100
+	s.offer(tasks, rate, duration)
+	f.starts = 0
+	busy := spend(b, f, duration+5*time.Second)
+	if s.done == 0 {
+		b.Fatal("no job was answered")
+	}
+	starts := float64(f.starts)
+	longer := (duration + 5*time.Second).Seconds() / duration.Seconds()
+	b.ReportMetric(starts/duration.Seconds(), "starts/s")
+	b.ReportMetric((busy.processor.Seconds()-longer*idle.processor.Seconds())/starts*1e6, "cpu-us/start")
+	b.ReportMetric((busy.frames-longer*idle.frames)/starts, "frames/start")
+	b.ReportMetric((busy.bytes-longer*idle.bytes)/starts, "B/start")
+	b.ReportMetric(100*float64(s.failed)/float64(s.done), "%failed")
+	b.ReportMetric(0, "ns/op")
+}
+
+// expense is what a fleet has spent.
+type expense struct {
+	processor     time.Duration
+	frames, bytes float64
+}
+
+func spend(b *testing.B, f *fleet, d time.Duration) expense {
+	b.Helper()
+	for _, m := range f.members {
+		m.sent = traffic{}
+	}
+	start := processorTime(b)
+	f.run(d)
+	e := expense{processor: processorTime(b) - start}
+	for _, m := range f.members {
+		e.frames += float64(m.sent.frames)
+		e.bytes += float64(m.sent.bytes)
+	}
+	return e
+}
+
+// BenchmarkRetainedJob reports the memory of finished jobs that an agent keeps.
+func BenchmarkRetainedJob(b *testing.B) {
+	for _, tasks := range []int{1, 10, 100} {
+		for _, jobs := range []int{1000, 2000, 4000} {
+			b.Run(fmt.Sprintf("tasks=%d/jobs=%d", tasks, jobs), func(b *testing.B) {
+				f := newFleet(1, 1)
+				f.service = time.Millisecond
+				f.run(5 * time.Second)
+				s := newSubmitter(f)
+				before := heapBytes()
+				s.offer(tasks, 2000, time.Duration(jobs*tasks)*time.Second/2000+time.Second/1000)
+				f.run(time.Duration(jobs*tasks)*time.Second/2000 + 5*time.Second)
+				if s.failed > 0 {
+					b.Errorf("%d jobs failed", s.failed)
+				}
+				b.ReportMetric((heapBytes()-before)/float64(s.done), "B/job")
+				b.ReportMetric(0, "ns/op")
+				runtime.KeepAlive(f)
+			})
+		}
+	}
+}
