Urgent tasks may wait at a full executor; patience for unmatched tasks

Cause: with every slot in use, urgent tasks waited at their homes while executors gave freed slots to queued normal tasks.

Change: a home lets urgent tasks wait at another executor whose slots are all in use, as it does with others; the model reports the urgent part of a queue. Package runnable decides how long a task that no upstream matches may wait: not at all in a stable fleet.

--- a/core/policy/placement/compare_test.go
+++ b/core/policy/placement/compare_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -18,6 +19,9 @@
 	}
 }
 
+// modelSeed selects the workload of BenchmarkModel.
+var modelSeed = flag.Uint64("model.seed", 1, "seed of the queueing model in BenchmarkModel")
+
 // BenchmarkModel reports the response time over the service time of urgent
 // tasks (p50, p99, p99.9), the mean of the same for other tasks, and the share
 // of tasks that were sent to another process and that were refused.
@@ -44,6 +48,7 @@
 		for _, name := range Names {
 			b.Run(tt.name+"/"+name, func(b *testing.B) {
 				cfg := standard(name)
+				cfg.seed = *modelSeed
 				tt.change(&cfg)
 				var r *modelResult
 				for b.Loop() {
--- a/core/policy/placement/localfirst.go
+++ b/core/policy/placement/localfirst.go
@@ -54,6 +54,8 @@
 		c := &cands[i]
 		if c.Local {
 			v.local = i
+		}
+		if c.Local || c.Near {
 			v.domain = c.Domain
 		}
 		if c.Load.Service > 0 {
--- a/core/policy/placement/model_test.go
+++ b/core/policy/placement/model_test.go
@@ -287,18 +287,19 @@
 	}
 	n.cands[home].Load = m.loadOf(home)
 	for i := range n.cands {
+		n.cands[i].QueuedUrgent = n.cands[i].Load.QueuedUrgent
 		if n.det.Quarantined(m.now, n.cands[i].Ref.ID) {
 			n.cands[i].Load.Slots = 0
 		}
 	}
-	n.cands[home].QueuedUrgent = n.waiting.LenClass(job.Urgent)
 	n.cands[home].Age = 0
 }
 
 func (m *model) loadOf(i int) message.Load {
 	n := m.nodes[i]
 	return message.Load{
-		Slots: m.slotsOf(i), Busy: n.busy, Queued: n.waiting.Len(), Service: n.est.Mean(),
+		Slots: m.slotsOf(i), Busy: n.busy, Queued: n.waiting.Len(),
+		QueuedUrgent: n.waiting.LenClass(job.Urgent), Service: n.est.Mean(),
 		Failing: n.det.Quarantined(m.now, modelIDs(i + 1)[i]),
 	}
 }
--- a/core/policy/placement/placement.go
+++ b/core/policy/placement/placement.go
@@ -24,7 +24,7 @@
 
 // RemoteQueue is the number of tasks that a process lets wait at another
 // executor. It is less than what the executor accepts, since others send too.
-// Urgent tasks are sent only to a slot that is known to be free.
+// Urgent tasks wait only at an executor whose slots are all in use.
 const RemoteQueue = 2
 
 // rampTime is the time after which an executor in service gets its full share.
@@ -36,6 +36,9 @@
 	Domain string
 	// Local marks the deciding process itself.
 	Local bool
+	// Near marks a candidate in the failure domain of a deciding process that is
+	// not a candidate itself.
+	Near bool
 	// Load is the last report. Load.Slots is 0 when none has been received.
 	Load message.Load
 	// Sent is the number of tasks that this process has sent there and that
@@ -167,7 +170,7 @@
 	switch {
 	case c.Local:
 		return QueuePerSlot * c.Load.Slots
-	case c.Class == job.Urgent:
+	case c.Class == job.Urgent && c.Load.Busy < c.Load.Slots:
 		return 0
 	default:
 		return min(RemoteQueue, QueuePerSlot*c.Load.Slots)
--- /dev/null
+++ b/core/policy/runnable/runnable_test.go
@@ -0,0 +1,39 @@
+package runnable
+
+import (
+	"testing"
+	"time"
+)
+
+const s = time.Second
+
+func TestLeft(t *testing.T) {
+	tests := []struct {
+		name    string
+		changes []time.Duration
+		now     time.Duration
+		task    Task
+		want    time.Duration
+	}{
+		{"stable fleet refuses at once", nil, 60 * s, Task{Since: 60 * s, Deadline: 90 * s}, 0},
+		{"process just started", nil, 0, Task{Deadline: 30 * s}, settle},
+		{"recent change", []time.Duration{59 * s}, 60 * s, Task{Since: 60 * s, Deadline: 90 * s}, s},
+		{"lasting changes are bounded", []time.Duration{59 * s, 64 * s}, 64 * s, Task{Since: 60 * s, Deadline: 90 * s}, s},
+		{"wait is over", []time.Duration{65 * s}, 65 * s, Task{Since: 60 * s, Deadline: 90 * s}, 0},
+		{"deadline comes first", []time.Duration{60 * s}, 60 * s, Task{Since: 60 * s, Deadline: 61 * s}, s},
+		{"matching upstream restarts", nil, 60 * s, Task{Since: 60 * s, Deadline: 90 * s, Matched: true, LastMatch: 59 * s}, maxWait},
+		{"matching upstream gone for long", nil, 60 * s, Task{Since: 60 * s, Deadline: 90 * s, Matched: true, LastMatch: 10 * s}, 0},
+		{"changes out of order", []time.Duration{59 * s, 10 * s}, 60 * s, Task{Since: 60 * s, Deadline: 90 * s}, s},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := New(0)
+			for _, c := range tt.changes {
+				p.Changed(c)
+			}
+			if got := p.Left(tt.now, tt.task); got != tt.want {
+				t.Errorf("left %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
