A process that starts in a log outage asks its seeds

Cause: the settings' seeds were not used, so that a process started in an outage of the log never had a configuration; it also called itself ready, because an unread stream looks like an empty one. Change: follow.Seeds asks the runs at the seeds' addresses until something of the stream has come; readiness wants the same.

--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -51,8 +51,10 @@
 	// sent is the number of messages given to the transport.
 	sent     atomic.Uint64
 	draining atomic.Bool
-	drained  *lifecycle.Signal
-	killed   *lifecycle.Signal
+	// hasRead says that the log has answered.
+	hasRead atomic.Bool
+	drained *lifecycle.Signal
+	killed  *lifecycle.Signal
 }
 
 // New opens the sockets of an agent. Run must be called next, or Kill.
@@ -124,6 +126,7 @@
 		Logs:    d.logs,
 		Metrics: d.metrics,
 		Deliver: func(r follow.Read) bool {
+			d.hasRead.Store(true)
 			return d.loop.PostWait(agent.LogRead{
 				From: r.From, Records: r.Records, End: r.End, Oldest: r.Oldest, AskedAt: r.AskedAt,
 			})
@@ -131,6 +134,20 @@
 	}
 }
 
+// seeds returns what asks known agents for the configuration.
+func (d *Daemon) seeds() *follow.Seeds {
+	return &follow.Seeds{
+		Peers:    d.transport,
+		Addrs:    d.cfg.Settings.Peers.Seeds,
+		Logs:     d.logs,
+		Informed: d.informed,
+	}
+}
+
+// informed reports whether anything of the control stream has come, be it that
+// it is empty.
+func (d *Daemon) informed() bool { return d.hasRead.Load() || d.offset() > 0 }
+
 // step hands one event to the core.
 func (d *Daemon) step(now clock.Now, event agent.Event) []agent.Action {
 	if e, ok := event.(agent.Received); ok {
@@ -171,6 +188,7 @@
 	lifecycle.Add(&g, d.loop.Run)
 	lifecycle.Add(&g, d.transport.Run)
 	lifecycle.Add(&g, d.reader.Run)
+	lifecycle.Add(&g, d.seeds().Run)
 	lifecycle.Add(&g, d.appender.Run)
 	g.Add(d.http.Run, func(error) { _ = d.http.Close() })
 	err := g.Run()
--- a/internal/agentd/status.go
+++ b/internal/agentd/status.go
@@ -54,7 +54,7 @@
 	switch {
 	case err != nil:
 		return errors.Wrap(err, "the core does not answer")
-	case !s.Synced:
+	case !s.Synced || !d.informed():
 		return errors.New("the configuration has not been read yet")
 	case s.LeaseLeft <= 0:
 		return errors.New("the lease on the configuration has lapsed")
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -13,7 +13,8 @@
 )
 
 func addStatus(app *kingpin.Application, std Streams) {
-	cmd := app.Command("status", "Show what an entry knows: agents, offsets, freshness and load.")
+	cmd := app.Command("status", "Show what an entry knows: agents, offsets and load. "+
+		"With --json the address may be that of an agent, which tells of its lease and upstreams.")
 	entry := entryFlag(cmd)
 	asJSON := jsonFlag(cmd)
 	cmd.Action(action(func() error {
@@ -23,12 +24,12 @@
 		if err != nil {
 			return err
 		}
-		var s entryd.Status
-		if err := a.decode(&s); err != nil {
+		if *asJSON && a.status == http.StatusOK {
+			_, err := std.Out.Write(a.body)
 			return err
 		}
-		if *asJSON {
-			_, err := std.Out.Write(a.body)
+		var s entryd.Status
+		if err := a.decode(&s); err != nil {
 			return err
 		}
 		return printStatus(std.Out, &s)
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -56,8 +56,10 @@
 	// members is the number of known agents at the last scrape.
 	members  atomic.Int64
 	draining atomic.Bool
-	drained  *lifecycle.Signal
-	killed   *lifecycle.Signal
+	// hasRead says that the log has answered.
+	hasRead atomic.Bool
+	drained *lifecycle.Signal
+	killed  *lifecycle.Signal
 }
 
 // New opens the sockets of an entry. Run must be called next, or Kill.
@@ -136,6 +138,7 @@
 		Logs:    d.logs,
 		Metrics: d.metrics,
 		Deliver: func(r follow.Read) bool {
+			d.hasRead.Store(true)
 			return d.loop.PostWait(entry.LogRead{
 				From: r.From, Records: r.Records, End: r.End, Oldest: r.Oldest, AskedAt: r.AskedAt,
 			})
@@ -160,6 +163,20 @@
 	return router
 }
 
+// seeds returns what asks known agents for the configuration.
+func (d *Daemon) seeds() *follow.Seeds {
+	return &follow.Seeds{
+		Peers:    d.transport,
+		Addrs:    d.cfg.Settings.Peers.Seeds,
+		Logs:     d.logs,
+		Informed: d.informed,
+	}
+}
+
+// informed reports whether anything of the control stream has come, be it that
+// it is empty.
+func (d *Daemon) informed() bool { return d.hasRead.Load() || d.offset.Load() > 0 }
+
 // step hands one event to the core.
 func (d *Daemon) step(now clock.Now, event entry.Event) []entry.Action {
 	if e, ok := event.(entry.Received); ok {
@@ -206,6 +223,7 @@
 	lifecycle.Add(&g, d.loop.Run)
 	lifecycle.Add(&g, d.transport.Run)
 	lifecycle.Add(&g, d.reader.Run)
+	lifecycle.Add(&g, d.seeds().Run)
 	lifecycle.Add(&g, d.appender.Run)
 	g.Add(d.api.Run, func(error) { _ = d.api.Close() })
 	g.Add(d.monitor.Run, func(error) { _ = d.monitor.Close() })
--- a/internal/entryd/status.go
+++ b/internal/entryd/status.go
@@ -61,7 +61,7 @@
 	switch {
 	case err != nil:
 		return errors.Wrap(err, "the core does not answer")
-	case !s.Synced:
+	case !s.Synced || !d.informed():
 		return errors.New("the configuration has not been read yet")
 	}
 	for _, a := range s.Agents {
