Executor and home use the policy packages

Change: queue, slot reserve, service-time estimate and admission from core/policy in the executor; quarantine, retry budget, backoff and the exclusion set in the home; the entry prefers homes in its own domain and avoids failing ones; loads state the queued urgent tasks. The executor's own queue is gone.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -126,7 +126,7 @@
 		ClockBound: cfg.ClockBound, Gate: gate{c}, Invariants: &c.invariants,
 	})
 	c.home = home.New(home.Config{
-		Self: cfg.Self, Window: cfg.Retention, ClockBound: cfg.ClockBound,
+		Self: cfg.Self, Seed: cfg.Seed, Window: cfg.Retention, ClockBound: cfg.ClockBound,
 		MaxRecords: cfg.MaxRecords, MaxResultBytes: cfg.MaxRecordBytes, MaxWaiting: maxWaitingTasks,
 		Picker: picker, Ownership: gate{c}, Eligibility: gate{c}, Invariants: &c.invariants,
 	})
@@ -320,6 +320,7 @@
 // Load returns the agent's report of itself.
 func (c *Core) Load() message.Load {
 	l := c.exec.Load()
+	l.Failing = c.home.Failing(c.now)
 	l.Draining = l.Draining || c.drain.begun
 	return l
 }
--- a/core/agent/gate.go
+++ b/core/agent/gate.go
@@ -77,3 +77,17 @@
 	}
 	return routing.AllowsAny(cfg, rule, p.member, p.upstreams)
 }
+
+// InService implements home.Eligibility.
+func (g gate) InService(ref node.Ref) bool {
+	c := g.c
+	m := c.selfMember()
+	if ref != c.cfg.Self {
+		p, ok := c.peers[ref]
+		if !ok {
+			return false
+		}
+		m = p.member
+	}
+	return !c.state.Config().Out(config.Place{Domain: m.Domain, Worker: m.Worker})
+}
--- a/core/entry/agents.go
+++ b/core/entry/agents.go
@@ -184,8 +184,9 @@
 			continue
 		}
 		c.cands = append(c.cands, placement.Candidate{
-			Ref: a.member.Ref, Domain: a.member.Domain, Load: a.load, Sent: a.sent,
-			Age: c.now.Mono - a.loadAt,
+			Ref: a.member.Ref, Domain: a.member.Domain, Near: a.member.Domain == c.cfg.Domain,
+			Load: a.load, Sent: a.sent, Age: c.now.Mono - a.loadAt,
+			Class: j.Class, QueuedUrgent: a.load.QueuedUrgent,
 		})
 		c.chosen = append(c.chosen, a)
 	}
--- a/core/executor/dispatch.go
+++ b/core/executor/dispatch.go
@@ -7,6 +7,8 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/invariant"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/admission"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/slots"
 )
 
 // admit starts, queues or refuses a task that has just arrived.
@@ -19,48 +21,65 @@
 		c.refuse(e, message.RefusedDeadline, 0)
 		return
 	}
+	c.demand.Observe(now.Mono, e.start.Class)
 	p, reason := c.choose(now, e)
-	if reason != "" && reason != message.RefusedBusy {
+	if isPermanent(reason) {
 		c.refuse(e, reason, 0)
 		return
 	}
-	if reason == "" && c.admits(e.start.Class) {
+	if reason == "" && c.admits(now, e.start.Class) {
 		c.run(now, e, p)
 		return
 	}
 	c.enqueue(now, e)
 }
 
-// enqueue makes e wait unless it could not make its deadline.
+// enqueue makes e wait unless the admission policy refuses it. What it displaces
+// has not started and is refused.
 func (c *Core) enqueue(now clock.Now, e *entry) {
-	wait := c.expectedWait()
-	if now.Mono+wait >= e.deadline {
-		c.refuse(e, message.RefusedBusy, wait)
+	wait := c.expectedWait(e.start.Class)
+	decision := c.admission.Admit(now.Mono, admission.Request{
+		Class: e.start.Class, Timeout: e.deadline - now.Mono, Wait: wait, Service: c.service.Low(),
+	})
+	if !decision.OK {
+		c.refuse(e, message.RefusedBusy, decision.RetryAfter)
 		return
 	}
-	if !c.queue.push(e) {
+	e.queuedAt = now.Mono
+	if !c.push(e) {
 		c.refuse(e, message.RefusedBusy, wait)
 	}
 }
 
-// expectedWait estimates the time until a task queued now would start.
-func (c *Core) expectedWait() time.Duration {
-	slots := c.upstreams.slots()
-	if slots == 0 {
-		return 0
-	}
-	ahead := time.Duration(c.queue.len() + 1)
-	return c.service.mean * ahead / time.Duration(slots)
+// push puts e into the queue. It reports false when the queue is full.
+func (c *Core) push(e *entry) bool {
+	pushed := c.queue.Push(e, e.start.Class, e.deadline)
+	e.waits = pushed.Handle
+	for _, evicted := range pushed.Evicted {
+		c.refuse(evicted, message.RefusedBusy, c.expectedWait(evicted.start.Class))
+	}
+	return pushed.OK
+}
+
+// expectedWait estimates the time until a task of class queued now would start.
+func (c *Core) expectedWait(class job.Class) time.Duration {
+	usable := c.upstreams.slots()
+	if class != job.Urgent {
+		usable -= c.reserve().Held(usable)
+	}
+	return c.service.Wait(c.queue.Ahead(class), len(c.running), usable)
 }
 
+func (c *Core) reserve() slots.Reserve { return slots.Reserve{Urgent: c.cfg.ReservedSlots} }
+
 // admits reports whether the class may take one of the free slots.
-func (c *Core) admits(class job.Class) bool {
-	if class == job.Urgent {
-		return true
+func (c *Core) admits(now clock.Now, class job.Class) bool {
+	total := c.upstreams.slots()
+	reserve := c.demand.Reserve(now.Mono, c.reserve())
+	if c.queue.Owed(class) {
+		reserve = slots.Reserve{}
 	}
-	slots := c.upstreams.slots()
-	reserved := min(c.cfg.ReservedSlots, slots-1)
-	return slots-len(c.running) > reserved
+	return reserve.Admit(total-len(c.running), total, class)
 }
 
 // permission is a place where a task may start and until when.
@@ -127,32 +146,42 @@
 	})
 }
 
-// dispatch fills free slots from the queue.
+// dispatch fills free slots from the queue. A task that no permitted upstream
+// has a slot for goes back.
 func (c *Core) dispatch(now clock.Now) {
-	for range c.queue.len() {
-		if c.upstreams.slots() <= len(c.running) {
-			return
+	var blocked []*entry
+	for c.upstreams.slots() > len(c.running) {
+		e, ok := c.queue.Pop(func(class job.Class) bool { return c.admits(now, class) })
+		if !ok {
+			break
 		}
-		e := c.queue.pop(c.admits)
-		if e == nil {
-			return
+		if !c.dispatchOne(now, e) {
+			blocked = append(blocked, e)
+		}
+	}
+	for _, e := range blocked {
+		if !c.push(e) {
+			c.refuse(e, message.RefusedBusy, c.expectedWait(e.start.Class))
 		}
-		c.dispatchOne(now, e)
 	}
 }
 
-func (c *Core) dispatchOne(now clock.Now, e *entry) {
+// dispatchOne starts or refuses a task that was taken from the queue. It reports
+// false when the task has to go back.
+func (c *Core) dispatchOne(now clock.Now, e *entry) bool {
 	if e.deadline <= now.Mono {
 		c.refuse(e, message.RefusedDeadline, 0)
-		return
+		return true
 	}
 	p, reason := c.choose(now, e)
-	switch {
-	case reason == "":
-		c.run(now, e, p)
-	case isPermanent(reason):
+	if reason == message.RefusedBusy {
+		return false
+	}
+	if reason != "" {
 		c.refuse(e, reason, 0)
-	case !c.queue.push(e):
-		c.refuse(e, reason, c.expectedWait())
+		return true
 	}
+	c.admission.Observe(now.Mono, e.start.Class, now.Mono-e.queuedAt)
+	c.run(now, e, p)
+	return true
 }
--- a/core/executor/executor.go
+++ b/core/executor/executor.go
@@ -9,6 +9,10 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/label"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/admission"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/estimate"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/queue"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/slots"
 )
 
 // Gate decides whether a task may start now on an upstream.
@@ -66,10 +70,12 @@
 	cfg        Config
 	homes      map[node.Ref]*window
 	upstreams  upstreams
-	queue      *waiting
+	queue      *queue.Queue[*entry]
 	running    map[uint64]*entry
 	lastHandle uint64
-	service    serviceTime
+	service    estimate.Estimator
+	demand     slots.Demand
+	admission  *admission.Controller
 	draining   bool
 	out        *Output
 }
@@ -77,10 +83,11 @@
 // New returns an executor without upstreams.
 func New(cfg Config) *Core {
 	return &Core{
-		cfg:     cfg,
-		homes:   make(map[node.Ref]*window),
-		queue:   newWaiting(cfg.QueueLimit),
-		running: make(map[uint64]*entry),
+		cfg:       cfg,
+		homes:     make(map[node.Ref]*window),
+		queue:     queue.New[*entry](cfg.QueueLimit),
+		running:   make(map[uint64]*entry),
+		admission: admission.New(),
 	}
 }
 
@@ -131,7 +138,7 @@
 		c.repeat(e)
 		return
 	}
-	c.queue.remove(e)
+	c.queue.Remove(e.waits)
 	c.refuse(e, message.RefusedAborted, 0)
 }
 
@@ -166,7 +173,7 @@
 
 func (c *Core) end(now clock.Now, e *entry, state job.TaskState, body []byte, detail string) {
 	if state == job.Done {
-		c.service.observe(now.Mono - e.startedAt)
+		c.service.Observe(now.Mono - e.startedAt)
 	}
 	e.state = ended
 	e.result = &message.Result{
@@ -192,7 +199,7 @@
 	w.dead = true
 	for _, e := range w.entries {
 		if e.state == queued {
-			c.queue.remove(e)
+			c.queue.Remove(e.waits)
 		}
 		e.detached = true
 	}
@@ -204,26 +211,26 @@
 func (c *Core) Drain(now clock.Now, out *Output) {
 	c.out = out
 	c.draining = true
-	for {
-		e := c.queue.pop(func(job.Class) bool { return true })
-		if e == nil {
-			return
-		}
+	for _, e := range c.queue.RemoveFunc(func(*entry) bool { return true }) {
 		c.refuse(e, message.RefusedDraining, 0)
 	}
 }
 
+// NextDeadline returns the earliest deadline of a task that waits.
+func (c *Core) NextDeadline() (time.Duration, bool) { return c.queue.NextDeadline() }
+
 // Idle reports whether no task is running or waiting.
-func (c *Core) Idle() bool { return len(c.running) == 0 && c.queue.len() == 0 }
+func (c *Core) Idle() bool { return len(c.running) == 0 && c.queue.Len() == 0 }
 
 // Load returns the executor's report of itself.
 func (c *Core) Load() message.Load {
 	return message.Load{
-		Slots:    c.upstreams.slots(),
-		Busy:     len(c.running),
-		Queued:   c.queue.len(),
-		Service:  c.service.mean,
-		Draining: c.draining,
+		Slots:        c.upstreams.slots(),
+		Busy:         len(c.running),
+		Queued:       c.queue.Len(),
+		QueuedUrgent: c.queue.LenClass(job.Urgent),
+		Service:      c.service.Mean().Round(time.Millisecond),
+		Draining:     c.draining,
 	}
 }
 
@@ -232,7 +239,7 @@
 func (c *Core) Tick(now clock.Now, out *Output) {
 	c.out = out
 	c.upstreams.lapse(now.Mono)
-	for _, e := range c.queue.expired(now.Mono) {
+	for _, e := range c.queue.Expire(now.Mono) {
 		c.refuse(e, message.RefusedDeadline, 0)
 	}
 	c.forgetIdle(now.Mono)
@@ -243,11 +250,13 @@
 // configuration, and starts what may.
 func (c *Core) Recheck(now clock.Now, out *Output) {
 	c.out = out
-	for _, e := range c.queue.all() {
-		if _, reason := c.choose(now, e); isPermanent(reason) {
-			c.queue.remove(e)
-			c.refuse(e, reason, 0)
-		}
+	refused := c.queue.RemoveFunc(func(e *entry) bool {
+		_, reason := c.choose(now, e)
+		return isPermanent(reason)
+	})
+	for _, e := range refused {
+		_, reason := c.choose(now, e)
+		c.refuse(e, reason, 0)
 	}
 	c.dispatch(now)
 }
--- a/core/executor/upstream.go
+++ b/core/executor/upstream.go
@@ -131,17 +131,3 @@
 	}
 	return next, found
 }
-
-// serviceWeight is the weight of a new observation in the mean, as 1/n.
-const serviceWeight = 16
-
-// serviceTime is the moving average of observed service times.
-type serviceTime struct{ mean time.Duration }
-
-func (s *serviceTime) observe(d time.Duration) {
-	if s.mean == 0 {
-		s.mean = d
-		return
-	}
-	s.mean += (d - s.mean) / serviceWeight
-}
--- a/core/executor/window.go
+++ b/core/executor/window.go
@@ -5,6 +5,7 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/queue"
 )
 
 // entryState is the state of one task at the executor.
@@ -19,11 +20,14 @@
 
 // entry is one task that a home has sent.
 type entry struct {
-	home      *window
-	start     *message.Start
-	state     entryState
-	handle    uint64
-	upstream  *upstream
+	home     *window
+	start    *message.Start
+	state    entryState
+	handle   uint64
+	upstream *upstream
+	// waits names the entry in the queue, in which it is since queuedAt.
+	waits     queue.Handle
+	queuedAt  time.Duration
 	deadline  time.Duration
 	startedAt time.Duration
 	result    *message.Result
@@ -85,7 +89,7 @@
 		return
 	}
 	if e.state == queued {
-		c.queue.remove(e)
+		c.queue.Remove(e.waits)
 		e.state = refused
 	}
 	e.detached = true
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -12,6 +12,8 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/placement"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/quarantine"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/retry"
 	"github.com/dogwoodgauge/dogwoodgauge/core/timerqueue"
 )
 
@@ -40,6 +42,8 @@
 	// Eligible reports whether some upstream of ref may run a task of this
 	// job with these labels.
 	Eligible(ref node.Ref, j *job.Job, t *job.Task) bool
+	// InService reports whether the configuration lets ref take any work.
+	InService(ref node.Ref) bool
 }
 
 // Config sets the bounds of a home.
@@ -56,13 +60,12 @@
 	MaxResultBytes int
 	// MaxWaiting bounds the tasks that wait for an executor.
 	MaxWaiting int
-	// QueueAllowance is how many tasks beyond its free slots an executor may
-	// be sent.
-	QueueAllowance int
-	Picker         placement.Picker
-	Ownership      Ownership
-	Eligibility    Eligibility
-	Invariants     *invariant.Recorder
+	Picker     placement.Picker
+	// Seed makes the delays of retries repeatable.
+	Seed        uint64
+	Ownership   Ownership
+	Eligibility Eligibility
+	Invariants  *invariant.Recorder
 }
 
 // Reply is a message to another process.
@@ -87,6 +90,11 @@
 	out     *Output
 	// linksVersion changes with the list of executors.
 	linksVersion uint64
+	// serviceVersion is the version at which the links' inService was set.
+	serviceVersion uint64
+	faults         *quarantine.Detector
+	budget         *retry.Budget
+	backoff        *retry.Backoff
 	// Scratch space of one placement.
 	cands     []placement.Candidate
 	candLinks []*link
@@ -109,6 +117,9 @@
 		cfg:     cfg,
 		records: newStore(cfg.Window, cfg.MaxRecords, cfg.MaxResultBytes),
 		links:   make(map[node.Ref]*link),
+		faults:  quarantine.New(),
+		budget:  retry.NewBudget(),
+		backoff: retry.NewBackoff(cfg.Seed),
 	}
 }
 
--- a/core/home/link.go
+++ b/core/home/link.go
@@ -19,7 +19,11 @@
 	// known is false once the executor is no longer a member.
 	known bool
 	dead  bool
-	load  message.Load
+	// inService is true while the configuration lets the executor take work;
+	// it began at upSince.
+	inService bool
+	upSince   time.Duration
+	load      message.Load
 	// loadAt is when load arrived.
 	loadAt time.Duration
 	// uncovered is the number of tasks sent that load does not cover.
@@ -92,6 +96,7 @@
 		c.order = append(c.order, l)
 	}
 	c.linksVersion++
+	c.watchWorkers()
 	for ref, l := range c.links {
 		if !l.known && l.dead {
 			delete(c.links, ref)
--- a/core/home/outcome.go
+++ b/core/home/outcome.go
@@ -26,8 +26,10 @@
 	}
 	r := t.record
 	t.link.settle(t.seq)
+	c.observeOutcome(t, from.ID, m.State)
 	switch m.State {
 	case job.Done:
+		c.budget.Success()
 		t.body = m.Body
 		c.resolve(t, taskDone)
 	case job.Failed:
@@ -66,7 +68,7 @@
 	r := t.record
 	t.state = taskWaiting
 	t.retryAfter = m.RetryAfter
-	t.excluded = append(t.excluded, from.ID)
+	t.exhausted = !t.excluded.Add(from)
 	r.next = min(r.next, t.index)
 	c.waiting.tasks++
 	c.waiting.enter(r)
--- a/core/home/place.go
+++ b/core/home/place.go
@@ -20,8 +20,6 @@
 	placeBatch = 64
 	// noMatchWait is how long a task waits for a matching upstream to appear.
 	noMatchWait = 2 * time.Second
-	// retryDelay is the pause after all candidates have refused a task.
-	retryDelay = 20 * time.Millisecond
 	// firstResend is the delay after which an unanswered Start is repeated;
 	// later repetitions back off up to maxResend. A lost connection is
 	// reported by the transport and repeats at once.
@@ -117,13 +115,17 @@
 // placeTask sends t to an executor with room. It reports false when t waits.
 func (c *Core) placeTask(t *task) bool {
 	g := c.group(t)
-	if len(t.excluded) == 0 && slices.Contains(c.full, g) {
+	if t.excluded.Len() == 0 && slices.Contains(c.full, g) {
 		return false
 	}
 	if len(g.links) == 0 {
 		c.noMatch(t)
 		return false
 	}
+	if t.exhausted {
+		c.readmitLater(t)
+		return false
+	}
 	c.gather(t, g)
 	if len(c.cands) == 0 {
 		c.readmitLater(t)
@@ -131,11 +133,15 @@
 	}
 	i := c.cfg.Picker.Pick(c.cands)
 	if i < 0 {
-		if len(t.excluded) == 0 {
+		if t.excluded.Len() == 0 {
 			c.full = append(c.full, g)
 		}
 		return false
 	}
+	if t.excluded.Len() > 0 && !c.budget.Take() {
+		c.readmitLater(t)
+		return false
+	}
 	c.send(t, c.candLinks[i])
 	return true
 }
@@ -158,6 +164,7 @@
 		return g
 	}
 	g.version = version
+	c.refreshService()
 	g.links = g.links[:0]
 	for _, l := range c.order {
 		if !l.dead && c.cfg.Eligibility.Eligible(l.ref, r.job, &r.job.Tasks[t.index]) {
@@ -184,10 +191,10 @@
 	c.cands = c.cands[:0]
 	c.candLinks = c.candLinks[:0]
 	for _, l := range g.links {
-		if l.load.Draining || slices.Contains(t.excluded, l.ref.ID) {
+		if l.load.Draining || t.excluded.Has(l.ref) {
 			continue
 		}
-		c.cands = append(c.cands, c.candidate(l))
+		c.cands = append(c.cands, c.candidate(l, t.record.job.Class))
 		c.candLinks = append(c.candLinks, l)
 	}
 }
@@ -195,23 +202,28 @@
 // readmitLater schedules another round for a task that every executor has
 // refused.
 func (c *Core) readmitLater(t *task) {
-	if len(t.excluded) == 0 || t.readmitting {
+	if t.excluded.Len() == 0 || t.readmitting {
 		return
 	}
 	t.readmitting = true
+	t.rounds++
 	r := t.record
-	delay := max(retryDelay, t.retryAfter)
+	delay := c.backoff.Delay(t.rounds, t.retryAfter)
 	c.timers.Add(c.now.Mono+delay, timer{kind: timerReadmit, id: r.id, attempt: r.attempt, index: t.index})
 }
 
-func (c *Core) candidate(l *link) placement.Candidate {
+func (c *Core) candidate(l *link, class job.Class) placement.Candidate {
 	return placement.Candidate{
-		Ref:    l.ref,
-		Domain: l.domain,
-		Local:  l.local,
-		Load:   l.load,
-		Sent:   l.uncovered,
-		Age:    c.now.Mono - l.loadAt,
+		Ref:          l.ref,
+		Domain:       l.domain,
+		Local:        l.local,
+		Load:         l.load,
+		Sent:         l.uncovered,
+		Age:          c.now.Mono - l.loadAt,
+		Suspect:      c.faults.Quarantined(c.now.Mono, l.ref.ID),
+		Class:        class,
+		QueuedUrgent: l.load.QueuedUrgent,
+		UpFor:        c.now.Mono - l.upSince,
 	}
 }
 
@@ -238,6 +250,7 @@
 	l.assign(t, c.now.Mono)
 	c.waiting.tasks--
 	c.stats.Placed++
+	c.faults.Sent(c.now.Mono, l.ref.ID)
 	c.timers.Add(c.now.Mono+firstResend, timer{kind: timerResend, link: l, seq: t.seq})
 	c.sendStart(t)
 }
--- a/core/home/record.go
+++ b/core/home/record.go
@@ -12,6 +12,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/retry"
 )
 
 // subscriber is one request that waits for a job's answer.
@@ -41,8 +42,12 @@
 	link   *link
 	seq    uint64
 	sentAt time.Duration
-	// excluded holds the executors that have refused the task.
-	excluded []node.ID
+	// excluded holds the executors that have refused the task, rounds the
+	// number of times that it was offered to all again.
+	excluded retry.Excluded
+	rounds   int
+	// exhausted is true after too many refusals in one round.
+	exhausted bool
 	// retryAfter is the pause that the last refusal asked for.
 	retryAfter time.Duration
 	// readmitting is true while a timer will clear excluded.
--- a/core/home/timers.go
+++ b/core/home/timers.go
@@ -8,6 +8,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/retry"
 )
 
 // timerKind says what is due.
@@ -77,7 +78,8 @@
 		return
 	}
 	k := &r.tasks[t.index]
-	k.excluded = nil
+	k.excluded = retry.Excluded{}
+	k.exhausted = false
 	k.readmitting = false
 }
 
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -191,6 +191,8 @@
 	Busy int `json:"busy"`
 	// Queued is the number of accepted tasks that wait for a slot.
 	Queued int `json:"queued"`
+	// QueuedUrgent is the part of Queued that is urgent.
+	QueuedUrgent int `json:"qu,omitempty"`
 	// Service is the observed mean service time of a task.
 	Service time.Duration `json:"service,omitempty"`
 	// Failing is true while most recent tasks have failed.
--- a/core/policy/placement/localfirst.go
+++ b/core/policy/placement/localfirst.go
@@ -15,9 +15,17 @@
 // otherDomain is the cost of one message to another failure domain and back.
 const otherDomain = 3 * time.Millisecond
 
+// scanLimit is the number of candidates that one decision weighs. Among more,
+// a decision takes a random run of this length and the own executor.
+const scanLimit = 64
+
 // localFirst prefers a free slot of the deciding process, which costs no
 // message, and otherwise the least expected time to the end of the task.
-type localFirst struct{ rng *rand.Rand }
+type localFirst struct {
+	rng *rand.Rand
+	// local is where the deciding process was found last.
+	local int
+}
 
 // Name implements Picker.
 func (p *localFirst) Name() string { return LocalFirst }
@@ -27,18 +35,49 @@
 	if len(cands) == 0 {
 		return -1
 	}
-	v := survey(cands)
-	if v.local >= 0 && v.prefersLocal(&cands[v.local]) {
-		return v.local
+	first, n := p.run(len(cands))
+	run := cands[first : first+n]
+	v := survey(run)
+	if local := p.findLocal(cands); local >= 0 {
+		v.domain = cands[local].Domain
+		if v.prefersLocal(&cands[local]) {
+			return local
+		}
+	}
+	start := p.rng.IntN(n)
+	return twoPasses(func(last bool) int {
+		if i := v.cheapest(run, start, last); i >= 0 {
+			return first + i
+		}
+		return scan(cands, first, last)
+	})
+}
+
+// run returns the first index and the number of the candidates that this
+// decision weighs, among all.
+func (p *localFirst) run(all int) (first, n int) {
+	if all <= scanLimit {
+		return 0, all
+	}
+	return p.rng.IntN(all - scanLimit + 1), scanLimit
+}
+
+// findLocal returns the index of the deciding process, or -1.
+func (p *localFirst) findLocal(cands []Candidate) int {
+	if p.local < len(cands) && cands[p.local].Local {
+		return p.local
 	}
-	start := p.rng.IntN(len(cands))
-	return twoPasses(func(last bool) int { return v.cheapest(cands, start, last) })
+	for i := range cands {
+		if cands[i].Local {
+			p.local = i
+			return i
+		}
+	}
+	return -1
 }
 
 // view summarises the candidates of one decision.
 type view struct {
-	// local is the index of the deciding process, or -1.
-	local  int
 	domain string
 	// service is the mean observed service time.
 	service time.Duration
@@ -47,15 +86,12 @@
 }
 
 func survey(cands []Candidate) view {
-	v := view{local: -1}
+	var v view
 	var sum time.Duration
 	known, slots, tasks := 0, 0, 0
 	for i := range cands {
 		c := &cands[i]
-		if c.Local {
-			v.local = i
-		}
-		if c.Local || c.Near {
+		if c.Near {
 			v.domain = c.Domain
 		}
 		if c.Load.Service > 0 {
--- a/core/policy/placement/placement_test.go
+++ b/core/policy/placement/placement_test.go
@@ -140,6 +140,29 @@
 	}
 }
 
+// TestLocalFirstInALargeFleet checks that the own executor is found among many,
+// and the only one with room.
+func TestLocalFirstInALargeFleet(t *testing.T) {
+	cands := make([]Candidate, 920)
+	for i := range cands {
+		cands[i].Load = message.Load{Slots: 8, Busy: 8, Queued: 8}
+	}
+	p := mustNew(t, LocalFirst)
+	cands[700].Load = message.Load{Slots: 8}
+	for range 50 {
+		if got := p.Pick(cands); got != 700 {
+			t.Fatalf("picked %d, only 700 has room", got)
+		}
+	}
+	cands[3].Local = true
+	cands[3].Load = message.Load{Slots: 8}
+	for range 50 {
+		if got := p.Pick(cands); got != 3 {
+			t.Fatalf("picked %d, not the own executor", got)
+		}
+	}
+}
+
 func drawCandidate(t *rapid.T) Candidate {
 	n := rapid.IntRange(0, 8)
 	return Candidate{
