--- a/internal/capacity/control_test.go
+++ b/internal/capacity/control_test.go
@@ -7,7 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/config"
 	"github.com/dogwoodgauge/dogwoodgauge/core/control"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 )
 
 // processorTime returns the processor time that this process has used.
@@ -99,7 +101,7 @@
 	for _, agents := range []int{11, 100, 400, 920} {
 		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
 			f := newFleet(agents, 3)
-			f.run(2 * time.Second)
+			f.deliver(f.members[0], f.oldest, f.log, f.now)
 			last := f.members[agents-1].ref
 			first := f.members[0]
 			bytes := 0
@@ -112,10 +114,36 @@
 					control.EncodeJoin(control.Member{Ref: next, Addr: "10.9.0.1:7201", Role: control.RoleAgent, Domain: "domain-1", Worker: "worker"}),
 				}
 				bytes = len(records[0]) + len(records[1])
-				readRecords(f, first, records)
+				f.now += time.Millisecond
+				f.deliver(first, f.offset(first), records, f.now)
 				last = next
 			}
 			b.ReportMetric(float64(bytes), "record-B")
 		})
 	}
 }
+
+// BenchmarkSnapshot reports the size of a snapshot record of a fleet with the
+// given number of agents and 110 teams.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, agents := range []int{11, 100, 400, 920} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			const teams = 110
+			state := control.NewState()
+			f := newFleet(agents, entriesFor(agents))
+			state.Apply(f.oldest, f.log[0])
+			var edits []config.Edit
+			for i := range teams {
+				team := config.Team{Name: fmt.Sprintf("team-%03d", i), Quota: 400, Class: job.Urgent}
+				edits = append(edits, config.Edit{Put: &config.Object{Team: &team}})
+			}
+			change := control.Change{ID: "teams", From: state.Config().Revision(), Author: "ana", Edits: edits}
+			if effect := state.Apply(state.Next(), control.EncodeChange(change)); effect.Rejected != "" {
+				b.Fatal(effect.Rejected)
+			}
+			for range b.N {
+				b.ReportMetric(float64(len(state.SnapshotRecord())), "record-B")
+			}
+		})
+	}
+}
--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -51,7 +51,9 @@
 	queue   timerqueue.Queue[func()]
 	members []*member
 	byRef   map[node.Ref]*member
+	// log holds the records from offset oldest on.
 	log     [][]byte
+	oldest  int64
 	replies map[uint64]func(entry.Reply)
 	starts  int
 	logDown bool
@@ -59,7 +61,7 @@
 	service time.Duration
 }
 
-// newFleet returns a fleet whose log already holds every join.
+// newFleet returns a fleet whose log holds a snapshot with every member.
 func newFleet(agents, entries int) *fleet {
 	f := &fleet{byRef: map[node.Ref]*member{}, replies: map[uint64]func(entry.Reply){}, service: 100 * time.Millisecond}
 	for i := range agents {
@@ -68,6 +70,7 @@
 	for i := range entries {
 		f.addEntry(i)
 	}
+	f.compact()
 	for i, m := range f.members {
 		// Spreads the periodic work of the processes over a second.
 		f.at(time.Duration(i)*time.Second/time.Duration(len(f.members)), func() { f.start(m) })
@@ -75,6 +78,19 @@
 	return f
 }
 
+// compact replaces the records of the log by a snapshot.
+func (f *fleet) compact() {
+	state := control.NewState()
+	for i, record := range f.log {
+		state.Apply(int64(i), record)
+	}
+	f.oldest = state.Next()
+	f.log = [][]byte{state.SnapshotRecord()}
+}
+
+// end returns the offset past the last record.
+func (f *fleet) end() int64 { return f.oldest + int64(len(f.log)) }
+
 func (f *fleet) addAgent(i int) {
 	ref := node.Ref{ID: node.ID(fmt.Sprintf("agent-%04d", i)), Incarnation: node.Incarnation(0x5a5a5a5a5a5a0000 + i)}
 	domain, worker := fmt.Sprintf("domain-%d", i%4), fmt.Sprintf("worker-%04d", i)
@@ -210,9 +226,9 @@
 // read keeps one read of the log waiting, as the shells do.
 func (f *fleet) read(m *member) {
 	m.reads++
-	asked, from := f.now, f.offset(m)
+	asked, from := f.now, max(f.offset(m), f.oldest)
 	wait := logWait
-	if from < int64(len(f.log)) {
+	if from < f.end() {
 		wait = linkDelay
 	}
 	f.at(wait, func() {
@@ -220,10 +236,7 @@
 			f.read(m)
 			return
 		}
-		end := int64(len(f.log))
-		records := f.log[min(from, end):]
-		f.step(m, agent.LogRead{From: from, Records: records, End: end, AskedAt: asked},
-			entry.LogRead{From: from, Records: records, End: end, AskedAt: asked})
+		f.deliver(m, from, f.log[from-f.oldest:], asked)
 		f.read(m)
 	})
 }
@@ -240,11 +253,9 @@
 	f.at(time.Second, func() { f.announce(m) })
 }
 
-// readRecords lets one process read records that no other process sees.
-func readRecords(f *fleet, m *member, records [][]byte) {
-	from := f.offset(m)
+// deliver hands records of the log to a process.
+func (f *fleet) deliver(m *member, from int64, records [][]byte, asked time.Duration) {
 	end := from + int64(len(records))
-	f.now += time.Millisecond
-	f.step(m, agent.LogRead{From: from, Records: records, End: end, AskedAt: f.now},
-		entry.LogRead{From: from, Records: records, End: end, AskedAt: f.now})
+	f.step(m, agent.LogRead{From: from, Records: records, End: end, Oldest: f.oldest, AskedAt: asked},
+		entry.LogRead{From: from, Records: records, End: end, AskedAt: asked})
 }
