--- a/core/policy/placement/model_test.go
+++ b/core/policy/placement/model_test.go
@@ -27,7 +27,9 @@
 	// jobSize is the number of tasks of a large job; half of all tasks are in
 	// large jobs and half are urgent jobs of one task.
 	jobSize int
-	length  time.Duration
+	// fanOut is the number of peers that each process watches; zero is all.
+	fanOut int
+	length time.Duration
 	// slow divides the speed of node 0; zero is the common speed.
 	slow float64
 	// backAt is when nodes 0 to 3 come into service; zero is from the start.
@@ -66,33 +68,12 @@
 	key string
 }
 
-type modelEvent struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type modelEvents []modelEvent
-
-func (e modelEvents) Len() int      { return len(e) }
-func (e modelEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *modelEvents) Push(x any)   { *e = append(*e, x.(modelEvent)) }
-func (e modelEvents) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-
-func (e *modelEvents) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // modelNode is one process.
 type modelNode struct {
 	picker  Picker
 	cands   []Candidate
 	seen    []time.Duration
+	ignored []bool
 	sent    [][]time.Duration
 	pending *queue.Queue[*modelTask]
 	busy    int
@@ -113,25 +94,6 @@
 	result modelResult
 }
 
-// modelResult holds what a run measured. The ratios are of the response time
-// over the service time of urgent tasks.
-type modelResult struct {
-	ratios []float64
-	// after holds the ratios of urgent tasks that arrive two seconds after the
-	// burst or later.
-	after []float64
-	// normal is the sum of the ratios of the other tasks.
-	normal                        float64
-	tasks, remote, refused, ended int
-	lost, onReturn                int
-	shed                          map[job.Class]int
-}
-
-func quantile(v []float64, q float64) float64 {
-	slices.Sort(v)
-	return v[int(q*float64(len(v)-1))]
-}
-
 func runModel(cfg modelConfig) *modelResult {
 	m := &model{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, 1))}
 	m.result.shed = make(map[job.Class]int)
@@ -160,6 +122,7 @@
 		picker:  p,
 		cands:   make([]Candidate, m.cfg.nodes),
 		seen:    make([]time.Duration, m.cfg.nodes),
+		ignored: make([]bool, m.cfg.nodes),
 		sent:    make([][]time.Duration, m.cfg.nodes),
 		pending: queue.New[*modelTask](1 << 20),
 		waiting: queue.New[*modelTask](m.cfg.slots * QueuePerSlot),
@@ -174,6 +137,16 @@
 			Load:   message.Load{Slots: m.slotsOf(i)},
 		}
 	}
+	if m.cfg.fanOut > 0 {
+		ids := modelIDs(m.cfg.nodes)
+		watched := Subset(ids[self], ids, m.cfg.fanOut)
+		for i := range n.cands {
+			if i != self && !slices.Contains(watched, ids[i]) {
+				n.cands[i].Load.Slots = 0
+				n.ignored[i] = true
+			}
+		}
+	}
 	if m.cfg.detect {
 		n.det.SetWorkers(0, modelIDs(m.cfg.nodes))
 	}
@@ -405,7 +378,7 @@
 func (m *model) report(i int) {
 	l, made := m.loadOf(i), m.now
 	for j := range m.nodes {
-		if j != i {
+		if j != i && !m.nodes[j].ignored[i] {
 			m.schedule(m.delay(i, j), func() { m.learn(j, i, l, made) })
 		}
 	}
