home: leave an executor that refused alone for a while

Change: a refusal for want of room closes the executor for the class and lower ones, for a jittered time that doubles with each refusal in a row up to 2 s; a load report with a free slot opens it again.

--- a/core/home/home.go
+++ b/core/home/home.go
@@ -95,6 +95,11 @@
 	faults         *quarantine.Detector
 	budget         *retry.Budget
 	backoff        *retry.Backoff
+	// opensAt is the earliest time at which an executor that has refused takes
+	// tasks again, as found by the placement under way; placeAt is when the next
+	// placement for that reason is due.
+	opensAt time.Duration
+	placeAt time.Duration
 	// Scratch space of one placement.
 	cands     []placement.Candidate
 	candLinks []*link
--- a/core/home/link.go
+++ b/core/home/link.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/placement"
 )
 
 // loadLag is how old a load report may be compared with the tasks that were
@@ -26,6 +28,12 @@
 	load      message.Load
 	// loadAt is when load arrived.
 	loadAt time.Duration
+	// closedUntil holds, by class, until when the executor has asked not to be
+	// sent further tasks.
+	closedUntil [3]time.Duration
+	// refusals counts the refusals in a row without a load report that shows a
+	// free slot.
+	refusals int
 	// uncovered is the number of tasks sent that load does not cover.
 	uncovered   int
 	nextSeq     uint64
@@ -59,11 +67,42 @@
 	}
 }
 
+const (
+	// minClosed and maxClosed bound the time for which an executor that has
+	// refused is sent nothing; it doubles with each refusal in a row.
+	minClosed = 100 * time.Millisecond
+	maxClosed = 2 * time.Second
+)
+
+// closure returns how long the executor is to be left alone after one more
+// refusal that asked for the pause hint.
+func (l *link) closure(hint time.Duration) time.Duration {
+	d := minClosed << min(l.refusals, 5)
+	l.refusals++
+	return min(max(d, hint), maxClosed)
+}
+
+// close notes that the executor has no room for a class, nor for lower ones.
+func (l *link) close(class job.Class, until time.Duration) {
+	for i := classIndex(class); i < len(l.closedUntil); i++ {
+		l.closedUntil[i] = max(l.closedUntil[i], until)
+	}
+}
+
+// reopen takes the executor back into use when it reports free slots.
+func (l *link) reopen() {
+	if placement.Free(placement.Candidate{Load: l.load, Class: job.Batch}) > 0 {
+		l.closedUntil = [3]time.Duration{}
+		l.refusals = 0
+	}
+}
+
 // observe takes a load report that arrived at now.
 func (l *link) observe(load message.Load, now time.Duration) {
 	l.load = load
 	l.loadAt = now
 	l.uncovered = 0
+	l.reopen()
 	for seq := l.nextSeq; seq > l.floor; seq-- {
 		t, open := l.outstanding[seq-1]
 		if open && now-t.sentAt >= loadLag {
--- a/core/home/outcome.go
+++ b/core/home/outcome.go
@@ -52,8 +52,11 @@
 	}
 	c.stats.Refused++
 	t.link.settle(t.seq)
-	t.link = nil
 	r := t.record
+	if m.Reason == message.RefusedBusy && r.job != nil {
+		t.link.close(r.job.Class, now.Mono+c.backoff.Spread(t.link.closure(m.RetryAfter)))
+	}
+	t.link = nil
 	if r.settling {
 		c.resolve(t, taskNotRun)
 		c.finishIfSettled(r)
--- a/core/home/place.go
+++ b/core/home/place.go
@@ -62,11 +62,19 @@
 // place sends waiting tasks to executors with room, urgent classes first and
 // the records of a class in turn.
 func (c *Core) place() {
+	c.opensAt = never
 	for i := range c.waiting.classes {
 		c.placeClass(i)
 	}
+	if c.opensAt != never && (c.placeAt <= c.now.Mono || c.opensAt < c.placeAt) {
+		c.placeAt = c.opensAt
+		c.timers.Add(c.placeAt, timer{kind: timerPlace})
+	}
 }
 
+// never is a time that does not come.
+const never = time.Duration(1<<63 - 1)
+
 func (c *Core) placeClass(class int) {
 	list := c.waiting.classes[class]
 	n := min(len(list), placeBatch)
@@ -190,10 +198,15 @@
 func (c *Core) gather(t *task, g *group) {
 	c.cands = c.cands[:0]
 	c.candLinks = c.candLinks[:0]
+	class := classIndex(t.record.job.Class)
 	for _, l := range g.links {
 		if l.load.Draining || t.excluded.Has(l.ref) {
 			continue
 		}
+		if until := l.closedUntil[class]; until > c.now.Mono {
+			c.opensAt = min(c.opensAt, until)
+			continue
+		}
 		c.cands = append(c.cands, c.candidate(l, t.record.job.Class))
 		c.candLinks = append(c.candLinks, l)
 	}
