--- a/core/rendezvous/rendezvous_test.go
+++ b/core/rendezvous/rendezvous_test.go
@@ -70,9 +70,10 @@
 func TestSpread(t *testing.T) {
 	const jobs, nodes, mean, slack = 92000, 920, 100, 60
 	all := agents(nodes)
+	table := rendezvous.NewTable(all)
 	count := make(map[node.ID]int)
 	for i := range jobs {
-		home, _ := rendezvous.Home(job.ID(fmt.Sprintf("job-%d", i)), all)
+		home, _ := table.Home(job.ID(fmt.Sprintf("job-%d", i)))
 		count[home.Ref.ID]++
 	}
 	for _, m := range all {
