--- a/internal/loadgen/call.go
+++ b/internal/loadgen/call.go
@@ -154,8 +154,10 @@
 	return sleep(ctx, retryDelay)
 }
 
+// retryable reports whether the caller submits the job again. Without a matching
+// upstream it waits for an operator instead.
 func retryable(a *httpapi.JobAnswer) bool {
-	if a.Error == nil {
+	if a.Error == nil || a.Error.Kind == errkind.NoUpstreamMatches {
 		return false
 	}
 	row, ok := errkind.Lookup(a.Error.Kind)
