A killed daemon fails, and says what it cut off

Cause: testdata/script/second_signal.txtar failed: after a second SIGTERM an entry with a call in flight exited with 0, because another actor ended before the one that knew of the kill; the number of tasks cut off was read after they had ended. Change: Run returns what leave says when no actor failed; Kill counts before it stops anything.

--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -51,6 +51,8 @@
 	// sent is the number of messages given to the transport.
 	sent     atomic.Uint64
 	draining atomic.Bool
+	// cut is the number of tasks that a kill cut off.
+	cut atomic.Int64
 	// hasRead says that the log has answered.
 	hasRead atomic.Bool
 	drained *lifecycle.Signal
@@ -169,6 +171,7 @@
 // transport closes last, because a refused connection proves to the other
 // processes that this run can start nothing any more.
 func (d *Daemon) Kill() {
+	d.cut.CompareAndSwap(0, int64(d.tasks.count()))
 	d.killed.Give()
 	d.tasks.stop()
 	if d.http != nil {
@@ -184,7 +187,11 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	d.logs.Info("started", "id", d.self.ID, "http", d.HTTPAddr(), "transport", d.Addr())
 	var g run.Group
-	g.Add(func() error { return d.leave(ctx) }, func(error) { d.Kill() })
+	var left error
+	g.Add(func() error {
+		left = d.leave(ctx)
+		return left
+	}, func(error) { d.Kill() })
 	lifecycle.Add(&g, d.loop.Run)
 	lifecycle.Add(&g, d.transport.Run)
 	lifecycle.Add(&g, d.reader.Run)
@@ -192,6 +199,10 @@
 	lifecycle.Add(&g, d.appender.Run)
 	g.Add(d.http.Run, func(error) { _ = d.http.Close() })
 	err := g.Run()
+	if err == nil {
+		// A kill may end another actor first.
+		err = left
+	}
 	if err := lifecycle.Bounded(tracerTime, d.tracer.Shutdown); err != nil {
 		d.logs.Error(err, "exporting the last spans failed")
 	}
--- a/internal/agentd/leave.go
+++ b/internal/agentd/leave.go
@@ -29,7 +29,7 @@
 		d.flush()
 		return nil
 	case <-d.killed.Given():
-		d.logs.Info("tasks cut off by a kill", "tasks", d.tasks.count())
+		d.logs.Info("tasks cut off by a kill", "tasks", d.cut.Load())
 		return ErrKilled
 	case <-grace.C:
 		d.logs.Info("tasks cut off at the end of the grace time", "tasks", d.tasks.count())
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -56,6 +56,8 @@
 	// members is the number of known agents at the last scrape.
 	members  atomic.Int64
 	draining atomic.Bool
+	// cut is the number of calls that a kill cut off.
+	cut atomic.Int64
 	// hasRead says that the log has answered.
 	hasRead atomic.Bool
 	drained *lifecycle.Signal
@@ -199,6 +201,7 @@
 
 // Kill stops the daemon at once: connections are cut and nothing is finished.
 func (d *Daemon) Kill() {
+	d.cut.CompareAndSwap(0, int64(d.calls.count()))
 	d.killed.Give()
 	d.closeSockets()
 }
@@ -219,7 +222,11 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	d.logs.Info("started", "id", d.self.ID, "http", d.HTTPAddr(), "transport", d.Addr())
 	var g run.Group
-	g.Add(func() error { return d.leave(ctx) }, func(error) { d.Kill() })
+	var left error
+	g.Add(func() error {
+		left = d.leave(ctx)
+		return left
+	}, func(error) { d.Kill() })
 	lifecycle.Add(&g, d.loop.Run)
 	lifecycle.Add(&g, d.transport.Run)
 	lifecycle.Add(&g, d.reader.Run)
@@ -228,6 +235,10 @@
 	g.Add(d.api.Run, func(error) { _ = d.api.Close() })
 	g.Add(d.monitor.Run, func(error) { _ = d.monitor.Close() })
 	err := g.Run()
+	if err == nil {
+		// A kill may end another actor first.
+		err = left
+	}
 	if err := lifecycle.Bounded(tracerTime, d.tracer.Shutdown); err != nil {
 		d.logs.Error(err, "exporting the last spans failed")
 	}
--- a/internal/entryd/leave.go
+++ b/internal/entryd/leave.go
@@ -22,11 +22,14 @@
 	if !lifecycle.Wait(d.cfg.ReadinessDelay, d.killed.Given()) {
 		return ErrKilled
 	}
-	if err := d.finish(grace); err != nil {
-		d.logs.Info("calls cut off", "calls", d.calls.count())
-		return err
+	err := d.finish(grace)
+	switch err {
+	case ErrKilled:
+		d.logs.Info("calls cut off by a kill", "calls", d.cut.Load())
+	case ErrCut:
+		d.logs.Info("calls cut off at the end of the grace time", "calls", d.calls.count())
 	}
-	return nil
+	return err
 }
 
 // finish waits until every call is answered.
--- a/script_test.go
+++ b/script_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
+	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -32,11 +35,23 @@
 func TestMain(m *testing.M) {
 	std := command.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
 	testscript.Main(m, map[string]func(){
+		"httpget":            httpget,
 		"dogwoodgauge":       func() { os.Exit(int(command.Main(os.Args[1:], std))) },
 		"dogwoodgauge-agent": func() { os.Exit(int(command.AgentMain(os.Args[1:], std))) },
 	})
 }
 
+// httpget is a program that prints the body found at a URL.
+func httpget() {
+	resp, err := http.Get(os.Args[1])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(os.Stdout, resp.Body)
+}
+
 // TestScripts runs the scripts of testdata/script, each with processes of its
 // own over loopback.
 func TestScripts(t *testing.T) {
