--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,141 @@
+package follow
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/logclient"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/telemetry"
+)
+
+// scriptedLog answers each read and append by a function.
+type scriptedLog struct {
+	read   func(from int64) (logclient.ReadResult, error)
+	append func(record []byte) error
+}
+
+func (l scriptedLog) Append(_ context.Context, _ string, record []byte) (int64, error) {
+	return 0, l.append(record)
+}
+
+func (l scriptedLog) Read(_ context.Context, _ string, from int64, _ int, _ time.Duration) (logclient.ReadResult, error) {
+	return l.read(from)
+}
+
+func TestReaderTakesTheTimeBeforeItAsks(t *testing.T) {
+	var now time.Duration
+	var offset int64
+	var from []int64
+	reads := 0
+	log := scriptedLog{read: func(f int64) (logclient.ReadResult, error) {
+		from = append(from, f)
+		reads++
+		now += time.Second // The answer takes a second.
+		if reads == 2 {
+			return logclient.ReadResult{}, logclient.ErrUnavailable
+		}
+		return logclient.ReadResult{From: f, Records: [][]byte{{1}}, End: f + 1}, nil
+	}}
+	var asked []time.Duration
+	r := &Reader{
+		Log:     log,
+		Offset:  func() int64 { return offset },
+		Mono:    func() time.Duration { return now },
+		Logs:    telemetry.Part("test"),
+		Metrics: telemetry.NewMetrics(),
+		Deliver: func(read Read) bool {
+			asked = append(asked, read.AskedAt)
+			offset = read.End
+			return len(asked) < 3
+		},
+	}
+	if err := r.Run(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if want := []time.Duration{0, 2 * time.Second, 3 * time.Second}; !slices.Equal(asked, want) {
+		t.Errorf("asked at %v, want %v", asked, want)
+	}
+	if want := []int64{0, 1, 1, 2}; !slices.Equal(from, want) {
+		t.Errorf("read from %v, want %v", from, want)
+	}
+}
+
+func TestAppenderTriesOnceAndFlushes(t *testing.T) {
+	var tried []string
+	log := scriptedLog{append: func(record []byte) error {
+		tried = append(tried, string(record))
+		return errors.New("down")
+	}}
+	a := NewAppender(log, "s", telemetry.Part("test"), telemetry.NewMetrics())
+	a.Append([]byte("a"))
+	a.Append([]byte("b"))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- a.Run(ctx) }()
+	if err := a.Flush(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	if want := []string{"a", "b"}; !slices.Equal(tried, want) {
+		t.Errorf("tried %q, want %q", tried, want)
+	}
+}
+
+func TestAppenderDropsWhatItCannotHold(t *testing.T) {
+	a := NewAppender(scriptedLog{}, "s", telemetry.Part("test"), telemetry.NewMetrics())
+	for range appendQueue + 5 {
+		a.Append(nil)
+	}
+	if got := a.pending.Load(); got != appendQueue {
+		t.Errorf("%d records wait, want %d", got, appendQueue)
+	}
+}
+
+// fakePeers answers at one of its addresses.
+type fakePeers struct {
+	addr  string
+	asked chan node.Ref
+}
+
+func (p fakePeers) Connect(_ context.Context, addr string) (node.Ref, error) {
+	if addr != p.addr {
+		return node.Ref{}, errors.New("refused")
+	}
+	return node.Ref{ID: "a", Incarnation: 1}, nil
+}
+
+func (p fakePeers) Send(to node.Ref, m message.Message) {
+	if m.Status != nil && m.Status.Query {
+		p.asked <- to
+	}
+}
+
+func TestSeedsAskWhoAnswers(t *testing.T) {
+	peers := fakePeers{addr: "127.0.0.1:2", asked: make(chan node.Ref, 1)}
+	s := &Seeds{
+		Peers:    peers,
+		Addrs:    []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")},
+		Informed: func() bool { return false },
+		Logs:     telemetry.Part("test"),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	if got := <-peers.asked; got != (node.Ref{ID: "a", Incarnation: 1}) {
+		t.Errorf("asked %v", got)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
