upstreamcall: test of the gate's own look at the clock

Cause: of two mutations tried on a copy, an Idempotency-Key header on the request was caught (5 starts in place of 4 on a kept connection); a gate that does not look at the clock was not, because the timer beside it came first. Change: a test of the gate alone, which catches the second.

--- a/internal/upstreamcall/pool_test.go
+++ b/internal/upstreamcall/pool_test.go
@@ -296,3 +296,21 @@
 		t.Error("open gate shut")
 	}
 }
+
+func TestGateChecksTheClockAtTheFirstByte(t *testing.T) {
+	now := time.Second
+	g := &gate{notAfter: time.Second, mono: func() time.Duration { return now }}
+	now++
+	client, server := net.Pipe()
+	defer client.Close()
+	defer server.Close()
+	go func() { _, _ = io.Copy(io.Discard, server) }()
+	c := &gatedConn{Conn: client}
+	c.gate.Store(g)
+	if n, err := c.Write([]byte("POST")); n != 0 || err != errLapsed {
+		t.Errorf("wrote %d bytes, error %v", n, err)
+	}
+	if !g.shut() {
+		t.Error("the gate is open after its time")
+	}
+}
