--- a/internal/command/experiment.go
+++ b/internal/command/experiment.go
@@ -16,7 +16,8 @@
 	cmd := app.Command("experiment", "Measure entries and agents over loopback under load and faults. "+
 		"Example: dogwoodgauge experiment --scenario quitanda --fault domain-out --seed 1 --duration 20s --json")
 	o := experiment.Options{Progress: std.Err}
-	cmd.Flag("scenario", "pettigrew or quitanda.").Default(experiment.DefaultScenario).StringVar(&o.Scenario)
+	var entries string
+	cmd.Flag("scenario", "One of "+strings.Join(experiment.ScenarioNames(), ", ")+".").Default(experiment.DefaultScenario).StringVar(&o.Scenario)
 	cmd.Flag("fault", "Fault; may be repeated. One of "+strings.Join(experiment.FaultNames(), ", ")+".").
 		StringsVar(&o.Faults)
 	cmd.Flag("policy", "Placement policy.").StringVar(&o.Policy)
@@ -25,6 +26,9 @@
 		DurationVar(&o.Duration)
 	cmd.Flag("load", "Offered work as a share of the slots.").Default(fmt.Sprint(experiment.DefaultLoad)).
 		Float64Var(&o.Load)
+	cmd.Flag("entries", "HTTP addresses of entries that run already, separated by commas; no fault can be made then.").
+		PlaceHolder("ADDR,...").StringVar(&entries)
+	cmd.Flag("report", "Directory for the report and plots.").StringVar(&o.ReportDir)
 	cmd.Flag("skip-baseline", "Leave out the run without faults.").BoolVar(&o.SkipBaseline)
 	asJSON := jsonFlag(cmd)
 	logs := logsFlag(cmd)
@@ -32,6 +36,9 @@
 		if err := dropLogs(*logs); err != nil {
 			return err
 		}
+		if entries != "" {
+			o.Entries = strings.Split(entries, ",")
+		}
 		ctx, stop := signalContext()
 		defer stop()
 		report, err := experiment.Run(ctx, o)
