--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -51,15 +51,16 @@
 	cmd := parent.Command("publish", "Publish a configuration file; returns when it is in force. "+
 		"Example: dogwoodgauge config get > site.ini, edit, dogwoodgauge config publish site.ini")
 	path := cmd.Arg("file", "Configuration file.").Required().String()
+	named := false
 	from := cmd.Flag("from", "Revision that the file was made from; without it, the one named in the file.").
-		Default(strconv.FormatInt(unknownRevision, 10)).Int64()
+		IsSetByUser(&named).Int64()
 	o := operatorFlags(cmd, std)
 	cmd.Action(action(func() error {
 		f, err := readConfigFile(*path)
 		if err != nil {
 			return err
 		}
-		if *from != unknownRevision {
+		if named {
 			f.revision = *from
 		}
 		return o.publishFile(f)
--- /dev/null
+++ b/internal/entryd/service_test.go
@@ -0,0 +1,108 @@
+package entryd
+
+import (
+	"bytes"
+	"context"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
+	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/settings"
+)
+
+func TestCallsAreAnsweredOnce(t *testing.T) {
+	var c calls
+	first, answer := c.begin()
+	second, other := c.begin()
+	if first == second {
+		t.Fatal("two calls have one number")
+	}
+	c.answer(first, result{reply: entry.Reply{Call: first}})
+	c.answer(first, result{reply: entry.Reply{Call: 99}}) // Must not block.
+	if r := <-answer; r.reply.Call != first {
+		t.Errorf("call %d got the answer of call %d", first, r.reply.Call)
+	}
+	c.forget(second)
+	c.answer(second, result{})
+	select {
+	case <-other:
+		t.Error("a forgotten call was answered")
+	default:
+	}
+	if c.count() != 0 {
+		t.Errorf("%d calls wait", c.count())
+	}
+}
+
+// startEntry runs an entry whose log service does not exist.
+func startEntry(t *testing.T) *Daemon {
+	t.Helper()
+	anyPort := netip.MustParseAddrPort("127.0.0.1:0")
+	s := settings.DefaultEntry()
+	s.Node = settings.Node{Role: settings.RoleEntry, ID: "entry-a", Domain: "d"}
+	s.Listen = settings.EntryListen{HTTP: anyPort, Transport: anyPort, Metrics: anyPort}
+	s.Log.Address = netip.MustParseAddrPort("127.0.0.1:1")
+	d, err := New(Config{Settings: s, PanicOnViolation: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil && !errors.Is(err, ErrKilled) {
+			t.Error(err)
+		}
+	})
+	return d
+}
+
+func oneTask() job.Job {
+	return job.Job{Team: "t", Timeout: job.MaxTimeout, Class: job.Normal, Tasks: []job.Task{{}}}
+}
+
+func TestEntryWithoutAgentsRefusesTruly(t *testing.T) {
+	d := startEntry(t)
+	ctx := context.Background()
+	reply, err := d.Submit(ctx, oneTask(), true, "")
+	if err != nil || reply.Answer.Kind != errkind.NotRun {
+		t.Errorf("submit: %+v, error %v", reply, err)
+	}
+	mint, err := d.Mint(ctx, 1)
+	if err != nil || mint.Kind != errkind.Unavailable {
+		t.Errorf("mint: %+v, error %v", mint, err)
+	}
+	if err := d.Ready(); err == nil || !strings.Contains(err.Error(), "configuration") {
+		t.Errorf("ready: %v", err)
+	}
+	var text bytes.Buffer
+	d.WriteMetrics(&text)
+	if !strings.Contains(text.String(), "dogwoodgauge_members 0") {
+		t.Errorf("metrics:\n%s", text.String())
+	}
+}
+
+func TestCallsEndWithTheirCallerAndWithTheEntry(t *testing.T) {
+	d := startEntry(t)
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, answer := d.calls.begin()
+	if _, err := d.call(gone, func(uint64) entry.Event { return entry.Tick{} }); !errors.Is(err, context.Canceled) {
+		t.Errorf("caller gone: error %v", err)
+	}
+	d.Kill()
+	if _, err := d.call(context.Background(), func(uint64) entry.Event { return entry.Tick{} }); !errors.Is(err, errStopped) {
+		t.Errorf("entry killed: error %v", err)
+	}
+	select {
+	case r := <-answer:
+		t.Errorf("a call without an event was answered with %+v", r)
+	default:
+	}
+}
