--- a/core/agent/drain.go
+++ b/core/agent/drain.go
@@ -43,6 +43,7 @@
 	c.drain.begun = true
 	c.drain.since = c.now.Mono
 	c.members.left = true
+	c.lease.Leave()
 	c.appendControl(control.EncodeLeave(c.cfg.Self))
 	c.exec.Drain(c.now, &c.execOut)
 	c.home.ObserveLoad(c.now, c.cfg.Self, c.Load())
--- a/core/agent/gossip.go
+++ b/core/agent/gossip.go
@@ -125,7 +125,7 @@
 }
 
 func (c *Core) answerStatus(e *message.Envelope, s *message.Status) {
-	if c.members.left {
+	if c.members.left || !c.state.Synced() {
 		return
 	}
 	c.send(e.From, message.Message{Status: &message.Status{
--- a/core/agent/membership.go
+++ b/core/agent/membership.go
@@ -55,7 +55,7 @@
 
 // changed puts a new state in force.
 func (c *Core) changed(before int64, e control.Effect) {
-	if c.state.Next() == before {
+	if c.state.Next() == before && !e.ConfigChanged && !e.MembersChanged {
 		return
 	}
 	c.lease.Advance(c.state.Next())
--- a/core/catchup/catchup.go
+++ b/core/catchup/catchup.go
@@ -43,7 +43,7 @@
 // Take folds what a peer has sent for catching up. A gap before the records is
 // not bridged, because more may have been lost.
 func (t *Tail) Take(m *message.Records) control.Effect {
-	if m.Snapshot != nil && m.Offset > t.State.Next() {
+	if m.Snapshot != nil && (m.Offset > t.State.Next() || !t.State.Synced()) {
 		if t.State.ResetTo(m.Snapshot) != nil {
 			return control.Effect{}
 		}
