executor: the fault detector decides beside the worker

Cause: detectors at homes only. Every home paid for its own evidence and its own trial tasks, and a worker that fails everything at once stayed a candidate of last resort.

Change: one detector for a process, shared by its home and its executor. The executor reports the outcomes of its own worker, refuses new tasks and what waits while the worker is in quarantine, and takes one task at a time on probation. Load.Failing is the executor's verdict. Homes take the reports of other executors and leave those in quarantine out of the candidates.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -14,6 +14,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/core/ownership"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/placement"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/quarantine"
 )
 
 // Config sets the identity and the bounds of an agent. Zero bounds take the
@@ -121,13 +122,14 @@
 		peers: make(map[node.Ref]*peer),
 	}
 	c.tail.State = c.state
+	faults := quarantine.New()
 	c.exec = executor.New(executor.Config{
 		QueueLimit: cfg.QueueLimit, ReservedSlots: cfg.ReservedSlots, RetainIdle: cfg.Retention,
-		ClockBound: cfg.ClockBound, Gate: gate{c}, Invariants: &c.invariants,
+		ClockBound: cfg.ClockBound, Self: cfg.Self.ID, Faults: faults, Gate: gate{c}, Invariants: &c.invariants,
 	})
 	c.home = home.New(home.Config{
 		Self: cfg.Self, Seed: cfg.Seed, Window: cfg.Retention, ClockBound: cfg.ClockBound,
-		MaxRecords: cfg.MaxRecords, MaxResultBytes: cfg.MaxRecordBytes, MaxWaiting: maxWaitingTasks,
+		MaxRecords: cfg.MaxRecords, MaxResultBytes: cfg.MaxRecordBytes, MaxWaiting: maxWaitingTasks, Faults: faults,
 		Picker: picker, Ownership: gate{c}, Eligibility: gate{c}, Invariants: &c.invariants,
 	})
 	return c
@@ -320,7 +322,7 @@
 // Load returns the agent's report of itself.
 func (c *Core) Load() message.Load {
 	l := c.exec.Load()
-	l.Failing = c.home.Failing(c.now)
+	l.Failing = c.exec.Failing(c.now)
 	l.Draining = l.Draining || c.drain.begun
 	return l
 }
--- a/core/executor/dispatch.go
+++ b/core/executor/dispatch.go
@@ -21,6 +21,10 @@
 		c.refuse(e, message.RefusedDeadline, 0)
 		return
 	}
+	if c.Failing(now) {
+		c.refuse(e, message.RefusedBusy, 0)
+		return
+	}
 	c.demand.Observe(now.Mono, e.start.Class)
 	p, reason := c.choose(now, e)
 	if isPermanent(reason) {
@@ -137,6 +141,7 @@
 	e.startedAt = now.Mono
 	p.upstream.busy++
 	c.running[e.handle] = e
+	c.cfg.Faults.Sent(now.Mono, c.cfg.Self)
 	c.out.Commands = append(c.out.Commands, Command{
 		Handle:   e.handle,
 		Upstream: p.upstream.name,
@@ -173,6 +178,10 @@
 		c.refuse(e, message.RefusedDeadline, 0)
 		return true
 	}
+	if c.Failing(now) {
+		c.refuse(e, message.RefusedBusy, 0)
+		return true
+	}
 	p, reason := c.choose(now, e)
 	if reason == message.RefusedBusy {
 		return false
--- a/core/executor/executor.go
+++ b/core/executor/executor.go
@@ -11,6 +11,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/admission"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/estimate"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/quarantine"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/queue"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/slots"
 )
@@ -38,6 +39,10 @@
 	RetainIdle time.Duration
 	// ClockBound is the largest difference between two wall clocks.
 	ClockBound time.Duration
+	// Self names the worker beside the executor to Faults.
+	Self node.ID
+	// Faults is the fault detector of the process.
+	Faults     *quarantine.Detector
 	Gate       Gate
 	Invariants *invariant.Recorder
 }
@@ -167,6 +172,7 @@
 		c.refuse(e, message.RefusedWithdrawn, 0)
 	} else {
 		c.end(now, e, state, body, detail)
+		c.observeOutcome(now, e, state)
 	}
 	c.dispatch(now)
 }
--- /dev/null
+++ b/core/executor/faults.go
@@ -0,0 +1,28 @@
+package executor
+
+import (
+	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+)
+
+// Failing reports whether the worker beside the executor is in quarantine, so
+// that the executor refuses new tasks. On probation it takes one at a time.
+func (c *Core) Failing(now clock.Now) bool {
+	return c.cfg.Faults.Quarantined(now.Mono, c.cfg.Self)
+}
+
+// observeOutcome passes the end of a task to the fault detector. When that puts
+// the worker in quarantine, what waits is refused: homes can place it elsewhere.
+func (c *Core) observeOutcome(now clock.Now, e *entry, state job.TaskState) {
+	if state != job.Done && state != job.Failed {
+		return
+	}
+	c.cfg.Faults.Observe(now.Mono, c.cfg.Self, string(e.start.ID), state == job.Failed)
+	if state == job.Done || !c.Failing(now) {
+		return
+	}
+	for _, waiting := range c.queue.RemoveFunc(func(*entry) bool { return true }) {
+		c.refuse(waiting, message.RefusedBusy, 0)
+	}
+}
--- a/core/home/faults.go
+++ b/core/home/faults.go
@@ -1,7 +1,6 @@
 package home
 
 import (
-	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 )
@@ -16,18 +15,28 @@
 }
 
 // observeOutcome passes the end of a task to the fault detector. An answer that
-// was lost says nothing about the worker. The job is what may be to blame
-// besides the worker.
+// was lost says nothing about the worker, and the executor of this process has
+// passed on its own outcomes. The job is what may be to blame besides the
+// worker.
 func (c *Core) observeOutcome(t *task, worker node.ID, s job.TaskState) {
-	if s == job.Unknown {
+	if s == job.Unknown || worker == c.cfg.Self.ID {
 		return
 	}
 	c.faults.Observe(c.now.Mono, worker, string(t.record.id), s == job.Failed)
 }
 
-// Failing reports whether the executor beside this home fails what it starts.
-func (c *Core) Failing(now clock.Now) bool {
-	return c.faults.Quarantined(now.Mono, c.cfg.Self.ID)
+// observeSent notes a task sent to another executor, which uses up its trial.
+func (c *Core) observeSent(l *link) {
+	if l.ref.ID != c.cfg.Self.ID {
+		c.faults.Sent(c.now.Mono, l.ref.ID)
+	}
+}
+
+// observeReport takes what another executor reports of itself.
+func (c *Core) observeReport(l *link) {
+	if l.ref.ID != c.cfg.Self.ID {
+		c.faults.SetReported(l.ref.ID, l.load.Failing)
+	}
 }
 
 // refreshService notes which executors have come into service since the last
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -52,6 +52,8 @@
 	// Window is how long after its creation a job may still be admitted, and
 	// how long its record is kept.
 	Window time.Duration
+	// Faults is the fault detector of the process.
+	Faults *quarantine.Detector
 	// ClockBound is the largest difference between two wall clocks.
 	ClockBound time.Duration
 	// MaxRecords bounds the records held.
@@ -122,7 +124,7 @@
 		cfg:     cfg,
 		records: newStore(cfg.Window, cfg.MaxRecords, cfg.MaxResultBytes),
 		links:   make(map[node.Ref]*link),
-		faults:  quarantine.New(),
+		faults:  cfg.Faults,
 		budget:  retry.NewBudget(),
 		backoff: retry.NewBackoff(cfg.Seed),
 	}
--- a/core/home/place.go
+++ b/core/home/place.go
@@ -200,7 +200,7 @@
 	c.candLinks = c.candLinks[:0]
 	class := classIndex(t.record.job.Class)
 	for _, l := range g.links {
-		if l.load.Draining || t.excluded.Has(l.ref) {
+		if l.load.Draining || t.excluded.Has(l.ref) || c.faults.Quarantined(c.now.Mono, l.ref.ID) {
 			continue
 		}
 		if until := l.closedUntil[class]; until > c.now.Mono {
@@ -233,7 +233,6 @@
 		Load:         l.load,
 		Sent:         l.uncovered,
 		Age:          c.now.Mono - l.loadAt,
-		Suspect:      c.faults.Quarantined(c.now.Mono, l.ref.ID),
 		Class:        class,
 		QueuedUrgent: l.load.QueuedUrgent,
 		UpFor:        c.now.Mono - l.upSince,
@@ -263,7 +262,7 @@
 	l.assign(t, c.now.Mono)
 	c.waiting.tasks--
 	c.stats.Placed++
-	c.faults.Sent(c.now.Mono, l.ref.ID)
+	c.observeSent(l)
 	c.timers.Add(c.now.Mono+firstResend, timer{kind: timerResend, link: l, seq: t.seq})
 	c.sendStart(t)
 }
@@ -282,6 +281,7 @@
 func (c *Core) ObserveLoad(now clock.Now, ref node.Ref, load message.Load) {
 	if l, ok := c.links[ref]; ok {
 		l.observe(load, now.Mono)
+		c.observeReport(l)
 	}
 }
 
--- a/core/policy/quarantine/quarantine.go
+++ b/core/policy/quarantine/quarantine.go
@@ -201,10 +201,7 @@
 	if w == nil || !w.marked && !w.reported || !d.withinBound(worker) {
 		return false
 	}
-	if !w.marked {
-		return true
-	}
-	return now < w.until || w.trialRuns(now)
+	return w.reported || now < w.until || w.trialRuns(now)
 }
 
 // Trial reports whether worker is on probation and may get one task now.
