capacity: at 920 agents work stops when the log is down

-bench 'LogOutage/agents=920$' -benchtime 1x, 10 s into the outage: 0% of the agents may start tasks (100% at 400), 98 KB/s out a node. 40 queries a round reach no majority within the lease; core/freshness has the digests for it, no message carries them.

The stand-in log of the benchmark took appends while it was down, which made all processes read in a loop at 920; it now loses them.

--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -165,7 +165,7 @@
 	case agent.SetTimer:
 		f.setTimer(m, x.At)
 	case agent.AppendControl:
-		f.log = append(f.log, x.Record)
+		f.appendLog(x.Record)
 	}
 }
 
@@ -176,13 +176,20 @@
 	case entry.SetTimer:
 		f.setTimer(m, x.At)
 	case entry.AppendControl:
-		f.log = append(f.log, x.Record)
+		f.appendLog(x.Record)
 	case entry.Reply:
 		f.replies[x.Call](x)
 		delete(f.replies, x.Call)
 	}
 }
 
+// appendLog appends a record, which is lost while the log service is down.
+func (f *fleet) appendLog(record []byte) {
+	if !f.logDown {
+		f.log = append(f.log, record)
+	}
+}
+
 func (f *fleet) setTimer(m *member, at time.Duration) {
 	m.timer++
 	n := m.timer
