Jobs keep the home of their creation time through changes of membership

Cause: while agents join and leave, the IDs that move with them had no home that could prove to be the only one: the next home may only create jobs younger than its take-over plus a lease and the clock bound, and a leaving home stopped at once. Ruled out: lost records (the jobs were new), the entries' view (they followed redirects). Change: a join or leave states the creation time from which it holds, a lease, two clock bounds and 1.5 s ahead; the home of a job is found among the agents in force at its creation time, so that no job that exists moves. A new home may create a job from that time on at once if a majority had read the record a lease and two clock bounds before it; otherwise the former rule holds. A leaving agent stays the home of older jobs until that time and then hands over; its address is kept, so that its end is noticed. The golden sessions begin at 12 s now, when the first joins hold.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -86,6 +86,7 @@
 	exec       *executor.Core
 	peers      map[node.Ref]*peer
 	watched    []*peer
+	former     []formerPeer
 	gossip     gossip
 	members    memberState
 	drain      drainState
--- a/core/agent/drain.go
+++ b/core/agent/drain.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// drainLinger is how long a leaving agent goes on answering after it has
-	// announced that it leaves, so that no process still chooses it.
-	drainLinger = time.Second
+	// drainLinger is how long a leaving agent goes on answering after the last
+	// job that is placed on it may have been created, clock bound not included.
+	drainLinger = 300 * time.Millisecond
 	// handoffRetry is the pause before unacknowledged parts are sent again.
 	handoffRetry = 200 * time.Millisecond
 	// handoffLimit bounds the time that a leaving agent spends on the handoff.
@@ -27,7 +27,8 @@
 // drainState is the progress of a planned stop.
 type drainState struct {
 	begun bool
-	since time.Duration
+	// until is the earliest end of the stop.
+	until time.Duration
 	done  bool
 	// parts is what has to be handed over; a part is nil once it is taken.
 	parts     []*message.Handoff
@@ -41,10 +42,11 @@
 		return
 	}
 	c.drain.begun = true
-	c.drain.since = c.now.Mono
+	delay := c.changeDelay()
+	c.drain.until = c.now.Mono + delay + c.cfg.ClockBound + drainLinger
 	c.members.left = true
 	c.lease.Leave()
-	c.appendControl(control.EncodeLeave(c.cfg.Self))
+	c.appendControl(control.EncodeLeave(c.cfg.Self, c.now.After(delay).Wall))
 	c.exec.Drain(c.now, &c.execOut)
 	c.home.ObserveLoad(c.now, c.cfg.Self, c.Load())
 	c.home.Place(c.now, &c.homeOut)
@@ -56,7 +58,7 @@
 	if !c.drain.begun || c.drain.done {
 		return
 	}
-	if c.now.Mono-c.drain.since < drainLinger || !c.exec.Idle() || !c.home.Idle() {
+	if c.now.Mono < c.drain.until || !c.exec.Idle() || !c.home.Idle() {
 		return
 	}
 	if c.drain.handingAt == 0 {
--- a/core/agent/membership.go
+++ b/core/agent/membership.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -18,6 +20,11 @@
 	evictStep = 200 * time.Millisecond
 	// evictSpread bounds the number of steps.
 	evictSpread = 16
+	// spreadTime is the time allowed for a change of membership to be read by a
+	// majority, and for word of that to arrive.
+	spreadTime = 1500 * time.Millisecond
+	// keepFormer is how long the address of a run that has left is kept.
+	keepFormer = 30 * time.Second
 	// askPause is the least time between two requests for missing records.
 	askPause = 20 * time.Millisecond
 )
@@ -27,6 +34,8 @@
 	joinedAt time.Duration
 	asked    bool
 	left     bool
+	// caughtUp is true once the end of the log has been read.
+	caughtUp bool
 	// oldest and end bound the stream as of the last read.
 	oldest int64
 	end    int64
@@ -43,6 +52,7 @@
 	before := c.state.Next()
 	c.changed(before, c.tail.Apply(e.From, e.Records))
 	if c.state.Next() == e.End && c.state.Synced() {
+		c.members.caughtUp = true
 		c.lease.LogEvidence(e.End, e.AskedAt)
 	}
 }
@@ -91,12 +101,43 @@
 		peers = append(peers, Peer{Ref: m.Ref, Addr: m.Addr})
 		ids = append(ids, m.Ref.ID)
 	}
+	peers = append(peers, c.formerPeers(known)...)
 	c.peers = known
 	c.actions = append(c.actions, SetPeers{Peers: peers})
 	c.watchSubset(ids)
 	c.setExecutors()
 }
 
+// formerPeers notes which runs have left the membership, and returns those that
+// may still be finishing their work. Their addresses are kept, so that messages
+// reach them and their end is noticed.
+func (c *Core) formerPeers(known map[node.Ref]*peer) []Peer {
+	for _, ref := range slices.SortedFunc(maps.Keys(c.peers), compareRefs) {
+		p := c.peers[ref]
+		if _, still := known[ref]; !still && !p.dead {
+			c.former = append(c.former, formerPeer{
+				peer: Peer{Ref: ref, Addr: p.member.Addr}, until: c.now.Mono + keepFormer,
+			})
+		}
+	}
+	c.former = slices.DeleteFunc(c.former, func(f formerPeer) bool { return f.until <= c.now.Mono })
+	var peers []Peer
+	for _, f := range c.former {
+		peers = append(peers, f.peer)
+	}
+	return peers
+}
+
+// formerPeer is a run that has left the membership.
+type formerPeer struct {
+	peer  Peer
+	until time.Duration
+}
+
+func compareRefs(a, b node.Ref) int {
+	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
 // replaced finds the runs whose address another run has taken over. A run binds
 // its port before it joins, so the former one has ended.
 func (c *Core) replaced(agents []control.Member) {
@@ -117,18 +158,13 @@
 			refs = append(refs, ref)
 		}
 	}
-	slices.SortFunc(refs, func(a, b node.Ref) int {
-		if a.Less(b) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(refs, compareRefs)
 	return refs
 }
 
 func (c *Core) watchSubset(ids []node.ID) {
 	set := make(map[node.ID]bool)
-	for _, id := range placement.Subset(c.cfg.Self.ID, ids, watchFanOut) {
+	for _, id := range placement.Subset(c.cfg.Self.ID, ids, watchSize) {
 		set[id] = true
 	}
 	c.watch(set)
@@ -166,7 +202,7 @@
 }
 
 func (c *Core) join() {
-	if c.drain.begun || !c.state.Synced() {
+	if c.drain.begun || !c.members.caughtUp || !c.state.Synced() {
 		return
 	}
 	if _, ok := c.state.Member(c.cfg.Self); ok {
@@ -177,7 +213,17 @@
 	}
 	c.members.asked = true
 	c.members.joinedAt = c.now.Mono
-	c.appendControl(control.EncodeJoin(c.selfMember()))
+	m := c.selfMember()
+	if len(c.state.Agents()) > 0 {
+		m.Effective = c.now.After(c.changeDelay()).Wall
+	}
+	c.appendControl(control.EncodeJoin(m))
+}
+
+// changeDelay is how long before it takes effect a change of the homes of jobs
+// is announced, so that no process that has not read it can act any more.
+func (c *Core) changeDelay() time.Duration {
+	return c.cfg.Lease + 2*c.cfg.ClockBound + spreadTime
 }
 
 func (c *Core) selfMember() control.Member {
--- a/core/control/control_test.go
+++ b/core/control/control_test.go
@@ -60,9 +60,9 @@
 		{"two types", nil, []byte(`{"leave":{"ref":{"id":"a","inc":1}},"confirm":{"through":1}}`), "malformed: record is not of exactly one type"},
 		{"join without incarnation", nil, join("a", 0), "join without a valid ref"},
 		{"join twice", [][]byte{join("a", 1)}, join("a", 1), "already a member"},
-		{"join after leave", [][]byte{join("a", 1), control.EncodeLeave(ref("a", 1))}, join("a", 1), "run has ended"},
+		{"join after leave", [][]byte{join("a", 1), control.EncodeLeave(ref("a", 1), 0)}, join("a", 1), "run has ended"},
 		{"join after being replaced", [][]byte{join("a", 1), join("a", 2)}, join("a", 1), "run has ended"},
-		{"leave of a former run", [][]byte{join("a", 1), join("a", 2)}, control.EncodeLeave(ref("a", 1)), "not a member"},
+		{"leave of a former run", [][]byte{join("a", 1), join("a", 2)}, control.EncodeLeave(ref("a", 1), 0), "not a member"},
 		{"evicted by a stranger", [][]byte{join("a", 1)}, control.EncodeEvict(ref("a", 1), ref("b", 1)), "evicted by a process that is not a member"},
 		{"evicted twice", [][]byte{join("a", 1), join("b", 1), control.EncodeEvict(ref("a", 1), ref("b", 1))}, control.EncodeEvict(ref("a", 1), ref("b", 1)), "not a member"},
 		{"confirm by a stranger", [][]byte{join("a", 1)}, control.EncodeConfirm(1, ref("b", 1)), "confirmed by a process that is not an agent"},
@@ -172,7 +172,7 @@
 	s := control.NewState()
 	read(s, join("a", 1), join("b", 1))
 	before := string(s.Snapshot())
-	if e := s.Apply(1, control.EncodeLeave(ref("a", 1))); e != (control.Effect{}) || string(s.Snapshot()) != before {
+	if e := s.Apply(1, control.EncodeLeave(ref("a", 1), 0)); e != (control.Effect{}) || string(s.Snapshot()) != before {
 		t.Errorf("effect %+v, state %s", e, s.Snapshot())
 	}
 }
--- a/core/control/member.go
+++ b/core/control/member.go
@@ -30,6 +30,9 @@
 	Role   Role     `json:"role"`
 	Domain string   `json:"domain,omitempty"`
 	Worker string   `json:"worker,omitempty"`
+	// Effective is the wall-clock time in milliseconds since the Unix epoch from
+	// which created jobs are placed on the run by hashing. Zero is at once.
+	Effective int64 `json:"effective,omitempty"`
 	// Joined is the offset of the record by which the run joined.
 	Joined int64 `json:"joined,omitempty"`
 }
@@ -40,6 +43,11 @@
 	Role Role     `json:"role"`
 	// Offset is that of the record that removed the run.
 	Offset int64 `json:"offset"`
+	// From and Effective bound the creation times of the jobs that are placed on
+	// the run by hashing, in milliseconds since the Unix epoch. Effective is zero
+	// when the run ended without notice; no job is placed on it then.
+	From      int64 `json:"from,omitempty"`
+	Effective int64 `json:"effective,omitempty"`
 }
 
 // members holds the current members and the runs that ended last.
@@ -90,7 +98,7 @@
 	if former, ok := s.members.byID[m.Ref.ID]; ok {
 		// A run binds its address before it joins, which proves the end of a
 		// former run at that address only.
-		s.remove(offset, former, former.Addr == m.Addr)
+		s.remove(offset, former, former.Addr == m.Addr, 0)
 	}
 	m.Joined = offset
 	s.members.byID[m.Ref.ID] = m
@@ -127,24 +135,24 @@
 	if s.sets.prove(e.Ref) {
 		return Effect{}
 	}
-	return s.applyRemoval(offset, e.Ref)
+	return s.applyRemoval(offset, e.Ref, 0)
 }
 
-func (s *State) applyRemoval(offset int64, ref node.Ref) Effect {
+func (s *State) applyRemoval(offset int64, ref node.Ref, effective int64) Effect {
 	m, ok := s.Member(ref)
 	if !ok {
 		return Effect{Rejected: "not a member"}
 	}
-	s.remove(offset, m, true)
+	s.remove(offset, m, true, effective)
 	s.members.rebuild()
 	return Effect{MembersChanged: true}
 }
 
 // remove removes a member; the caller rebuilds the lists. Proven says that the
 // run provably makes no statement any more.
-func (s *State) remove(offset int64, m Member, proven bool) {
+func (s *State) remove(offset int64, m Member, proven bool, effective int64) {
 	delete(s.members.byID, m.Ref.ID)
-	s.members.end(Ended{Ref: m.Ref, Role: m.Role, Offset: offset})
+	s.members.end(Ended{Ref: m.Ref, Role: m.Role, Offset: offset, From: m.Effective, Effective: effective})
 	if m.Role == RoleAgent {
 		s.sets.add(agentOp{Offset: offset, Ref: m.Ref, Ended: proven})
 	}
--- a/core/control/property_test.go
+++ b/core/control/property_test.go
@@ -21,7 +21,7 @@
 	case 1:
 		return control.EncodeJoin(control.Member{Ref: who, Role: control.RoleEntry})
 	case 2:
-		return control.EncodeLeave(who)
+		return control.EncodeLeave(who, 0)
 	case 3:
 		return control.EncodeEvict(who, by)
 	case 4:
@@ -148,7 +148,7 @@
 	s := control.NewState()
 	read(s, join("a", 1), quota("x", -1, "t", 1))
 	for _, seed := range [][]byte{
-		join("a", 1), control.EncodeLeave(ref("a", 1)), control.EncodeEvict(ref("a", 1), ref("a", 1)),
+		join("a", 1), control.EncodeLeave(ref("a", 1), 0), control.EncodeEvict(ref("a", 1), ref("a", 1)),
 		control.EncodeConfirm(1, ref("a", 1)), quota("y", 1, "t", 2), out("z", 1, "south"), control.EncodeReset("op"),
 		s.SnapshotRecord(), []byte("{}"), []byte(`{"change":{"id":"a","edits":[{}]}}`), nil,
 	} {
--- a/core/control/record.go
+++ b/core/control/record.go
@@ -32,9 +32,12 @@
 }
 
 // Leave says that the run Ref has ended or is about to. From then on it must
-// not answer a Status query.
+// not answer a Status query. It stays the home of the jobs created before
+// Effective, a wall-clock time in milliseconds since the Unix epoch, until it
+// ends. Zero is at once.
 type Leave struct {
-	Ref node.Ref `json:"ref"`
+	Ref       node.Ref `json:"ref"`
+	Effective int64    `json:"effective,omitempty"`
 }
 
 // Evict says that the member By holds proof that the run Ref has ended. Ref may
@@ -98,9 +101,10 @@
 }
 
 // EncodeLeave returns the record by which a run leaves. From then on the run
-// must not answer a Status query.
-func EncodeLeave(ref node.Ref) []byte {
-	return Record{Leave: &Leave{Ref: ref}}.encode()
+// must not answer a Status query. Effective is zero or the time up to which
+// created jobs are placed on the run.
+func EncodeLeave(ref node.Ref, effective int64) []byte {
+	return Record{Leave: &Leave{Ref: ref, Effective: effective}}.encode()
 }
 
 // EncodeEvict returns the record by which the member by removes ref, whose end
--- a/core/entry/agents.go
+++ b/core/entry/agents.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/control"
@@ -8,6 +11,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/placement"
+	"github.com/dogwoodgauge/dogwoodgauge/core/rendezvous"
 	"github.com/dogwoodgauge/dogwoodgauge/core/routing"
 )
 
@@ -18,6 +22,8 @@
 	queryFanOut = 16
 	// joinRetry is the pause before a join that has not been read is repeated.
 	joinRetry = 2 * time.Second
+	// keepFormer is how long an agent that has left is still asked for its jobs.
+	keepFormer = 30 * time.Second
 )
 
 // agent is what the entry knows of one agent.
@@ -29,6 +35,8 @@
 	// sent is the number of tasks sent there that load does not cover.
 	sent int
 	dead bool
+	// leftAt is when the agent left the membership, or zero.
+	leftAt time.Duration
 }
 
 // usable reports whether the agent takes new jobs as far as is known.
@@ -146,10 +154,36 @@
 		c.order = append(c.order, a)
 		peers = append(peers, Peer{Ref: m.Ref, Addr: m.Addr})
 	}
+	peers = append(peers, c.keepFormer(known)...)
 	c.agents = known
+	c.homes = rendezvous.NewTimeline(c.state)
 	c.actions = append(c.actions, SetPeers{Peers: peers})
 }
 
+// keepFormer keeps the agents that have left the membership for a while: they
+// finish their work and answer for their jobs. It returns their addresses.
+func (c *Core) keepFormer(known map[node.Ref]*agent) []Peer {
+	var peers []Peer
+	for _, ref := range slices.SortedFunc(maps.Keys(c.agents), compareRefs) {
+		a := c.agents[ref]
+		if _, still := known[ref]; still || a.dead {
+			continue
+		}
+		if a.leftAt == 0 {
+			a.leftAt = c.now.Mono
+		}
+		if c.now.Mono-a.leftAt < keepFormer {
+			known[ref] = a
+			peers = append(peers, Peer{Ref: ref, Addr: a.member.Addr})
+		}
+	}
+	return peers
+}
+
+func compareRefs(a, b node.Ref) int {
+	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
 // withinQuota charges the tasks of a job to its team. It reports how long the
 // caller should wait when the team is over its quota.
 func (c *Core) withinQuota(j *job.Job) (bool, time.Duration) {
--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -58,8 +58,10 @@
 	redirects int
 	// heirs are the processes still to ask for the answer of a job whose home
 	// has ended or changed. Once they are asked the job is never submitted.
-	heirs    []node.Ref
-	asking   bool
+	heirs  []node.Ref
+	asking bool
+	// found is true once the home has said that it holds no record.
+	found    bool
 	deadline time.Duration
 	resend   time.Duration
 }
@@ -126,6 +128,7 @@
 		if k.job != nil {
 			k.job.Created = m.Created
 		}
+		k.home = m.Home
 		if c.dead[m.Home] || c.agents[m.Home] == nil {
 			c.homeLost(k)
 			return
@@ -133,14 +136,24 @@
 		c.begin(k, m.Home)
 		return
 	}
-	home, ok := rendezvous.Home(k.id, c.state.Agents())
-	if !ok || c.dead[home.Ref] {
+	home, ok := c.homeOf(k)
+	k.home = home.Ref
+	if !ok || c.dead[home.Ref] || c.agents[home.Ref] == nil {
 		c.homeLost(k)
 		return
 	}
 	c.begin(k, home.Ref)
 }
 
+// homeOf finds the home of an ID of the caller's own: by the agents in force
+// when the job was created, or now when that time is not stated.
+func (c *Core) homeOf(k *call) (control.Member, bool) {
+	if k.job != nil {
+		return c.homes.Home(k.id, k.job.Created)
+	}
+	return c.homes.Home(k.id, c.now.Wall)
+}
+
 // homeLost handles a call whose home is gone or not known: another process may
 // hold the answer.
 func (c *Core) homeLost(k *call) {
@@ -162,12 +175,17 @@
 	if m, ok := k.id.Minted(); ok {
 		return rendezvous.Candidates(m.Home.String(), c.state.Agents(), 1)
 	}
-	return rendezvous.Candidates(string(k.id), c.state.Agents(), formerHomes)
+	heirs := rendezvous.Candidates(k.home.String(), c.state.Agents(), 1)
+	return append(heirs, rendezvous.Candidates(string(k.id), c.state.Agents(), formerHomes)...)
 }
 
 // askHeir asks the next process for the answer, or gives up.
 func (c *Core) askHeir(k *call) {
 	if len(k.heirs) == 0 {
+		if k.kind != callSubmit && k.found {
+			c.replyKind(k, errkind.NotFound, "no record of the job is held", 0)
+			return
+		}
 		c.replyKind(k, errkind.OutcomeUnknown,
 			"the home of the job has ended or is not known; nothing is started again", 0)
 		return
@@ -269,7 +287,12 @@
 		}
 		return
 	}
-	c.replyKind(k, errkind.NotFound, "no record of the job is held", 0)
+	if _, minted := k.id.Minted(); minted {
+		c.replyKind(k, errkind.NotFound, "no record of the job is held", 0)
+		return
+	}
+	k.found = true
+	c.homeLost(k)
 }
 
 // notHome follows a redirect.
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/placement"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/quota"
+	"github.com/dogwoodgauge/dogwoodgauge/core/rendezvous"
 	"github.com/dogwoodgauge/dogwoodgauge/core/timerqueue"
 )
 
@@ -46,6 +47,8 @@
 	limiter    *quota.Limiter
 	agents     map[node.Ref]*agent
 	order      []*agent
+	// homes places IDs of the callers' own on agents.
+	homes      *rendezvous.Timeline
 	dead       map[node.Ref]bool
 	calls      map[uint64]*call
 	requests   map[uint64]*call
@@ -82,6 +85,7 @@
 	}
 	state := control.NewState()
 	return &Core{
+		homes:      rendezvous.NewTimeline(state),
 		cfg:        cfg,
 		invariants: invariant.Recorder{Panic: cfg.PanicOnViolation},
 		state:      state,
@@ -216,7 +220,7 @@
 		return
 	}
 	c.drain = true
-	c.actions = append(c.actions, AppendControl{Record: control.EncodeLeave(c.cfg.Self)})
+	c.actions = append(c.actions, AppendControl{Record: control.EncodeLeave(c.cfg.Self, 0)})
 }
 
 func (c *Core) checkDrained() {
--- a/core/ownership/model_run_test.go
+++ b/core/ownership/model_run_test.go
@@ -176,7 +176,7 @@
 	}
 	p.left = true
 	p.lease.Leave()
-	w.append(control.EncodeLeave(p.ref))
+	w.append(control.EncodeLeave(p.ref, w.effective(p)))
 }
 
 // move starts a run of a node elsewhere while its former run goes on.
--- a/core/ownership/model_test.go
+++ b/core/ownership/model_test.go
@@ -116,7 +116,7 @@
 		tracker: ownership.NewTracker(ownership.Config{Self: ref, Lease: modelLease, ClockBound: modelBound, Window: modelWindow}),
 	}
 	w.processes = append(w.processes, p)
-	w.append(control.EncodeJoin(control.Member{Ref: ref, Role: control.RoleAgent, Addr: addr}))
+	w.append(control.EncodeJoin(control.Member{Ref: ref, Role: control.RoleAgent, Addr: addr, Effective: w.effective(p)}))
 }
 
 func (w *world) clock(p *process) clock.Now {
@@ -317,3 +317,17 @@
 		created: wallZero + w.now.Milliseconds() + skew,
 	})
 }
+
+// effective draws the creation time from which a change that p announces holds:
+// at once, too soon for everybody to know of it, or late enough.
+func (w *world) effective(p *process) int64 {
+	wall := w.clock(p).Wall
+	switch w.draw("effective", 0, 3) {
+	case 0:
+		return 0
+	case 1:
+		return wall + int64(w.draw("effective_ms", -500, 1500))
+	default:
+		return wall + (modelLease + 2*modelBound).Milliseconds() + int64(w.draw("margin_ms", 0, 1500))
+	}
+}
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -58,8 +58,9 @@
 type Tracker struct {
 	config Config
 	state  *control.State
-	// homes places IDs on the agents at seen.
-	homes rendezvous.Table
+	// homes places IDs on the agents in force when a job was created, as known
+	// at seen.
+	homes *rendezvous.Timeline
 	// seen is the offset up to which the membership has been followed.
 	seen int64
 	// joined is true while this run is an agent.
@@ -79,6 +80,8 @@
 // offset.
 type takeOver struct {
 	offset int64
+	// effective is the creation time from which the change holds, or zero.
+	effective int64
 	// majority is true once a majority has read the record; usable and
 	// usableWall are set then.
 	majority   bool
@@ -86,6 +89,14 @@
 	usableWall int64
 }
 
+// inTime reports whether no process can have created a job that the change
+// concerns without knowing of the change: the leases of those that had not read
+// it expired before effective, for any clock within the bound and any creation
+// time that a clock accepts.
+func (o *takeOver) inTime(bound int64) bool {
+	return o.majority && o.usableWall+2*bound <= o.effective
+}
+
 // NewTracker returns a tracker for a process that is not yet a member.
 func NewTracker(c Config) *Tracker {
 	return &Tracker{
@@ -106,7 +117,7 @@
 	t.followSelf(s)
 	t.followRemovals(s)
 	t.seen = s.Next()
-	t.homes = rendezvous.NewTable(s.Agents())
+	t.homes = rendezvous.NewTimeline(s)
 	t.forgetFormer(s)
 	t.reached[t.config.Self] = s.Next()
 	t.settle(now)
@@ -117,7 +128,7 @@
 	self, ok := s.Member(t.config.Self)
 	ok = ok && self.Role == control.RoleAgent
 	if ok && !t.joined {
-		t.whole = &takeOver{offset: self.Joined}
+		t.whole = &takeOver{offset: self.Joined, effective: self.Effective}
 	}
 	t.joined = ok
 }
@@ -131,7 +142,7 @@
 	}
 	for _, e := range ended {
 		if e.Role == control.RoleAgent {
-			t.removed[e.Ref.ID] = &takeOver{offset: e.Offset}
+			t.removed[e.Ref.ID] = &takeOver{offset: e.Offset, effective: e.Effective}
 		}
 	}
 }
@@ -214,7 +225,7 @@
 func (t *Tracker) prune(now clock.Now) {
 	oldest := now.Wall - t.config.Window.Milliseconds()
 	for id, o := range t.removed {
-		if o.majority && o.usableWall+t.bound() < oldest {
+		if o.majority && max(o.usableWall+t.bound(), o.effective) < oldest {
 			delete(t.removed, id)
 		}
 	}
@@ -243,7 +254,10 @@
 }
 
 func (t *Tracker) admitHashed(now clock.Now, id job.ID, created int64) Verdict {
-	home, ok := t.homes.Home(id)
+	if t.homes == nil {
+		return Verdict{Kind: Elsewhere}
+	}
+	home, ok := t.homes.Home(id, created)
 	if !ok || home.Ref != t.config.Self {
 		return Verdict{Kind: Elsewhere, Home: home.Ref}
 	}
@@ -284,5 +298,8 @@
 
 // after reports whether the take-over is usable and the job is younger.
 func (t *Tracker) after(o *takeOver, now clock.Now, created int64) bool {
+	if o.inTime(t.bound()) && created >= o.effective {
+		return true
+	}
 	return o.majority && now.Mono >= o.usable && created > o.usableWall+t.bound()
 }
--- /dev/null
+++ b/core/sessions/faults_test.go
@@ -0,0 +1,59 @@
+package sessions
+
+import (
+	"slices"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/agent"
+	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+)
+
+// kill ends a process without notice. Its connections are reset.
+func (w *world) kill(p *process) {
+	w.trace("%s is killed", p.ref.ID)
+	p.alive = false
+	p.held = nil
+	refs := make([]node.Ref, 0, len(w.byRef))
+	for ref, q := range w.byRef {
+		if q.alive && q.group == p.group {
+			refs = append(refs, ref)
+		}
+	}
+	slices.SortFunc(refs, func(a, b node.Ref) int { return int(a.Incarnation) - int(b.Incarnation) })
+	for _, ref := range refs {
+		q := w.byRef[ref]
+		w.at(w.latency(), func() {
+			w.deliver(q, func() { w.step(q, agent.PeerReset{Ref: p.ref}, entry.PeerReset{Ref: p.ref}) })
+		})
+	}
+}
+
+// restart starts the next incarnation of an agent.
+func (w *world) restart(p *process) *process {
+	w.kill(p)
+	if p.entry != nil {
+		return w.addEntry(p.ref.ID)
+	}
+	return w.addAgent(p.ref.ID, p.domain, p.slots)
+}
+
+func (w *world) pause(p *process) {
+	w.trace("%s is paused", p.ref.ID)
+	p.paused = true
+}
+
+func (w *world) resume(p *process) {
+	w.trace("%s goes on", p.ref.ID)
+	p.paused = false
+	held := p.held
+	p.held = nil
+	for _, f := range held {
+		w.deliver(p, f)
+	}
+}
+
+// drain asks a process to leave.
+func (w *world) drain(p *process) {
+	w.trace("%s is asked to leave", p.ref.ID)
+	w.deliver(p, func() { w.step(p, agent.Drain{}, entry.Drain{}) })
+}
--- a/core/sessions/golden_test.go
+++ b/core/sessions/golden_test.go
@@ -30,7 +30,7 @@
 	}
 	c.e1 = w.addEntry("e1")
 	c.e2 = w.addEntry("e2")
-	w.run(4 * time.Second)
+	w.run(12 * time.Second)
 	return c
 }
 
@@ -170,25 +170,43 @@
 		c.submit(c.e1, c.newJob(c.mintFor(c.agents[0]), 1), nil)
 		c.run(20 * time.Millisecond)
 		c.drain(c.agents[0])
-		c.run(3 * time.Second)
+		c.run(8 * time.Second)
 	}},
 	{"resubmission_after_leaving", func(c *cluster) {
 		j := c.newJob(c.mintFor(c.agents[0]), 1)
 		c.submit(c.e1, j, nil)
 		c.drain(c.agents[0])
-		c.run(4 * time.Second)
+		c.run(time.Second)
+		c.submit(c.e2, j, nil)
+		c.run(8 * time.Second)
 		c.submit(c.e2, j, nil)
 		c.run(time.Second)
 	}},
 	{"home_of_own_id_changes", func(c *cluster) {
-		j := c.newJob(ownedBy("b1", "a1", "a2", "a3"), 1)
+		id := ownedBy("b1", "a1", "a2", "a3")
+		j := c.newJob(id, 1)
 		c.submit(c.e1, j, nil)
 		c.run(time.Second)
 		c.addAgent("b1", "d1", 2)
 		c.run(4 * time.Second)
 		c.submit(c.e2, j, nil)
+		c.submit(c.e2, c.newJob(id+"-b", 1), nil)
+		c.run(4 * time.Second)
+		c.submit(c.e2, j, nil)
+		c.submit(c.e2, c.newJob(ownedBy("b1", "a1", "a2", "a3")+"-c", 1), nil)
 		c.run(time.Second)
 	}},
+	{"rolling_restart_own_ids", func(c *cluster) {
+		for i, p := range c.agents {
+			c.drain(p)
+			for n := range 8 {
+				c.submit(c.e1, c.newJob(job.ID(fmt.Sprintf("order-%d-%d", i, n)), 1), nil)
+				c.run(900 * time.Millisecond)
+			}
+			c.restart(p)
+			c.run(200 * time.Millisecond)
+		}
+	}},
 }
 
 // TestGolden replays whole sessions and compares every message about a job.
