--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -80,8 +80,6 @@
 // offset.
 type takeOver struct {
 	offset int64
-	// effective is the creation time from which the change holds, or zero.
-	effective int64
 	// majority is true once a majority has read the record; usable and
 	// usableWall are set then.
 	majority   bool
@@ -89,14 +87,6 @@
 	usableWall int64
 }
 
-// inTime reports whether no process can have created a job that the change
-// concerns without knowing of the change: the leases of those that had not read
-// it expired before effective, for any clock within the bound and any creation
-// time that a clock accepts.
-func (o *takeOver) inTime(bound int64) bool {
-	return o.majority && o.usableWall+2*bound <= o.effective
-}
-
 // NewTracker returns a tracker for a process that is not yet a member.
 func NewTracker(c Config) *Tracker {
 	return &Tracker{
@@ -128,7 +118,7 @@
 	self, ok := s.Member(t.config.Self)
 	ok = ok && self.Role == control.RoleAgent
 	if ok && !t.joined {
-		t.whole = &takeOver{offset: self.Joined, effective: self.Effective}
+		t.whole = &takeOver{offset: self.Joined}
 	}
 	t.joined = ok
 }
@@ -142,7 +132,7 @@
 	}
 	for _, e := range ended {
 		if e.Role == control.RoleAgent {
-			t.removed[e.Ref.ID] = &takeOver{offset: e.Offset, effective: e.Effective}
+			t.removed[e.Ref.ID] = &takeOver{offset: e.Offset}
 		}
 	}
 }
@@ -225,7 +215,7 @@
 func (t *Tracker) prune(now clock.Now) {
 	oldest := now.Wall - t.config.Window.Milliseconds()
 	for id, o := range t.removed {
-		if o.majority && max(o.usableWall+t.bound(), o.effective) < oldest {
+		if o.majority && o.usableWall+t.bound() < oldest {
 			delete(t.removed, id)
 		}
 	}
@@ -298,8 +288,5 @@
 
 // after reports whether the take-over is usable and the job is younger.
 func (t *Tracker) after(o *takeOver, now clock.Now, created int64) bool {
-	if o.inTime(t.bound()) && created >= o.effective {
-		return true
-	}
 	return o.majority && now.Mono >= o.usable && created > o.usableWall+t.bound()
 }
