home, executor: tests for the mutations that the randomised run does not catch

Not caught: floor ignored, a refused attempt starts again, a later attempt skips one, abort leaves no refusal behind, an ID of another incarnation accepted; an envelope for another incarnation is also refused by the transport and by the test's network. Change: TestWindow, TestAttempts, TestRecordsOutliveAdmission, TestOtherIncarnation.

--- /dev/null
+++ b/core/executor/window_test.go
@@ -0,0 +1,59 @@
+package executor_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/executor"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+)
+
+// TestWindow sends starts and aborts of one home in unusual orders. Each step
+// states how many tasks it starts.
+func TestWindow(t *testing.T) {
+	home := node.Ref{ID: "h", Incarnation: 1}
+	now := newBench(8).now
+	start := func(seq, floor uint64) func(*executor.Core, *executor.Output) {
+		return func(c *executor.Core, out *executor.Output) {
+			c.Start(now, home, &message.Start{
+				Seq: seq, Floor: floor, ID: "job", Index: int(seq), Class: job.Normal,
+				Timeout: time.Second, SentAt: now.Wall,
+			}, out)
+		}
+	}
+	abort := func(seq, floor uint64) func(*executor.Core, *executor.Output) {
+		return func(c *executor.Core, out *executor.Output) {
+			c.Abort(now, home, &message.Abort{Seq: seq, Floor: floor}, out)
+		}
+	}
+	dead := func(c *executor.Core, out *executor.Output) { c.HomeDead(now, home, out) }
+	type step struct {
+		do     func(*executor.Core, *executor.Output)
+		starts int
+	}
+	tests := []struct {
+		name  string
+		steps []step
+	}{
+		{"repeated start", []step{{start(1, 1), 1}, {start(1, 1), 0}}},
+		{"start below the floor", []step{{start(5, 3), 1}, {start(2, 1), 0}, {start(4, 3), 1}}},
+		{"floor passes a running task", []step{{start(1, 1), 1}, {start(2, 2), 1}, {start(1, 1), 0}}},
+		{"abort overtakes its start", []step{{abort(1, 1), 0}, {start(1, 1), 0}}},
+		{"abort after the start", []step{{start(1, 1), 1}, {abort(1, 1), 0}, {start(1, 1), 0}}},
+		{"home has ended", []step{{start(1, 1), 1}, {dead, 0}, {start(1, 1), 0}, {start(2, 1), 0}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(8)
+			for i, s := range tt.steps {
+				out := &executor.Output{}
+				s.do(b.core, out)
+				if len(out.Commands) != s.starts {
+					t.Errorf("step %d: %d tasks started, want %d", i, len(out.Commands), s.starts)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/home/attempt_test.go
@@ -0,0 +1,195 @@
+package home
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
+	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
+	"github.com/dogwoodgauge/dogwoodgauge/core/invariant"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/placement"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/quarantine"
+)
+
+var (
+	testSelf  = node.Ref{ID: "a1", Incarnation: 1}
+	testEntry = node.Ref{ID: "e1", Incarnation: 1}
+)
+
+// testSite is a site whose only executor may or may not match.
+type testSite struct {
+	matches bool
+	version uint64
+}
+
+func (s *testSite) Version() uint64                              { return s.version }
+func (s *testSite) InService(node.Ref) bool                      { return true }
+func (s *testSite) Eligible(node.Ref, *job.Job, *job.Task) bool  { return s.matches }
+func (s *testSite) Admit(clock.Now, job.ID, int64) (a Admission) { return a }
+
+// set changes whether the executor matches.
+func (s *testSite) set(matches bool) {
+	s.matches = matches
+	s.version++
+}
+
+// testHome drives a home and keeps what it sends.
+type testHome struct {
+	*Core
+	site *testSite
+	now  clock.Now
+	out  Output
+}
+
+func newTestHome(t *testing.T) *testHome {
+	t.Helper()
+	picker, err := placement.New(placement.Default, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	site := &testSite{version: 1}
+	h := &testHome{site: site, now: clock.Now{Mono: time.Hour, Wall: 1_790_000_000_000}}
+	h.Core = New(Config{
+		Self: testSelf, Window: time.Minute, ClockBound: time.Second, MaxRecords: 100,
+		MaxResultBytes: 1 << 20, MaxWaiting: 100, Picker: picker, Ownership: site,
+		Eligibility: site, Faults: quarantine.New(), Invariants: &invariant.Recorder{Panic: true},
+	})
+	h.SetExecutors([]Executor{{Ref: testSelf}})
+	h.ObserveLoad(h.now, testSelf, message.Load{Slots: 8})
+	return h
+}
+
+// submit sends one attempt of a job and returns the answer, if it came at once,
+// and the number of starts.
+func (h *testHome) submit(id job.ID, attempt int, created int64) (*job.Answer, int) {
+	h.out = Output{}
+	j := job.Job{
+		ID: id, Attempt: attempt, Team: "records", Created: created, Timeout: 20 * time.Second,
+		Class: job.Urgent, Tasks: []job.Task{{Payload: []byte("p")}},
+	}
+	h.Submit(h.now, testEntry, &message.Submit{Request: 1, SentAt: h.now.Wall, Job: j}, &h.out)
+	return h.sent()
+}
+
+func (h *testHome) sent() (answer *job.Answer, starts int) {
+	for _, r := range h.out.Replies {
+		if r.Message.Answer != nil {
+			answer = &r.Message.Answer.Answer
+		}
+		if r.Message.Start != nil {
+			starts++
+		}
+	}
+	return answer, starts
+}
+
+// TestAttempts follows a job that is refused, repeated and tried again: the
+// refused attempt never starts, whatever copies of it arrive.
+func TestAttempts(t *testing.T) {
+	h := newTestHome(t)
+	created := h.now.Wall
+	id := job.Minted{Home: testSelf, Created: created, Minter: 1, Seq: 1}.ID()
+	if a, starts := h.submit(id, 0, created); a != nil || starts != 0 {
+		t.Fatalf("a job without a matching upstream: answer %v, %d starts", a, starts)
+	}
+	for range 100 {
+		h.out = Output{}
+		h.now = h.now.After(time.Second / 4)
+		h.Tick(h.now, &h.out)
+		if a, _ := h.sent(); a != nil {
+			if a.Kind != errkind.NoUpstreamMatches {
+				t.Fatalf("refused with %s", a.Kind)
+			}
+			break
+		}
+	}
+	h.site.set(true)
+	steps := []struct {
+		name    string
+		attempt int
+		kind    errkind.Kind
+		answers bool
+		starts  int
+	}{
+		{"copy of the refused attempt", 0, errkind.NoUpstreamMatches, true, 0},
+		{"attempt after the next", 2, errkind.NoUpstreamMatches, true, 0},
+		{"next attempt", 1, errkind.None, false, 1},
+		{"copy of the next attempt", 1, errkind.None, false, 0},
+		{"late copy of the refused attempt", 0, errkind.NotRun, true, 0},
+	}
+	for _, s := range steps {
+		a, starts := h.submit(id, s.attempt, created)
+		if starts != s.starts {
+			t.Errorf("%s: %d starts, want %d", s.name, starts, s.starts)
+		}
+		if (a != nil) != s.answers || a != nil && a.Kind != s.kind {
+			t.Errorf("%s: answer %+v, want kind %q", s.name, a, s.kind)
+		}
+	}
+}
+
+// TestRecordsOutliveAdmission checks that a job whose record was dropped is not
+// admitted again, whichever bound dropped it.
+func TestRecordsOutliveAdmission(t *testing.T) {
+	tests := []struct {
+		name string
+		pass func(h *testHome)
+	}{
+		{"window", func(h *testHome) {
+			h.now = h.now.After(2 * time.Minute)
+			h.Tick(h.now, &h.out)
+		}},
+		{"number of records", func(h *testHome) {
+			for i := range 200 {
+				h.now = h.now.After(time.Millisecond)
+				other := job.Minted{Home: testSelf, Created: h.now.Wall, Minter: 2, Seq: uint64(i)}.ID()
+				h.submit(other, 0, h.now.Wall)
+				h.finishAll()
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newTestHome(t)
+			h.site.set(true)
+			created := h.now.Wall
+			id := job.Minted{Home: testSelf, Created: created, Minter: 1, Seq: 1}.ID()
+			if _, starts := h.submit(id, 0, created); starts != 1 {
+				t.Fatalf("%d starts", starts)
+			}
+			h.finishAll()
+			tt.pass(h)
+			a, starts := h.submit(id, 0, created)
+			if starts != 0 || a == nil || a.Kind != errkind.OutcomeUnknown {
+				t.Errorf("resubmission: answer %+v, %d starts", a, starts)
+			}
+		})
+	}
+}
+
+// finishAll ends every task that was started.
+func (h *testHome) finishAll() {
+	replies := h.out.Replies
+	h.out = Output{}
+	for _, r := range replies {
+		if s := r.Message.Start; s != nil {
+			h.Result(h.now, testSelf, &message.Result{Seq: s.Seq, ID: s.ID, Index: s.Index, State: job.Done}, &h.out)
+		}
+	}
+}
+
+// TestOtherIncarnation checks that an ID which names another run of this home
+// starts nothing.
+func TestOtherIncarnation(t *testing.T) {
+	h := newTestHome(t)
+	h.site.set(true)
+	other := node.Ref{ID: testSelf.ID, Incarnation: testSelf.Incarnation + 1}
+	id := job.Minted{Home: other, Created: h.now.Wall, Minter: 1, Seq: 1}.ID()
+	a, starts := h.submit(id, 0, h.now.Wall)
+	if starts != 0 || a == nil || a.Kind != errkind.OutcomeUnknown {
+		t.Errorf("answer %+v, %d starts", a, starts)
+	}
+}
