executor: refuse urgent tasks that have a free slot elsewhere

Change: an executor without a free slot refuses an urgent task while another one that may run it is known to have one, and the slots kept for urgent tasks follow the number of them (mean and one deviation over about a second, at most half of the slots), so that there are free ones in a burst.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -126,7 +126,7 @@
 	faults := quarantine.New()
 	c.exec = executor.New(executor.Config{
 		QueueLimit: cfg.QueueLimit, ReservedSlots: cfg.ReservedSlots, RetainIdle: cfg.Retention,
-		ClockBound: cfg.ClockBound, Self: cfg.Self.ID, Faults: faults, Gate: gate{c}, Invariants: &c.invariants,
+		ClockBound: cfg.ClockBound, Self: cfg.Self.ID, Faults: faults, Elsewhere: gate{c}, Gate: gate{c}, Invariants: &c.invariants,
 	})
 	c.home = home.New(home.Config{
 		Self: cfg.Self, Seed: cfg.Seed, Window: cfg.Retention, ClockBound: cfg.ClockBound,
--- a/core/agent/gate.go
+++ b/core/agent/gate.go
@@ -36,6 +36,11 @@
 	return "", c.lease.Until()
 }
 
+// FreeElsewhere implements executor.Elsewhere.
+func (g gate) FreeElsewhere(now clock.Now, s *message.Start) bool {
+	return g.c.home.FreeElsewhere(now, s)
+}
+
 // Admit implements home.Ownership.
 func (g gate) Admit(now clock.Now, id job.ID, created int64) home.Admission {
 	c := g.c
--- a/core/executor/dispatch.go
+++ b/core/executor/dispatch.go
@@ -35,13 +35,17 @@
 		c.run(now, e, p)
 		return
 	}
+	if e.start.Class == job.Urgent && c.cfg.Elsewhere.FreeElsewhere(now, e.start) {
+		c.refuse(e, message.RefusedBusy, 0)
+		return
+	}
 	c.enqueue(now, e)
 }
 
 // enqueue makes e wait unless the admission policy refuses it. What it displaces
 // has not started and is refused.
 func (c *Core) enqueue(now clock.Now, e *entry) {
-	wait := c.expectedWait(e.start.Class)
+	wait := c.expectedWait(now, e.start.Class)
 	decision := c.admission.Admit(now.Mono, admission.Request{
 		Class: e.start.Class, Timeout: e.deadline - now.Mono, Wait: wait, Service: c.service.Low(),
 	})
@@ -50,40 +54,54 @@
 		return
 	}
 	e.queuedAt = now.Mono
-	if !c.push(e) {
+	if !c.push(now, e) {
 		c.refuse(e, message.RefusedBusy, wait)
+		return
 	}
+	c.observeUrgent(now)
+}
+
+// observeUrgent notes how many urgent tasks run and wait.
+func (c *Core) observeUrgent(now clock.Now) {
+	c.urgent.Set(now.Mono, c.urgentRunning+c.queue.LenClass(job.Urgent))
 }
 
 // push puts e into the queue. It reports false when the queue is full.
-func (c *Core) push(e *entry) bool {
+func (c *Core) push(now clock.Now, e *entry) bool {
 	pushed := c.queue.Push(e, e.start.Class, e.deadline)
 	e.waits = pushed.Handle
 	for _, evicted := range pushed.Evicted {
-		c.refuse(evicted, message.RefusedBusy, c.expectedWait(evicted.start.Class))
+		c.refuse(evicted, message.RefusedBusy, c.expectedWait(now, evicted.start.Class))
 	}
 	return pushed.OK
 }
 
 // expectedWait estimates the time until a task of class queued now would start.
-func (c *Core) expectedWait(class job.Class) time.Duration {
+func (c *Core) expectedWait(now clock.Now, class job.Class) time.Duration {
 	usable := c.upstreams.slots()
 	if class != job.Urgent {
-		usable -= c.reserve().Held(usable)
+		usable -= max(c.reserve().Held(usable), c.raised(now, usable))
 	}
 	return c.service.Wait(c.queue.Ahead(class), len(c.running), usable)
 }
 
 func (c *Core) reserve() slots.Reserve { return slots.Reserve{Urgent: c.cfg.ReservedSlots} }
 
+// raised returns the number of slots to keep for the urgent tasks that the
+// observed ones let expect.
+func (c *Core) raised(now clock.Now, total int) int {
+	return c.urgent.Held(now.Mono, total, c.urgentRunning)
+}
+
 // admits reports whether the class may take one of the free slots.
 func (c *Core) admits(now clock.Now, class job.Class) bool {
 	total := c.upstreams.slots()
-	reserve := c.demand.Reserve(now.Mono, c.reserve())
-	if c.queue.Owed(class) {
-		reserve = slots.Reserve{}
+	free := total - len(c.running)
+	if class == job.Urgent || c.queue.Owed(class) {
+		return free > 0
 	}
-	return reserve.Admit(total-len(c.running), total, class)
+	reserve := c.demand.Reserve(now.Mono, c.reserve())
+	return reserve.Admit(free, total, class) && free > c.raised(now, total)
 }
 
 // permission is a place where a task may start and until when.
@@ -141,6 +159,10 @@
 	e.startedAt = now.Mono
 	p.upstream.busy++
 	c.running[e.handle] = e
+	if e.start.Class == job.Urgent {
+		c.urgentRunning++
+	}
+	c.observeUrgent(now)
 	c.cfg.Faults.Sent(now.Mono, c.cfg.Self)
 	c.out.Commands = append(c.out.Commands, Command{
 		Handle:   e.handle,
@@ -165,8 +187,8 @@
 		}
 	}
 	for _, e := range blocked {
-		if !c.push(e) {
-			c.refuse(e, message.RefusedBusy, c.expectedWait(e.start.Class))
+		if !c.push(now, e) {
+			c.refuse(e, message.RefusedBusy, c.expectedWait(now, e.start.Class))
 		}
 	}
 }
--- a/core/executor/executor.go
+++ b/core/executor/executor.go
@@ -23,6 +23,13 @@
 	Permit(now clock.Now, s *message.Start, u Place) (reason message.RefuseReason, notAfter time.Duration)
 }
 
+// Elsewhere knows the load of the other executors.
+type Elsewhere interface {
+	// FreeElsewhere reports whether another executor that may run the task is
+	// known to have a free slot.
+	FreeElsewhere(now clock.Now, s *message.Start) bool
+}
+
 // Place is an upstream as the gate sees it.
 type Place struct {
 	Upstream string
@@ -42,7 +49,9 @@
 	// Self names the worker beside the executor to Faults.
 	Self node.ID
 	// Faults is the fault detector of the process.
-	Faults     *quarantine.Detector
+	Faults *quarantine.Detector
+	// Elsewhere knows the other executors.
+	Elsewhere  Elsewhere
 	Gate       Gate
 	Invariants *invariant.Recorder
 }
@@ -80,9 +89,12 @@
 	lastHandle uint64
 	service    estimate.Estimator
 	demand     slots.Demand
-	admission  *admission.Controller
-	draining   bool
-	out        *Output
+	// urgentRunning counts the running urgent tasks.
+	urgentRunning int
+	urgent        slots.Concurrency
+	admission     *admission.Controller
+	draining      bool
+	out           *Output
 }
 
 // New returns an executor without upstreams.
@@ -168,12 +180,16 @@
 	}
 	delete(c.running, handle)
 	e.upstream.busy--
+	if e.start.Class == job.Urgent {
+		c.urgentRunning--
+	}
 	if state == job.NotRun {
 		c.refuse(e, message.RefusedWithdrawn, 0)
 	} else {
 		c.end(now, e, state, body, detail)
 		c.observeOutcome(now, e, state)
 	}
+	c.observeUrgent(now)
 	c.dispatch(now)
 }
 
--- a/core/executor/faults_test.go
+++ b/core/executor/faults_test.go
@@ -21,6 +21,11 @@
 	return "", now.Mono + time.Second
 }
 
+// elsewhere says whether another executor has a free slot.
+type elsewhere bool
+
+func (e *elsewhere) FreeElsewhere(clock.Now, *message.Start) bool { return bool(*e) }
+
 // bench drives an executor with one upstream.
 type bench struct {
 	core *executor.Core
@@ -28,6 +33,8 @@
 	home node.Ref
 	seq  uint64
 	out  executor.Output
+
+	elsewhere elsewhere
 }
 
 func newBench(slots int, workers ...node.ID) *bench {
@@ -36,9 +43,9 @@
 	b := &bench{home: node.Ref{ID: "h", Incarnation: 1}}
 	b.core = executor.New(executor.Config{
 		QueueLimit: 16, ReservedSlots: 1, RetainIdle: time.Minute, Self: "x", Faults: faults,
-		Gate: permitAll{}, Invariants: &invariant.Recorder{Panic: true},
+		Elsewhere: &b.elsewhere, Gate: permitAll{}, Invariants: &invariant.Recorder{Panic: true},
 	})
-	b.core.Announce(b.now, executor.Announcement{Name: "u", Slots: slots, Connections: 1, TTL: time.Hour}, &b.out)
+	b.core.Announce(b.now, executor.Announcement{Name: "u", Slots: slots, Connections: slots, TTL: time.Hour}, &b.out)
 	return b
 }
 
--- /dev/null
+++ b/core/home/elsewhere.go
@@ -0,0 +1,25 @@
+package home
+
+import (
+	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/placement"
+)
+
+// FreeElsewhere reports whether another executor that may run the task is known
+// to have a free slot for it.
+func (c *Core) FreeElsewhere(now clock.Now, s *message.Start) bool {
+	c.now = now
+	j := &job.Job{Team: s.Team, Class: s.Class}
+	for _, l := range c.order {
+		if l.dead || l.ref == c.cfg.Self || c.faults.Quarantined(now.Mono, l.ref.ID) {
+			continue
+		}
+		free := placement.AnyFree([]placement.Candidate{c.candidate(l, s.Class)})
+		if free && c.cfg.Eligibility.Eligible(l.ref, j, &s.Task) {
+			return true
+		}
+	}
+	return false
+}
