--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -2,17 +2,14 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
-	"github.com/dogwoodgauge/dogwoodgauge/core/control"
 	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
 	"github.com/dogwoodgauge/dogwoodgauge/core/invariant"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
-	"github.com/dogwoodgauge/dogwoodgauge/core/rendezvous"
 )
 
 const (
@@ -122,82 +119,6 @@
 	})
 }
 
-// route finds the home of a job that has an ID.
-func (c *Core) route(k *call) {
-	if m, ok := k.id.Minted(); ok {
-		if k.job != nil {
-			k.job.Created = m.Created
-		}
-		k.home = m.Home
-		if c.dead[m.Home] || c.agents[m.Home] == nil {
-			c.homeLost(k)
-			return
-		}
-		c.begin(k, m.Home)
-		return
-	}
-	home, ok := c.homeOf(k)
-	k.home = home.Ref
-	if !ok || c.dead[home.Ref] || c.agents[home.Ref] == nil {
-		c.homeLost(k)
-		return
-	}
-	c.begin(k, home.Ref)
-}
-
-// homeOf finds the home of an ID of the caller's own: by the agents in force
-// when the job was created, or now when that time is not stated.
-func (c *Core) homeOf(k *call) (control.Member, bool) {
-	if k.job != nil {
-		return c.homes.Home(k.id, k.job.Created)
-	}
-	return c.homes.Home(k.id, c.now.Wall)
-}
-
-// homeLost handles a call whose home is gone or not known: another process may
-// hold the answer.
-func (c *Core) homeLost(k *call) {
-	if k.asking {
-		c.askHeir(k)
-		return
-	}
-	k.asking = true
-	for _, m := range c.heirsOf(k) {
-		if m.Ref != k.home && !c.dead[m.Ref] {
-			k.heirs = append(k.heirs, m.Ref)
-		}
-	}
-	c.askHeir(k)
-}
-
-// heirsOf returns the processes that may hold the answer of a lost home.
-func (c *Core) heirsOf(k *call) []control.Member {
-	if m, ok := k.id.Minted(); ok {
-		return rendezvous.Candidates(m.Home.String(), c.state.Agents(), 1)
-	}
-	heirs := rendezvous.Candidates(k.home.String(), c.state.Agents(), 1)
-	return append(heirs, rendezvous.Candidates(string(k.id), c.state.Agents(), formerHomes)...)
-}
-
-// askHeir asks the next process for the answer, or gives up.
-func (c *Core) askHeir(k *call) {
-	if len(k.heirs) == 0 {
-		if k.kind != callSubmit && k.found {
-			c.replyKind(k, errkind.NotFound, "no record of the job is held", 0)
-			return
-		}
-		c.replyKind(k, errkind.OutcomeUnknown,
-			"the home of the job has ended or is not known; nothing is started again", 0)
-		return
-	}
-	k.home = k.heirs[0]
-	k.heirs = k.heirs[1:]
-	if k.request == 0 {
-		c.register(k)
-	}
-	c.sendFetch(k)
-}
-
 // begin registers the call and sends it to the home.
 func (c *Core) begin(k *call, home node.Ref) {
 	k.home = home
@@ -351,56 +272,3 @@
 		delete(c.requests, k.request)
 	}
 }
-
-// timerKind says what is due.
-type timerKind uint8
-
-const (
-	timerDeadline timerKind = iota
-	timerResend
-)
-
-// timer is a scheduled check of one request.
-type timer struct {
-	kind    timerKind
-	request uint64
-}
-
-// repeat asks the home again after the connection with it was lost.
-func (c *Core) repeat(ref node.Ref) {
-	for _, k := range c.callsOf(ref) {
-		c.ask(k)
-	}
-}
-
-// ask repeats the request in its short form.
-func (c *Core) ask(k *call) {
-	if k.kind == callCancel && !k.asking {
-		c.send(k.home, message.Message{Cancel: &message.Cancel{Request: k.request, ID: k.id, Attempt: k.attempt}})
-		return
-	}
-	c.sendFetch(k)
-}
-
-func (c *Core) fire(t timer) {
-	k, ok := c.requests[t.request]
-	if !ok {
-		return
-	}
-	if t.kind == timerDeadline {
-		c.expire(k)
-		return
-	}
-	k.resend = min(2*k.resend, maxResend)
-	c.timers.Add(c.now.Mono+k.resend, timer{kind: timerResend, request: k.request})
-	c.ask(k)
-}
-
-// expire answers a call without word from the home.
-func (c *Core) expire(k *call) {
-	if k.kind == callFetch {
-		c.replyPending(k)
-		return
-	}
-	c.replyKind(k, errkind.OutcomeUnknown, fmt.Sprintf("the home %s did not answer in time", k.home), 0)
-}
--- /dev/null
+++ b/core/entry/route.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"github.com/dogwoodgauge/dogwoodgauge/core/control"
+	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
+	"github.com/dogwoodgauge/dogwoodgauge/core/rendezvous"
+)
+
+// route finds the home of a job that has an ID.
+func (c *Core) route(k *call) {
+	if m, ok := k.id.Minted(); ok {
+		if k.job != nil {
+			k.job.Created = m.Created
+		}
+		k.home = m.Home
+		if c.dead[m.Home] || c.agents[m.Home] == nil {
+			c.homeLost(k)
+			return
+		}
+		c.begin(k, m.Home)
+		return
+	}
+	home, ok := c.homeOf(k)
+	k.home = home.Ref
+	if !ok || c.dead[home.Ref] || c.agents[home.Ref] == nil {
+		c.homeLost(k)
+		return
+	}
+	c.begin(k, home.Ref)
+}
+
+// homeOf finds the home of an ID of the caller's own: by the agents in force
+// when the job was created, or now when that time is not stated.
+func (c *Core) homeOf(k *call) (control.Member, bool) {
+	if k.job != nil {
+		return c.homes.Home(k.id, k.job.Created)
+	}
+	return c.homes.Home(k.id, c.now.Wall)
+}
+
+// homeLost handles a call whose home is gone or not known: another process may
+// hold the answer.
+func (c *Core) homeLost(k *call) {
+	if k.asking {
+		c.askHeir(k)
+		return
+	}
+	k.asking = true
+	for _, m := range c.heirsOf(k) {
+		if m.Ref != k.home && !c.dead[m.Ref] {
+			k.heirs = append(k.heirs, m.Ref)
+		}
+	}
+	c.askHeir(k)
+}
+
+// heirsOf returns the processes that may hold the answer of a lost home.
+func (c *Core) heirsOf(k *call) []control.Member {
+	if m, ok := k.id.Minted(); ok {
+		return rendezvous.Candidates(m.Home.String(), c.state.Agents(), 1)
+	}
+	heirs := rendezvous.Candidates(k.home.String(), c.state.Agents(), 1)
+	return append(heirs, rendezvous.Candidates(string(k.id), c.state.Agents(), formerHomes)...)
+}
+
+// askHeir asks the next process for the answer, or gives up.
+func (c *Core) askHeir(k *call) {
+	if len(k.heirs) == 0 {
+		if k.kind != callSubmit && k.found {
+			c.replyKind(k, errkind.NotFound, "no record of the job is held", 0)
+			return
+		}
+		c.replyKind(k, errkind.OutcomeUnknown,
+			"the home of the job has ended or is not known; nothing is started again", 0)
+		return
+	}
+	k.home = k.heirs[0]
+	k.heirs = k.heirs[1:]
+	if k.request == 0 {
+		c.register(k)
+	}
+	c.sendFetch(k)
+}
--- a/internal/command/job.go
+++ b/internal/command/job.go
@@ -41,7 +41,7 @@
 	cmd := parent.Command("submit", `Submit a job and wait for its answer. `+
 		`Example: dogwoodgauge job submit --team records --class urgent --label kind=currency --payload attendant-7`)
 	entry := entryFlag(cmd)
-	f := &jobFlags{}
+	f := &jobFlags{labels: make(map[string]string)}
 	cmd.Flag("id", "Job ID; one is made when it is left out.").StringVar((*string)(&f.request.ID))
 	cmd.Flag("attempt", "Attempt number.").IntVar(&f.request.Attempt)
 	cmd.Flag("created", "Time of the first submission in milliseconds since 1970.").Int64Var(&f.request.Created)
