home: an answer has a size limit

Cause: 1,500 results of 64 KiB exceed the transport's frame of 32 MiB; such an answer would be dropped by the transport and its caller told outcome_unknown at the deadline, although every task ran (found by reading). Change: results above 16 MiB together fail the job as upstream_failed with a detail, at once. Figures: TestAnswerLimit; without the check it gets a complete answer that no frame can carry.

--- a/core/home/admission.go
+++ b/core/home/admission.go
@@ -135,6 +135,7 @@
 	r.tasks = make([]task, len(j.Tasks))
 	r.left = len(j.Tasks)
 	r.next = 0
+	r.bytes = 0
 	for i := range r.tasks {
 		r.tasks[i].record = r
 		r.tasks[i].index = i
--- a/core/home/attempt_test.go
+++ b/core/home/attempt_test.go
@@ -54,7 +54,7 @@
 	h := &testHome{site: site, now: clock.Now{Mono: time.Hour, Wall: 1_790_000_000_000}}
 	h.Core = New(Config{
 		Self: testSelf, Window: time.Minute, ClockBound: time.Second, MaxRecords: 100,
-		MaxResultBytes: 1 << 20, MaxWaiting: 100, Picker: picker, Ownership: site,
+		MaxResultBytes: 1 << 20, MaxWaiting: job.MaxTasks, Picker: picker, Ownership: site,
 		Eligibility: site, Faults: quarantine.New(), Invariants: &invariant.Recorder{Panic: true},
 	})
 	h.SetExecutors([]Executor{{Ref: testSelf}})
@@ -193,3 +193,31 @@
 		t.Errorf("answer %+v, %d starts", a, starts)
 	}
 }
+
+// TestAnswerLimit checks that results which do not fit into one answer fail the
+// job instead of being lost on the way.
+func TestAnswerLimit(t *testing.T) {
+	h := newTestHome(t)
+	h.site.set(true)
+	h.ObserveLoad(h.now, testSelf, message.Load{Slots: job.MaxTasks})
+	tasks := job.MaxAnswerBytes/job.MaxPayloadBytes + 1
+	j := job.Job{
+		ID:   job.Minted{Home: testSelf, Created: h.now.Wall, Minter: 1, Seq: 1}.ID(),
+		Team: "records", Created: h.now.Wall, Timeout: time.Minute, Tasks: make([]job.Task, tasks),
+	}
+	h.out = Output{}
+	h.Submit(h.now, testEntry, &message.Submit{Request: 1, SentAt: h.now.Wall, Job: j}, &h.out)
+	replies := h.out.Replies
+	h.out = Output{}
+	for _, r := range replies {
+		if s := r.Message.Start; s != nil {
+			h.Result(h.now, testSelf, &message.Result{
+				Seq: s.Seq, ID: s.ID, Index: s.Index, State: job.Done, Body: make([]byte, job.MaxPayloadBytes),
+			}, &h.out)
+		}
+	}
+	a, _ := h.sent()
+	if a == nil || a.Kind != errkind.UpstreamFailed || len(a.Results) != 0 {
+		t.Errorf("answer %+v", a)
+	}
+}
--- a/core/home/outcome.go
+++ b/core/home/outcome.go
@@ -31,7 +31,11 @@
 	case job.Done:
 		c.budget.Success()
 		t.body = m.Body
+		r.bytes += len(m.Body)
 		c.resolve(t, taskDone)
+		if r.bytes > job.MaxAnswerBytes {
+			c.fail(r, errkind.UpstreamFailed, "the results of the job together exceed the limit of an answer")
+		}
 	case job.Failed:
 		c.resolve(t, taskFailed)
 		c.fail(r, errkind.UpstreamFailed, m.Detail)
--- a/core/home/record.go
+++ b/core/home/record.go
@@ -80,8 +80,9 @@
 	matchTimer bool
 	groups     []*group
 	final      *job.Answer
-	bytes      int
-	heapIndex  int
+	// bytes is the size of the results held.
+	bytes     int
+	heapIndex int
 }
 
 func (r *record) subscribe(s subscriber) {
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -13,6 +13,7 @@
 	MaxTasks        = 1500
 	MaxPayloadBytes = 64 << 10
 	MaxBodyBytes    = 8 << 20
+	MaxAnswerBytes  = 16 << 20
 	MaxIDBytes      = 128
 	MaxLabels       = 32
 	MaxTimeout      = 10 * time.Minute
