home: the test of dropped records reports its load

Cause: landed with TestRecordsOutliveAdmission/number_of_records failing: the test raised the bound on waiting tasks and never reported free slots, so that later jobs stayed open and no record was dropped. Change: the test reports the load after its tasks have ended. The check is the same.

--- a/core/home/attempt_test.go
+++ b/core/home/attempt_test.go
@@ -179,6 +179,7 @@
 			h.Result(h.now, testSelf, &message.Result{Seq: s.Seq, ID: s.ID, Index: s.Index, State: job.Done}, &h.out)
 		}
 	}
+	h.ObserveLoad(h.now, testSelf, message.Load{Slots: 8})
 }
 
 // TestOtherIncarnation checks that an ID which names another run of this home
