agent: status queries to fewer peers; digests carry the word of a majority

Cause: a read waits at the log for up to 1 s, so in normal times the evidence is older than half the lease much of the time, and above 11 agents an agent took that for an outage and asked 30 further peers in each round. Each answer repeated the upstreams with their labels, and each load its zero fields.

Change: an agent asks 3 of its 10 watched peers in each round of 250 ms, in turn, and 2 random ones for a digest, whether the log is up or not. Upstreams have a version, and an answer leaves them out when the query states it. Zero fields of loads and queries are left out. An entry asks 12 agents in each round in place of 16. The benchmarks also report the busiest node.

--- a/core/agent/gossip.go
+++ b/core/agent/gossip.go
@@ -1,9 +1,12 @@
 package agent
 
 import (
+	"math/rand/v2"
 	"reflect"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dogwoodgauge/dogwoodgauge/core/control"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
@@ -12,79 +15,97 @@
 const (
 	// statusInterval is the time between two rounds of status queries.
 	statusInterval = 250 * time.Millisecond
-	// watchFanOut is the number of peers that an agent queries in each round.
-	watchFanOut = 10
-	// sweepFanOut is the number of further peers queried in each round, in
-	// turn over all agents.
-	sweepFanOut = 2
-	// outageFanOut replaces sweepFanOut while the evidence of the log is old.
-	outageFanOut = 30
+	// watchSize is the number of peers that an agent sends tasks to.
+	watchSize = 10
+	// watchFanOut is the number of these that are queried in each round, in
+	// turn.
+	watchFanOut = 3
+	// digestFanOut is the number of random peers that are asked for a digest in
+	// each round.
+	digestFanOut = 2
 )
 
 // peer is what the agent knows of another agent.
 type peer struct {
 	member    control.Member
 	upstreams []message.Upstream
+	// upstreamVersion is the version of upstreams, or zero.
+	upstreamVersion uint64
 	// heardAt is when the last envelope arrived.
 	heardAt time.Duration
 	// round and askedAt belong to the last status query.
 	round   uint64
 	askedAt time.Duration
 	dead    bool
-	watched bool
 }
 
 // gossip is the state of the periodic exchange.
 type gossip struct {
 	next  time.Duration
 	round uint64
-	sweep int
+	// turn is the index of the watched peer that was queried last.
+	turn   int
+	random *rand.Rand
+	// upstreams is the list that an answer last described, and
+	// upstreamVersion counts its changes.
+	upstreams       []message.Upstream
+	upstreamVersion uint64
 }
 
 // periodic starts a round of status queries and runs the slow checks.
 func (c *Core) periodic() {
 	c.gossip.next = c.now.Mono + statusInterval
 	c.gossip.round++
-	for _, p := range c.watched {
-		c.query(p)
-	}
-	c.sweep()
+	c.queryWatched()
+	c.queryRandom()
 	c.maintainMembership()
 	c.home.Tick(c.now, &c.homeOut)
 	c.exec.Tick(c.now, &c.execOut)
 }
 
-// sweep queries some of the peers that are not watched, in turn.
-func (c *Core) sweep() {
+// queryWatched queries some of the watched peers, in turn, and all that have not
+// described their upstreams yet.
+func (c *Core) queryWatched() {
+	for range min(watchFanOut, len(c.watched)) {
+		c.gossip.turn = (c.gossip.turn + 1) % len(c.watched)
+		c.query(c.watched[c.gossip.turn], false)
+	}
+	for _, p := range c.watched {
+		if p.upstreamVersion == 0 && p.round != c.gossip.round {
+			c.query(p, false)
+		}
+	}
+}
+
+// queryRandom asks random peers for a digest. Together the digests carry the
+// word of a majority to every agent within the lease, so that work goes on
+// while the log is down.
+func (c *Core) queryRandom() {
 	agents := c.state.Agents()
-	n := min(c.sweepSize(), len(agents))
-	for range n {
-		c.gossip.sweep = (c.gossip.sweep + 1) % len(agents)
-		p, ok := c.peers[agents[c.gossip.sweep].Ref]
-		if ok && !p.watched {
-			c.query(p)
+	for range min(digestFanOut, len(agents)) {
+		m := agents[c.randomSource().IntN(len(agents))]
+		if p, ok := c.peers[m.Ref]; ok {
+			c.query(p, true)
 		}
 	}
 }
 
-// sweepSize returns the number of further peers to query. Evidence from peers
-// is needed while the log gives none.
-func (c *Core) sweepSize() int {
-	_, since, ok := c.lease.Evidence()
-	if !ok || c.now.Mono-since > c.cfg.Lease/2 {
-		return outageFanOut
+// randomSource returns a source that differs among the agents.
+func (c *Core) randomSource() *rand.Rand {
+	if c.gossip.random == nil {
+		c.gossip.random = rand.New(rand.NewPCG(c.cfg.Seed, xxhash.Sum64String(c.cfg.Self.String())))
 	}
-	return sweepFanOut
+	return c.gossip.random
 }
 
-func (c *Core) query(p *peer) {
+func (c *Core) query(p *peer, digest bool) {
 	if p.dead {
 		return
 	}
 	p.round = c.gossip.round
 	p.askedAt = c.now.Mono
 	c.send(p.member.Ref, message.Message{Status: &message.Status{
-		LogAge: -1, Query: true, Round: c.gossip.round,
+		Query: true, Round: c.gossip.round, UpstreamVersion: p.upstreamVersion, WantDigest: digest,
 	}})
 }
 
@@ -116,10 +137,13 @@
 	if p == nil {
 		return
 	}
-	c.takeUpstreams(p, s.Upstreams)
+	c.takeUpstreams(p, s)
 	if s.Round == p.round {
 		c.lease.RelayedEvidence(e.Offset, p.askedAt, s.LogAge)
 		c.lease.PeerEvidence(e.From, e.Offset, p.askedAt)
+		if s.Digest != nil {
+			c.lease.MergeDigest(*s.Digest, p.askedAt)
+		}
 	}
 	c.home.Place(c.now, &c.homeOut)
 }
@@ -128,9 +152,18 @@
 	if c.members.left || !c.state.Synced() {
 		return
 	}
-	c.send(e.From, message.Message{Status: &message.Status{
-		LogAge: c.logAge(), Round: s.Round, Upstreams: c.exec.Upstreams(),
-	}})
+	c.countUpstreams()
+	answer := &message.Status{
+		LogAge: c.logAge(), Round: s.Round, UpstreamVersion: c.gossip.upstreamVersion,
+	}
+	if s.UpstreamVersion != answer.UpstreamVersion {
+		answer.Upstreams = c.gossip.upstreams
+	}
+	if s.WantDigest {
+		digest := c.lease.Digest(c.now.Mono)
+		answer.Digest = &digest
+	}
+	c.send(e.From, message.Message{Status: answer})
 	if e.Offset < c.state.Next() {
 		c.teach(e.From, e.Offset)
 	}
@@ -145,24 +178,32 @@
 	return c.now.Mono - since
 }
 
-func (c *Core) takeUpstreams(p *peer, list []message.Upstream) {
-	if reflect.DeepEqual(p.upstreams, list) {
+// countUpstreams gives the upstreams beside this agent a new version when they
+// have changed since the last answer.
+func (c *Core) countUpstreams() {
+	list := c.exec.Upstreams()
+	if c.gossip.upstreamVersion > 0 && reflect.DeepEqual(c.gossip.upstreams, list) {
 		return
 	}
-	p.upstreams = list
+	c.gossip.upstreams = list
+	c.gossip.upstreamVersion++
+}
+
+// takeUpstreams takes the list of a later version than the one held.
+func (c *Core) takeUpstreams(p *peer, s *message.Status) {
+	if s.UpstreamVersion <= p.upstreamVersion {
+		return
+	}
+	p.upstreams = s.Upstreams
+	p.upstreamVersion = s.UpstreamVersion
 	c.version++
 }
 
-// watch chooses the peers that are queried in every round.
+// watch chooses the peers that tasks are sent to.
 func (c *Core) watch(refs map[node.ID]bool) {
 	c.watched = c.watched[:0]
 	for _, m := range c.state.Agents() {
-		p, ok := c.peers[m.Ref]
-		if !ok {
-			continue
-		}
-		p.watched = refs[m.Ref.ID]
-		if p.watched {
+		if p, ok := c.peers[m.Ref]; ok && refs[m.Ref.ID] {
 			c.watched = append(c.watched, p)
 		}
 	}
--- a/core/entry/agents.go
+++ b/core/entry/agents.go
@@ -19,7 +19,7 @@
 	// statusInterval is the time between two rounds of status queries.
 	statusInterval = 250 * time.Millisecond
 	// queryFanOut is the number of agents queried in each round, in turn.
-	queryFanOut = 16
+	queryFanOut = 12
 	// joinRetry is the pause before a join that has not been read is repeated.
 	joinRetry = 2 * time.Second
 	// keepFormer is how long an agent that has left is still asked for its jobs.
@@ -30,8 +30,11 @@
 type agent struct {
 	member    control.Member
 	upstreams []message.Upstream
-	load      message.Load
-	loadAt    time.Duration
+	// upstreamVersion is the version of upstreams, or zero.
+	upstreamVersion uint64
+
+	load   message.Load
+	loadAt time.Duration
 	// sent is the number of tasks sent there that load does not cover.
 	sent int
 	dead bool
@@ -67,7 +70,7 @@
 
 func (c *Core) query(a *agent) {
 	c.send(a.member.Ref, message.Message{Status: &message.Status{
-		LogAge: -1, Query: true, Round: c.gossip.round,
+		Query: true, Round: c.gossip.round, UpstreamVersion: a.upstreamVersion,
 	}})
 }
 
@@ -109,8 +112,10 @@
 		}
 		return
 	}
-	if a, ok := c.agents[e.From]; ok {
+	a, ok := c.agents[e.From]
+	if ok && s.UpstreamVersion > a.upstreamVersion {
 		a.upstreams = s.Upstreams
+		a.upstreamVersion = s.UpstreamVersion
 	}
 }
 
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
+	"github.com/dogwoodgauge/dogwoodgauge/core/freshness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 )
@@ -188,9 +189,9 @@
 	// Slots is the number of task slots of the upstreams beside the executor.
 	Slots int `json:"slots"`
 	// Busy is the number of slots in use.
-	Busy int `json:"busy"`
+	Busy int `json:"busy,omitempty"`
 	// Queued is the number of accepted tasks that wait for a slot.
-	Queued int `json:"queued"`
+	Queued int `json:"queued,omitempty"`
 	// QueuedUrgent is the part of Queued that is urgent.
 	QueuedUrgent int `json:"qu,omitempty"`
 	// Service is the observed mean service time of a task.
@@ -204,14 +205,23 @@
 // Status is the periodic message between processes.
 type Status struct {
 	// LogAge is how long ago the sender's evidence of its Offset began, from a
-	// read of the log. A negative value means that it holds none.
-	LogAge time.Duration `json:"age"`
+	// read of the log. A negative value means that it holds none. It has no
+	// meaning in a query.
+	LogAge time.Duration `json:"age,omitempty"`
 	// Query asks the receiver to answer with a Status of its own at once.
 	// Round is repeated in the answer.
 	Query bool   `json:"query,omitempty"`
 	Round uint64 `json:"round,omitempty"`
-	// Upstreams describes the upstreams beside the sender.
+	// UpstreamVersion numbers the changes of the upstreams beside the sender of
+	// an answer, from 1 in each run. In a query it is the version that the
+	// sender holds of the receiver's upstreams, or zero.
+	UpstreamVersion uint64 `json:"upv,omitempty"`
+	// Upstreams describes the upstreams beside the sender of an answer. It is
+	// left out when the query states the same UpstreamVersion.
 	Upstreams []Upstream `json:"ups,omitempty"`
+	// WantDigest, in a query, asks for Digest in the answer.
+	WantDigest bool              `json:"wd,omitempty"`
+	Digest     *freshness.Digest `json:"dig,omitempty"`
 }
 
 // Upstream describes one announced upstream.
--- a/internal/capacity/control_test.go
+++ b/internal/capacity/control_test.go
@@ -48,6 +48,11 @@
 		got.bytes += m.got.bytes
 		reads += m.reads
 	}
+	busiest := 0
+	for _, m := range f.members {
+		busiest = max(busiest, m.sent.bytes, m.got.bytes)
+	}
+	b.ReportMetric(float64(busiest)/float64(seconds), "B-busiest/s")
 	each := float64(agents * seconds)
 	b.ReportMetric(float64(sent.frames)/each, "frames-out/s")
 	b.ReportMetric(float64(sent.bytes)/each, "B-out/s")
