--- a/core/executor/dispatch.go
+++ b/core/executor/dispatch.go
@@ -35,13 +35,23 @@
 		c.run(now, e, p)
 		return
 	}
-	if e.start.Class == job.Urgent && c.cfg.Elsewhere.FreeElsewhere(now, e.start) {
+	if c.redirectsUrgent(now, e) {
 		c.refuse(e, message.RefusedBusy, 0)
 		return
 	}
 	c.enqueue(now, e)
 }
 
+// redirectsUrgent reports whether e is urgent and has a free slot elsewhere.
+// Such refusals are bounded to a share of the starts: when every executor is
+// full, reports of free slots are out of date and refusals delay the tasks.
+func (c *Core) redirectsUrgent(now clock.Now, e *entry) bool {
+	if e.start.Class != job.Urgent || !c.cfg.Elsewhere.FreeElsewhere(now, e.start) {
+		return false
+	}
+	return c.redirects.Take()
+}
+
 // enqueue makes e wait unless the admission policy refuses it. What it displaces
 // has not started and is refused.
 func (c *Core) enqueue(now clock.Now, e *entry) {
@@ -159,6 +169,7 @@
 	e.startedAt = now.Mono
 	p.upstream.busy++
 	c.running[e.handle] = e
+	c.redirects.Success()
 	if e.start.Class == job.Urgent {
 		c.urgentRunning++
 	}
--- a/core/executor/dispatch_test.go
+++ b/core/executor/dispatch_test.go
@@ -61,3 +61,19 @@
 		t.Errorf("%d more started 5 s later, want 3", n)
 	}
 }
+
+func TestRefusalsForOthersAreBounded(t *testing.T) {
+	b := newBench(1, "x", "y", "z")
+	b.elsewhere = true
+	b.start(job.Urgent)
+	refused := 0
+	for b.start(job.Urgent) != nil {
+		refused++
+		if refused > 100 {
+			t.Fatal("no urgent task may wait")
+		}
+	}
+	if refused < 10 {
+		t.Errorf("only %d refusals", refused)
+	}
+}
--- a/core/executor/executor.go
+++ b/core/executor/executor.go
@@ -13,6 +13,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/estimate"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/quarantine"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/queue"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/retry"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/slots"
 )
 
@@ -93,8 +94,10 @@
 	urgentRunning int
 	urgent        slots.Concurrency
 	admission     *admission.Controller
-	draining      bool
-	out           *Output
+	// redirects bounds the refusals of urgent tasks that others have room for.
+	redirects *retry.Budget
+	draining  bool
+	out       *Output
 }
 
 // New returns an executor without upstreams.
@@ -105,6 +108,7 @@
 		queue:     queue.New[*entry](cfg.QueueLimit),
 		running:   make(map[uint64]*entry),
 		admission: admission.New(),
+		redirects: retry.NewBudget(),
 	}
 }
 
