agent: two watched peers and at most three digests in a round

Cause: at 920 agents the mean is under 19 KB/s, but an agent that many others watch, or that many ask for digests at once, sent 23246 B/s over 5 s.

Change: an agent asks 2 of its watched peers in each round in place of 3, and gives at most 3 digests in a round; further queries get its word alone.

--- a/core/agent/gossip.go
+++ b/core/agent/gossip.go
@@ -19,10 +19,13 @@
 	watchSize = 10
 	// watchFanOut is the number of these that are queried in each round, in
 	// turn.
-	watchFanOut = 3
+	watchFanOut = 2
 	// digestFanOut is the number of random peers that are asked for a digest in
 	// each round.
 	digestFanOut = 2
+	// digestLimit is the number of digests that an agent gives in each round.
+	// Queries past it are answered without one.
+	digestLimit = 3
 )
 
 // peer is what the agent knows of another agent.
@@ -46,6 +49,8 @@
 	// turn is the index of the watched peer that was queried last.
 	turn   int
 	random *rand.Rand
+	// digests is the number of digests given in this round.
+	digests int
 	// upstreams is the list that an answer last described, and
 	// upstreamVersion counts its changes.
 	upstreams       []message.Upstream
@@ -56,6 +61,7 @@
 func (c *Core) periodic() {
 	c.gossip.next = c.now.Mono + statusInterval
 	c.gossip.round++
+	c.gossip.digests = 0
 	c.queryWatched()
 	c.queryRandom()
 	c.maintainMembership()
@@ -159,7 +165,8 @@
 	if s.UpstreamVersion != answer.UpstreamVersion {
 		answer.Upstreams = c.gossip.upstreams
 	}
-	if s.WantDigest {
+	if s.WantDigest && c.gossip.digests < digestLimit {
+		c.gossip.digests++
 		digest := c.lease.Digest(c.now.Mono)
 		answer.Digest = &digest
 	}
--- a/core/agent/gossip_test.go
+++ b/core/agent/gossip_test.go
@@ -90,6 +90,23 @@
 	}
 }
 
+func TestDigestsAreLimited(t *testing.T) {
+	c, _ := newPair(t)
+	query := message.Status{Query: true, Round: 1, WantDigest: true}
+	for range digestLimit {
+		if onlyStatus(t, answer(c, query)).Digest == nil {
+			t.Fatal("no digest within the limit")
+		}
+	}
+	if onlyStatus(t, answer(c, query)).Digest != nil {
+		t.Error("a digest past the limit")
+	}
+	c.Step(at(2*statusInterval), Tick{})
+	if onlyStatus(t, answer(c, query)).Digest == nil {
+		t.Error("no digest in the next round")
+	}
+}
+
 // TestDigestOfFormerRound checks that only the answer to the last query counts.
 func TestDigestOfFormerRound(t *testing.T) {
 	c, round := newPair(t)
