--- a/core/home/attempt_test.go
+++ b/core/home/attempt_test.go
@@ -222,3 +222,26 @@
 		t.Errorf("answer %+v", a)
 	}
 }
+
+// TestNoMatchIsSaidEarly checks that a job without a matching upstream is
+// refused long before its deadline, with the time to come back.
+func TestNoMatchIsSaidEarly(t *testing.T) {
+	for _, timeout := range []time.Duration{time.Second, 4 * time.Second, time.Minute} {
+		h := newTestHome(t)
+		j := job.Job{
+			ID:   job.Minted{Home: testSelf, Created: h.now.Wall, Minter: 1, Seq: 1}.ID(),
+			Team: "records", Created: h.now.Wall, Timeout: timeout, Tasks: make([]job.Task, 1),
+		}
+		h.Submit(h.now, testEntry, &message.Submit{Request: 1, SentAt: h.now.Wall, Job: j}, &h.out)
+		at, due := h.Next()
+		if !due || at-h.now.Mono > min(2*time.Second, timeout/4) {
+			t.Fatalf("timeout %v: next look in %v", timeout, at-h.now.Mono)
+		}
+		h.out = Output{}
+		h.now = h.now.After(at - h.now.Mono)
+		h.Tick(h.now, &h.out)
+		if a, _ := h.sent(); a == nil || a.Kind != errkind.NoUpstreamMatches || a.RetryAfter == 0 {
+			t.Errorf("timeout %v: answer %+v", timeout, a)
+		}
+	}
+}
--- a/internal/transport/size.go
+++ b/internal/transport/size.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"github.com/dogwoodgauge/dogwoodgauge/core/freshness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 )
@@ -29,7 +30,7 @@
 	case m.Result != nil:
 		size += base64Size(len(m.Result.Body)) + len(m.Result.Detail)
 	case m.Status != nil:
-		size += len(m.Status.Upstreams) * baseBytes
+		size += len(m.Status.Upstreams)*baseBytes + digestSize(m.Status.Digest)
 	case m.Records != nil:
 		size += base64Size(len(m.Records.Snapshot))
 		for _, r := range m.Records.Records {
@@ -43,6 +44,13 @@
 	return size
 }
 
+func digestSize(d *freshness.Digest) int {
+	if d == nil {
+		return 0
+	}
+	return base64Size(len(d.Ages))
+}
+
 func taskSize(t *job.Task) int {
 	size := taskBytes + base64Size(len(t.Payload))
 	for k, v := range t.Labels {
