--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -90,7 +90,7 @@
 	gossip     gossip
 	members    memberState
 	drain      drainState
-	heritage   heritage
+	handedOver handedOver
 	// version counts the changes that may alter where tasks may run.
 	version uint64
 	// heard is the highest offset that another process has stated.
@@ -289,7 +289,7 @@
 	p := c.observe(e)
 	for i := range e.Messages {
 		m := &e.Messages[i]
-		if c.inherited(e.From, m) {
+		if c.answerHandedOver(e.From, m) {
 			continue
 		}
 		switch {
--- a/core/agent/drain.go
+++ b/core/agent/drain.go
@@ -80,7 +80,7 @@
 			open++
 		}
 	}
-	heir, ok := c.heir()
+	successor, ok := c.successor()
 	if open == 0 || !ok || c.now.Mono-c.drain.handingAt >= handoffLimit {
 		return true
 	}
@@ -90,15 +90,15 @@
 	c.drain.sentAt = c.now.Mono
 	for _, p := range c.drain.parts {
 		if p != nil {
-			c.send(heir, message.Message{Handoff: p})
+			c.send(successor, message.Message{Handoff: p})
 		}
 	}
 	return false
 }
 
-// heir returns the agent that entries ask for the jobs of this one after it has
+// successor returns the agent that entries ask for the jobs of this one after it has
 // ended.
-func (c *Core) heir() (node.Ref, bool) {
+func (c *Core) successor() (node.Ref, bool) {
 	var others []control.Member
 	for _, m := range c.state.Agents() {
 		if m.Ref != c.cfg.Self {
--- a/core/agent/heritage.go
+++ b/core/agent/handoff.go
@@ -8,18 +8,18 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 )
 
-// maxHeritageBytes bounds the results held for homes that have left.
-const maxHeritageBytes = 8 << 20
+// maxHandoffBytes bounds the results held for homes that have left.
+const maxHandoffBytes = 8 << 20
 
-// heritage holds the final answers of homes that have left.
-type heritage struct {
+// handedOver holds the final answers of homes that have left.
+type handedOver struct {
 	answers map[job.ID]job.Answer
-	parts   []heritagePart
+	parts   []handoffPart
 	bytes   int
 }
 
-// heritagePart is one part that was taken, until its answers expire.
-type heritagePart struct {
+// handoffPart is one part that was taken, until its answers expire.
+type handoffPart struct {
 	home    node.Ref
 	part    int
 	ids     []job.ID
@@ -29,9 +29,9 @@
 
 // takeHandoff keeps the answers of a home that leaves, if there is room.
 func (c *Core) takeHandoff(from node.Ref, m *message.Handoff) {
-	h := &c.heritage
+	h := &c.handedOver
 	h.expire(c.now.Mono)
-	part := heritagePart{home: m.Home, part: m.Part, expires: c.now.Mono + c.cfg.Retention}
+	part := handoffPart{home: m.Home, part: m.Part, expires: c.now.Mono + c.cfg.Retention}
 	for _, a := range m.Answers {
 		for _, b := range a.Results {
 			part.bytes += len(b)
@@ -39,7 +39,7 @@
 		part.ids = append(part.ids, a.ID)
 	}
 	if !h.has(part) {
-		if h.bytes+part.bytes > maxHeritageBytes {
+		if h.bytes+part.bytes > maxHandoffBytes {
 			return
 		}
 		h.add(part, m.Answers)
@@ -47,7 +47,7 @@
 	c.send(from, message.Message{HandoffAck: &message.HandoffAck{Home: m.Home, Part: m.Part}})
 }
 
-func (h *heritage) has(p heritagePart) bool {
+func (h *handedOver) has(p handoffPart) bool {
 	for _, q := range h.parts {
 		if q.home == p.home && q.part == p.part {
 			return true
@@ -56,7 +56,7 @@
 	return false
 }
 
-func (h *heritage) add(p heritagePart, answers []job.Answer) {
+func (h *handedOver) add(p handoffPart, answers []job.Answer) {
 	if h.answers == nil {
 		h.answers = make(map[job.ID]job.Answer)
 	}
@@ -67,7 +67,7 @@
 	h.bytes += p.bytes
 }
 
-func (h *heritage) expire(now time.Duration) {
+func (h *handedOver) expire(now time.Duration) {
 	for len(h.parts) > 0 && h.parts[0].expires <= now {
 		for _, id := range h.parts[0].ids {
 			delete(h.answers, id)
@@ -77,13 +77,13 @@
 	}
 }
 
-// inherited answers a request about a job of a home that has left. It reports
+// answerHandedOver answers a request about a job of a home that has left. It reports
 // whether m was such a request.
-func (c *Core) inherited(from node.Ref, m *message.Message) bool {
+func (c *Core) answerHandedOver(from node.Ref, m *message.Message) bool {
 	var request uint64
 	var id job.ID
 	switch {
-	case len(c.heritage.answers) == 0:
+	case len(c.handedOver.answers) == 0:
 		return false
 	case m.Submit != nil:
 		request, id = m.Submit.Request, m.Submit.Job.ID
@@ -94,7 +94,7 @@
 	default:
 		return false
 	}
-	a, ok := c.heritage.answers[id]
+	a, ok := c.handedOver.answers[id]
 	if !ok {
 		return false
 	}
--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -53,10 +53,10 @@
 	retry     time.Duration
 	home      node.Ref
 	redirects int
-	// heirs are the processes still to ask for the answer of a job whose home
+	// successors are the processes still to ask for the answer of a job whose home
 	// has ended or changed. Once they are asked the job is never submitted.
-	heirs  []node.Ref
-	asking bool
+	successors []node.Ref
+	asking     bool
 	// found is true once the home has said that it holds no record.
 	found    bool
 	deadline time.Duration
@@ -198,7 +198,7 @@
 		return
 	}
 	if k.asking {
-		c.askHeir(k)
+		c.askSuccessor(k)
 		return
 	}
 	if k.kind == callSubmit {
--- a/core/entry/route.go
+++ b/core/entry/route.go
@@ -42,30 +42,30 @@
 // hold the answer.
 func (c *Core) homeLost(k *call) {
 	if k.asking {
-		c.askHeir(k)
+		c.askSuccessor(k)
 		return
 	}
 	k.asking = true
-	for _, m := range c.heirsOf(k) {
+	for _, m := range c.successorsOf(k) {
 		if m.Ref != k.home && !c.dead[m.Ref] {
-			k.heirs = append(k.heirs, m.Ref)
+			k.successors = append(k.successors, m.Ref)
 		}
 	}
-	c.askHeir(k)
+	c.askSuccessor(k)
 }
 
-// heirsOf returns the processes that may hold the answer of a lost home.
-func (c *Core) heirsOf(k *call) []control.Member {
+// successorsOf returns the processes that may hold the answer of a lost home.
+func (c *Core) successorsOf(k *call) []control.Member {
 	if m, ok := k.id.Minted(); ok {
 		return rendezvous.Candidates(m.Home.String(), c.state.Agents(), 1)
 	}
-	heirs := rendezvous.Candidates(k.home.String(), c.state.Agents(), 1)
-	return append(heirs, rendezvous.Candidates(string(k.id), c.state.Agents(), formerHomes)...)
+	successors := rendezvous.Candidates(k.home.String(), c.state.Agents(), 1)
+	return append(successors, rendezvous.Candidates(string(k.id), c.state.Agents(), formerHomes)...)
 }
 
-// askHeir asks the next process for the answer, or gives up.
-func (c *Core) askHeir(k *call) {
-	if len(k.heirs) == 0 {
+// askSuccessor asks the next process for the answer, or gives up.
+func (c *Core) askSuccessor(k *call) {
+	if len(k.successors) == 0 {
 		if k.kind != callSubmit && k.found {
 			c.replyKind(k, errkind.NotFound, "no record of the job is held", 0)
 			return
@@ -74,8 +74,8 @@
 			"the home of the job has ended or is not known; nothing is started again", 0)
 		return
 	}
-	k.home = k.heirs[0]
-	k.heirs = k.heirs[1:]
+	k.home = k.successors[0]
+	k.successors = k.successors[1:]
 	if k.request == 0 {
 		c.register(k)
 	}
