--- a/internal/demo/table.go
+++ b/internal/demo/table.go
@@ -19,7 +19,7 @@
 	}
 	fmt.Fprintf(w, "\njobs\ttasks\tstarts\tresubmissions\tcomplete\tfailed\n")
 	fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d\t%d\n", s.Jobs, s.Tasks, s.Starts, s.Resubmissions, s.Complete, s.Failed)
-	fmt.Fprintf(w, "\nbroken promises, counted by upstreams and clients\t\n")
+	fmt.Fprintf(w, "\nviolations, counted by upstreams and clients\t\n")
 	for _, row := range []struct {
 		name  string
 		count int
