--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/oklog/run"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
 	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
@@ -221,24 +220,10 @@
 // returns nil after a whole stop, and ErrCut or ErrKilled otherwise.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.logs.Info("started", "id", d.self.ID, "http", d.HTTPAddr(), "transport", d.Addr())
-	var g run.Group
-	var left error
-	g.Add(func() error {
-		left = d.leave(ctx)
-		return left
-	}, func(error) { d.Kill() })
-	lifecycle.Add(&g, d.loop.Run)
-	lifecycle.Add(&g, d.transport.Run)
-	lifecycle.Add(&g, d.reader.Run)
-	lifecycle.Add(&g, d.seeds().Run)
-	lifecycle.Add(&g, d.appender.Run)
-	g.Add(d.api.Run, func(error) { _ = d.api.Close() })
-	g.Add(d.monitor.Run, func(error) { _ = d.monitor.Close() })
-	err := g.Run()
-	if err == nil {
-		// A kill may end another actor first.
-		err = left
+	actors := []func(context.Context) error{
+		d.loop.Run, d.transport.Run, d.reader.Run, d.seeds().Run, d.appender.Run,
 	}
+	err := lifecycle.Serve(func() error { return d.leave(ctx) }, d.Kill, actors, d.api, d.monitor)
 	if err := lifecycle.Bounded(tracerTime, d.tracer.Shutdown); err != nil {
 		d.logs.Error(err, "exporting the last spans failed")
 	}
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -28,6 +28,35 @@
 	g.Add(func() error { return execute(ctx) }, func(error) { cancel() })
 }
 
+// Server accepts until it is closed.
+type Server interface {
+	Run() error
+	Close() error
+}
+
+// Serve runs the actors and the servers of a daemon until leave returns or one
+// of them fails, then calls kill. It returns the error of leave, unless another
+// actor failed first.
+func Serve(leave func() error, kill func(), actors []func(context.Context) error, servers ...Server) error {
+	var g run.Group
+	var left error
+	g.Add(func() error {
+		left = leave()
+		return left
+	}, func(error) { kill() })
+	for _, actor := range actors {
+		Add(&g, actor)
+	}
+	for _, s := range servers {
+		g.Add(s.Run, func(error) { _ = s.Close() })
+	}
+	if err := g.Run(); err != nil {
+		return err
+	}
+	// A kill may end another actor first.
+	return left
+}
+
 // Bounded calls f with a context that ends after d.
 func Bounded(d time.Duration, f func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
