--- a/core/home/place.go
+++ b/core/home/place.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
-	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
 	"github.com/dogwoodgauge/dogwoodgauge/core/invariant"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/label"
@@ -18,10 +17,6 @@
 const (
 	// placeBatch is the number of records that one call looks at.
 	placeBatch = 64
-	// noMatchWait is how long a task waits for a matching upstream to appear, but
-	// not longer than one part in noMatchShare of its timeout.
-	noMatchWait  = 2 * time.Second
-	noMatchShare = 4
 	// firstResend is the delay after which an unanswered Start is repeated;
 	// later repetitions back off up to maxResend. A lost connection is
 	// reported by the transport and repeats at once.
@@ -241,24 +236,6 @@
 	}
 }
 
-// noMatch fails the job of t once the wait for a matching upstream is over. The
-// wait is a part of the timeout, so that the caller is told while time is left.
-func (c *Core) noMatch(t *task) {
-	r := t.record
-	wait := min(noMatchWait, r.job.Timeout/noMatchShare)
-	since := c.now.Mono - (r.deadline - r.job.Timeout)
-	if since >= wait {
-		r.retryAfter = noMatchWait
-		c.fail(r, errkind.NoUpstreamMatches, "no upstream that may take work matches the labels of a task")
-		return
-	}
-	if r.matchTimer {
-		return
-	}
-	r.matchTimer = true
-	c.timers.Add(c.now.Mono+wait-since, timer{kind: timerPlace})
-}
-
 // send hands t to the executor of l.
 func (c *Core) send(t *task, l *link) {
 	r := t.record
