settings: outage_limit, how long agents go on without the log

Cause: how long a majority that is cut off from the log goes on was a field of core/freshness that no setting reached, so operators could not choose.

Change: the agent's key outage_limit in section timing: none (the default) or a duration that is not shorter than lease. An entry starts nothing on a lease and refuses the key.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -31,6 +31,9 @@
 	Policy string
 	// Lease is how long evidence that the configuration is current counts.
 	Lease time.Duration
+	// OutageLimit is how long after the last evidence from the log the word of
+	// a majority of agents still permits task starts. Zero is no limit.
+	OutageLimit time.Duration
 	// ClockBound is the largest difference between two wall clocks.
 	ClockBound time.Duration
 	// Retention is the admission window of jobs and how long records are kept.
@@ -116,6 +119,7 @@
 		state:      control.NewState(),
 		lease: freshness.NewLease(freshness.Config{
 			Self: cfg.Self, Duration: cfg.Lease, DriftPerMille: freshness.DefaultDriftPerMille,
+			OutageLimit: cfg.OutageLimit,
 		}),
 		owners: ownership.NewTracker(ownership.Config{
 			Self: cfg.Self, Lease: cfg.Lease, ClockBound: cfg.ClockBound, Window: cfg.Retention,
--- a/core/sessions/ledger_test.go
+++ b/core/sessions/ledger_test.go
@@ -35,6 +35,8 @@
 	outSince map[string]time.Duration
 	kinds    map[errkind.Kind]int
 	total    int
+	// times holds when tasks started in each failure domain, in order.
+	times map[string][]time.Duration
 }
 
 func newLedger() *ledger {
@@ -45,12 +47,14 @@
 		complete: make(map[attemptKey]bool),
 		outSince: make(map[string]time.Duration),
 		kinds:    make(map[errkind.Kind]int),
+		times:    make(map[string][]time.Duration),
 	}
 }
 
 // start records that an upstream got a task.
 func (l *ledger) start(w *world, p *process, x agent.StartTask) {
 	l.total++
+	l.times[p.domain] = append(l.times[p.domain], w.now)
 	k := taskKey{x.ID, x.Index}
 	l.starts[k]++
 	if l.starts[k] > 1 {
--- a/core/sessions/world_test.go
+++ b/core/sessions/world_test.go
@@ -30,6 +30,7 @@
 	service       time.Duration
 	serviceJitter time.Duration
 	logDown       bool
+	outageLimit   time.Duration // of agents that start
 }
 
 // process is one run of an agent or an entry.
@@ -109,6 +110,7 @@
 	p.agent = agent.New(agent.Config{
 		Self: p.ref, Addr: string(id) + ":1", Domain: domain, Worker: "w-" + string(id),
 		Seed: uint64(w.nextInc), PanicOnViolation: true, Retention: 30 * time.Second,
+		OutageLimit: w.cond.outageLimit,
 	})
 	w.add(p)
 	w.announce(p)
--- a/internal/agentd/config.go
+++ b/internal/agentd/config.go
@@ -63,6 +63,7 @@
 		Seed:             seed,
 		Policy:           string(s.Policy.Placement),
 		Lease:            s.Timing.Lease,
+		OutageLimit:      time.Duration(s.Timing.OutageLimit),
 		ClockBound:       s.Timing.ClockBound,
 		Retention:        s.Records.Retention,
 		MaxRecords:       s.Records.MaxRecords,
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 )
@@ -44,6 +45,7 @@
 	c.trace(&a.Trace)
 	c.transport(a.Listen.Transport)
 	c.distinct(a.Listen.Transport, "upstream", a.Listen.Upstream)
+	c.outageLimit(&a.Timing)
 	c.records(a)
 }
 
@@ -56,6 +58,11 @@
 	c.require(t.Grace >= t.MaxTimeout, "timing", "grace", "grace %v is shorter than max_timeout %v, the longest timeout of a job", t.Grace, t.MaxTimeout)
 }
 
+func (c checker) outageLimit(t *AgentTiming) {
+	limit := time.Duration(t.OutageLimit)
+	c.require(t.OutageLimit == noLimit || limit >= t.Lease, "timing", "outage_limit", "outage_limit %v is shorter than lease %v", limit, t.Lease)
+}
+
 func (c checker) records(a *Agent) {
 	shortest := a.Timing.MaxTimeout + a.Timing.ClockBound
 	c.require(a.Records.Retention >= shortest, "records", "retention", "retention %v is shorter than max_timeout and clock_bound together, %v", a.Records.Retention, shortest)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -224,6 +224,9 @@
 		{"unknown policy", validAgent + "[policy]\nplacement = best", "13: placement = best: want one of [random round-robin least-load two-choices local-first]"},
 		{"negative count", validAgent + "[queue]\nlimit = -1", "13: limit = -1: want a whole number that is not negative"},
 		{"key without a value", validAgent + "[queue]\nlimit =", "13: the key limit has no value"},
+		{"outage limit shorter than the lease", validAgent + "[timing]\noutage_limit = 2s", "13: outage_limit 2s is shorter than lease 2.5s"},
+		{"outage limit that is no duration", validAgent + "[timing]\noutage_limit = never", "13: outage_limit = never: want none or a positive duration with its unit such as 30s, 10m or 2h"},
+		{"outage limit of an entry", validEntry + "[timing]\noutage_limit = 1h", "12: unknown key outage_limit in section timing"},
 		{"section twice", validAgent + "[log]\n", "12: the section log is given twice"},
 	}
 	for _, tt := range tests {
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -19,6 +19,12 @@
 // Size is a number of bytes, written as 512, 64KiB, 32MiB or 1GiB.
 type Size int64
 
+// OutageLimit is a duration, or noLimit, written as none.
+type OutageLimit time.Duration
+
+// noLimit is the OutageLimit that never ends.
+const noLimit OutageLimit = 0
+
 // Entry holds the settings of an entry process.
 type Entry struct {
 	Node   Node        `ini:"node"`
@@ -119,6 +125,9 @@
 	// Lease is how long evidence of the current configuration permits task
 	// starts.
 	Lease time.Duration `ini:"lease" default:"2.5s"`
+	// OutageLimit is how long after the last read of the log, its own or a
+	// peer's, the word of a majority of agents still permits task starts.
+	OutageLimit OutageLimit `ini:"outage_limit" default:"none"`
 }
 
 // Records bounds the job records that an agent keeps in memory.
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -70,6 +70,8 @@
 		*p, err = parseFraction(text)
 	case *time.Duration:
 		*p, err = parseDuration(text)
+	case *OutageLimit:
+		*p, err = parseOutageLimit(text)
 	case *Size:
 		*p, err = ParseSize(text)
 	case *netip.AddrPort:
@@ -128,6 +130,17 @@
 	return d, nil
 }
 
+func parseOutageLimit(text string) (OutageLimit, error) {
+	if text == "none" {
+		return noLimit, nil
+	}
+	d, err := parseDuration(text)
+	if err != nil {
+		return 0, errors.New("want none or a positive duration with its unit such as 30s, 10m or 2h")
+	}
+	return OutageLimit(d), nil
+}
+
 func parseAddress(text string) (netip.AddrPort, error) {
 	a, err := netip.ParseAddrPort(text)
 	if err != nil {
