standin/upstream: a withdrawal waits for the announcement in flight

Withdraw cancelled the announcement in flight. The cancelled request's answer had no body, so its connection was already back in the client's pool; the withdrawal took it and the cancellation closed it under it. Ruled out: the test's own context, which is never cancelled, and the client's timeout of 2 s, as the test ended after 10 ms. The agent could also have seen the announcement after the withdrawal.

Change: Withdraw ends the renewal and waits for the request in flight, which is no longer cancelled; its timeout bounds the wait.

TestWithdrawWaitsForAnAnnouncementInFlight fails with the cancellation put back.

--- a/internal/standin/upstream/announce.go
+++ b/internal/standin/upstream/announce.go
@@ -34,24 +34,48 @@
 	TTLMillis int64 `json:"ttl_ms"`
 }
 
+// announcing is the renewal of an announcement, from Announce to Withdraw.
+type announcing struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// stop ends the renewal and waits for a request in flight. The request is not
+// cancelled: the agent could otherwise see it after the withdrawal.
+func (a *announcing) stop() {
+	if a == nil {
+		return
+	}
+	a.cancel()
+	<-a.done
+}
+
 // Announce begins to announce the upstream to its agent, again after Withdraw.
 func (u *Upstream) Announce() {
 	if u.cfg.Agent == "" {
 		return
 	}
 	ctx, cancel := context.WithCancel(u.ctx)
+	next := &announcing{cancel: cancel, done: make(chan struct{})}
+	u.replaceAnnouncing(next).stop()
+	go u.renew(ctx, next.done)
+}
+
+// replaceAnnouncing returns the renewal that next takes the place of.
+func (u *Upstream) replaceAnnouncing(next *announcing) *announcing {
 	u.mu.Lock()
-	u.stopAnnouncing()
-	u.stopAnnouncing = cancel
-	u.mu.Unlock()
-	go u.renew(ctx)
+	defer u.mu.Unlock()
+	last := u.announcing
+	u.announcing = next
+	return last
 }
 
-// renew announces at a third of the TTL until ctx ends.
-func (u *Upstream) renew(ctx context.Context) {
+// renew announces at a third of the TTL until ctx ends, then closes done.
+func (u *Upstream) renew(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
 	for ctx.Err() == nil {
 		delay := u.cfg.TTL / 3
-		if err := u.announceOnce(ctx); err != nil {
+		if err := u.announceOnce(u.ctx); err != nil {
 			klog.V(1).Infof("standin: upstream %s: announcement failed: %v", u.cfg.Name, err)
 			delay = min(delay, announceRetry)
 		}
@@ -92,9 +116,7 @@
 	if u.cfg.Agent == "" {
 		return nil
 	}
-	u.mu.Lock()
-	u.stopAnnouncing()
-	u.mu.Unlock()
+	u.replaceAnnouncing(nil).stop()
 	return u.call(ctx, http.MethodDelete, "/v1/upstream/"+url.PathEscape(u.cfg.Name), nil)
 }
 
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -89,8 +89,8 @@
 	faults Faults
 	server *http.Server
 	addr   string
-	// stopAnnouncing ends the renewal; it is replaced by each Announce.
-	stopAnnouncing context.CancelFunc
+	// announcing is nil when nothing is announced.
+	announcing *announcing
 }
 
 // New returns an upstream that does not listen yet; it is an http.Handler.
@@ -104,10 +104,9 @@
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
 	u := &Upstream{
-		cfg:            cfg,
-		echo:           echo.New(),
-		client:         &http.Client{Transport: transport, Timeout: announceTimeout},
-		stopAnnouncing: func() {},
+		cfg:    cfg,
+		echo:   echo.New(),
+		client: &http.Client{Transport: transport, Timeout: announceTimeout},
 	}
 	u.ctx, u.cancel = context.WithCancel(context.Background())
 	u.echo.HideBanner = true
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -186,3 +188,39 @@
 		t.Errorf("withdrew %s", path)
 	}
 }
+
+// An announcement in flight must not reach the agent after the withdrawal.
+func TestWithdrawWaitsForAnAnnouncementInFlight(t *testing.T) {
+	arrived := make(chan struct{})
+	release := make(chan struct{})
+	var answered atomic.Bool
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			if !answered.Load() {
+				w.WriteHeader(http.StatusConflict)
+			}
+			return
+		}
+		close(arrived)
+		<-release
+		answered.Store(true)
+	}))
+	defer agent.Close()
+	u := start(t, Config{Name: "u1", Agent: agent.Listener.Addr().String(), TTL: time.Hour})
+	<-arrived
+	withdrawn := make(chan error, 1)
+	go func() { withdrawn <- u.Withdraw(context.Background()) }()
+	for announced(u) {
+		runtime.Gosched()
+	}
+	close(release)
+	if err := <-withdrawn; err != nil {
+		t.Error(err)
+	}
+}
+
+func announced(u *Upstream) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.announcing != nil
+}
