--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -7,9 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"runtime"
 	"strconv"
-	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -193,34 +191,28 @@
 func TestWithdrawWaitsForAnAnnouncementInFlight(t *testing.T) {
 	arrived := make(chan struct{})
 	release := make(chan struct{})
-	var answered atomic.Bool
-	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	deleted := make(chan struct{})
+	agent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodDelete {
-			if !answered.Load() {
-				w.WriteHeader(http.StatusConflict)
-			}
+			close(deleted)
 			return
 		}
 		close(arrived)
 		<-release
-		answered.Store(true)
 	}))
 	defer agent.Close()
 	u := start(t, Config{Name: "u1", Agent: agent.Listener.Addr().String(), TTL: time.Hour})
 	<-arrived
 	withdrawn := make(chan error, 1)
 	go func() { withdrawn <- u.Withdraw(context.Background()) }()
-	for announced(u) {
-		runtime.Gosched()
+	select {
+	case <-deleted:
+		t.Error("the withdrawal overtook the announcement")
+	case <-time.After(100 * time.Millisecond):
 	}
 	close(release)
 	if err := <-withdrawn; err != nil {
 		t.Error(err)
 	}
-}
-
-func announced(u *Upstream) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.announcing != nil
+	<-deleted
 }
