sessions: two domains out at once, and a take-out during a log outage

Cause: no session took two failure domains out while jobs run, published while the log was down, or looked at the first moments after a return.

Change: three sessions of TestGoldenOutage: 6 agents of 2 slots in 3 domains, tasks of 100 ms; the table of starts is compared, and no task may start in a domain from 3 s after the acceptance of its take-out.

--- a/core/sessions/outage_test.go
+++ b/core/sessions/outage_test.go
@@ -7,12 +7,21 @@
 	"testing"
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/config"
+	"github.com/dogwoodgauge/dogwoodgauge/core/control"
 	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
 )
 
 const (
+	// statedBound is the time in which a take-out is in force after its
+	// acceptance; see "Domain out within 3 s" in docs/design/freshness.md.
+	statedBound = 3 * time.Second
+	// operatorPause is the time between two tries of an operator's command.
+	operatorPause = 200 * time.Millisecond
 	// jobPause is the time between two jobs of the steady load.
 	jobPause = 100 * time.Millisecond
+	// firstMoment is the time after a return in which starts are counted apart.
+	firstMoment = 50 * time.Millisecond
 	// rowTime is the time that a row of a table of starts covers.
 	rowTime = 500 * time.Millisecond
 )
@@ -26,8 +35,10 @@
 	kinds  map[string]int
 	// refused holds when an executor refused a task.
 	refused []time.Duration
-	loaded  bool
-	begun   time.Duration
+	// returned is when the failure domains came back, or zero.
+	returned time.Duration
+	loaded   bool
+	begun    time.Duration
 }
 
 func newOutageSession(cond conditions, tasks int) *outageSession {
@@ -67,6 +78,54 @@
 	s.events[s.now] = append(s.events[s.now], fmt.Sprintf(format, args...))
 }
 
+// publish makes a change as the operators' command does: it tries while the log
+// is down, and hands an accepted change to the entries.
+func (s *outageSession) publish(name string, edit control.EditFunc, accepted func()) {
+	s.event("%s begins", name)
+	p := control.NewPublisher(name, "operator", edit)
+	s.carryOut(p, func() {
+		s.event("%s is %s", name, p.Result().Status)
+		accepted()
+		offset := p.Result().Outcome.Offset
+		records := slices.Clone(s.log[:offset+1])
+		for _, e := range []*process{s.e1, s.e2} {
+			s.deliver(e, func() { s.step(e, nil, entry.Published{Records: records}) })
+		}
+	})
+}
+
+// carryOut does the steps of a publisher until it is done.
+func (s *outageSession) carryOut(p *control.Publisher, done func()) {
+	switch {
+	case p.Step() == control.StepDone:
+		done()
+		return
+	case s.cond.logDown:
+		s.at(operatorPause, func() { s.carryOut(p, done) })
+		return
+	case p.Step() == control.StepAppend:
+		s.world.publish(p.Record())
+		p.Appended()
+	default:
+		from := p.State().Next()
+		p.Read(from, s.log[from:], int64(len(s.log)))
+	}
+	s.carryOut(p, done)
+}
+
+func (s *outageSession) domainOut(domains ...string) {
+	for _, d := range domains {
+		s.publish("out "+d, control.TakeOut(config.Out{Domain: d}), func() { s.ledger.outSince[d] = s.now })
+	}
+}
+
+func (s *outageSession) domainIn(domains ...string) {
+	for _, d := range domains {
+		delete(s.ledger.outSince, d)
+		s.publish("in "+d, control.BringIn(config.Out{Domain: d}), func() { s.returned = s.now })
+	}
+}
+
 func (s *outageSession) logDown(down bool) {
 	s.cond.logDown = down
 	s.event("log down: %v", down)
@@ -103,10 +162,24 @@
 		fmt.Fprintf(&b, "%9d", countBetween(s.refused, at, at+rowTime))
 		b.WriteString("  " + strings.Join(s.eventsBetween(at, at+rowTime), "; ") + "\n")
 	}
+	s.writeReturn(&b)
 	fmt.Fprintf(&b, "answers: %v\n", s.kinds)
 	return b.String()
 }
 
+// writeReturn writes what started in the first moments after a return.
+func (s *outageSession) writeReturn(b *strings.Builder) {
+	if s.returned == 0 {
+		return
+	}
+	for from := s.returned; from < s.returned+4*firstMoment; from += firstMoment {
+		to := from + firstMoment
+		fmt.Fprintf(b, "%v to %v after the return: d1 %d, d2 %d, d3 %d, refused %d\n", from-s.returned, to-s.returned,
+			s.startsBetween("d1", from, to), s.startsBetween("d2", from, to), s.startsBetween("d3", from, to),
+			countBetween(s.refused, from, to))
+	}
+}
+
 func (s *outageSession) eventsBetween(from, to time.Duration) []string {
 	var list []string
 	for at, names := range s.events {
@@ -120,12 +193,55 @@
 	return list
 }
 
+// checkOut verifies that no task started in a domain from statedBound after its
+// take-out was accepted until now.
+func (s *outageSession) checkOut(t *testing.T, domain string) {
+	t.Helper()
+	since, out := s.ledger.outSince[domain]
+	if !out {
+		t.Errorf("%s is not out", domain)
+		return
+	}
+	if n := s.startsBetween(domain, since+statedBound, s.now+1); n > 0 {
+		t.Errorf("%d tasks started in %s more than %v after it was taken out", n, domain, statedBound)
+	}
+}
+
 var outageSessions = []struct {
 	name  string
 	cond  conditions
 	tasks int
 	run   func(t *testing.T, s *outageSession)
 }{
+	{"two_domains_out_and_back", steady, 3, func(t *testing.T, s *outageSession) {
+		s.run(2 * time.Second)
+		s.domainOut("d1", "d2")
+		s.run(6 * time.Second)
+		s.checkOut(t, "d1")
+		s.checkOut(t, "d2")
+		s.domainIn("d1", "d2")
+		s.run(3 * time.Second)
+	}},
+	{"two_domains_back_to_a_backlog", steady, 6, func(t *testing.T, s *outageSession) {
+		s.run(2 * time.Second)
+		s.domainOut("d1", "d2")
+		s.run(6 * time.Second)
+		s.domainIn("d1", "d2")
+		s.run(3 * time.Second)
+	}},
+	{"take_out_during_log_outage", steady, 3, func(t *testing.T, s *outageSession) {
+		s.run(2 * time.Second)
+		s.logDown(true)
+		s.run(time.Second)
+		s.domainOut("d1")
+		s.run(6 * time.Second)
+		if _, out := s.ledger.outSince["d1"]; out {
+			t.Error("the take-out was accepted while the log was down")
+		}
+		s.logDown(false)
+		s.run(5 * time.Second)
+		s.checkOut(t, "d1")
+	}},
 	{"outage_limit", conditions{delay: steady.delay, service: steady.service, outageLimit: 5 * time.Second}, 3, func(t *testing.T, s *outageSession) {
 		s.run(time.Second)
 		s.logDown(true)
