status: leases, offsets, queues and quarantines of the whole fleet

Cause: the status command showed what the entry held: loads up to 19 s old at 920 agents, and neither leases nor quarantines nor other entries.

Change: GET /v1/status?ask=true makes the entry ask every agent that is not known dead for a report, for 1 s at most and once a second at most; calls share a round. The command prints sums, who did not answer and quarantines, then all agents of up to 24, and of more those that need attention.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -87,6 +87,7 @@
 	owners     *ownership.Tracker
 	home       *home.Core
 	exec       *executor.Core
+	faults     *quarantine.Detector
 	peers      map[node.Ref]*peer
 	watched    []*peer
 	former     []formerPeer
@@ -127,14 +128,14 @@
 		peers: make(map[node.Ref]*peer),
 	}
 	c.tail.State = c.state
-	faults := quarantine.New()
+	c.faults = quarantine.New()
 	c.exec = executor.New(executor.Config{
 		QueueLimit: cfg.QueueLimit, ReservedSlots: cfg.ReservedSlots, RetainIdle: cfg.Retention,
-		ClockBound: cfg.ClockBound, Self: cfg.Self.ID, Faults: faults, Elsewhere: gate{c}, Gate: gate{c}, Invariants: &c.invariants,
+		ClockBound: cfg.ClockBound, Self: cfg.Self.ID, Faults: c.faults, Elsewhere: gate{c}, Gate: gate{c}, Invariants: &c.invariants,
 	})
 	c.home = home.New(home.Config{
 		Self: cfg.Self, Seed: cfg.Seed, Window: cfg.Retention, ClockBound: cfg.ClockBound,
-		MaxRecords: cfg.MaxRecords, MaxResultBytes: cfg.MaxRecordBytes, MaxWaiting: maxWaitingTasks, Faults: faults,
+		MaxRecords: cfg.MaxRecords, MaxResultBytes: cfg.MaxRecordBytes, MaxWaiting: maxWaitingTasks, Faults: c.faults,
 		Picker: picker, Ownership: gate{c}, Eligibility: gate{c}, Invariants: &c.invariants,
 	})
 	return c
--- a/core/agent/gossip.go
+++ b/core/agent/gossip.go
@@ -156,6 +156,9 @@
 
 func (c *Core) answerStatus(e *message.Envelope, s *message.Status) {
 	if c.members.left || !c.state.Synced() {
+		if s.WantReport {
+			c.send(e.From, message.Message{Status: &message.Status{LogAge: -1, Round: s.Round, Report: c.report()}})
+		}
 		return
 	}
 	c.countUpstreams()
@@ -170,6 +173,9 @@
 		digest := c.lease.Digest(c.now.Mono)
 		answer.Digest = &digest
 	}
+	if s.WantReport {
+		answer.Report = c.report()
+	}
 	c.send(e.From, message.Message{Status: answer})
 	if e.Offset < c.state.Next() {
 		c.teach(e.From, e.Offset)
--- /dev/null
+++ b/core/agent/report.go
@@ -0,0 +1,22 @@
+package agent
+
+import "github.com/dogwoodgauge/dogwoodgauge/core/message"
+
+// reportedQuarantines bounds the quarantines that a report lists.
+const reportedQuarantines = 16
+
+// report describes the agent for operators.
+func (c *Core) report() *message.Report {
+	marks := c.faults.Marks(c.now.Mono)
+	r := &message.Report{
+		LeaseLeft:   c.lease.Until() - c.now.Mono,
+		Revision:    c.state.Config().Revision(),
+		Synced:      c.state.Synced(),
+		Records:     c.home.Stats().Records,
+		Quarantined: len(marks),
+	}
+	for _, m := range marks[:min(len(marks), reportedQuarantines)] {
+		r.Quarantines = append(r.Quarantines, message.Quarantine{Agent: m.Worker, Left: m.Left})
+	}
+	return r
+}
--- a/core/agent/status.go
+++ b/core/agent/status.go
@@ -26,6 +26,8 @@
 	Home       home.Stats                `json:"home"`
 	Upstreams  []message.Upstream        `json:"upstreams"`
 	Violations map[invariant.Name]uint64 `json:"violations"`
+	// Report is what the agent tells entries that ask.
+	Report *message.Report `json:"report"`
 }
 
 // Status returns a snapshot at the time of the last event.
@@ -36,7 +38,7 @@
 		Load: c.Load(), LeaseLeft: c.lease.Until() - c.now.Mono,
 		Agents: len(c.state.Agents()), Watched: len(c.watched),
 		Home: c.home.Stats(), Upstreams: c.exec.Upstreams(),
-		Violations: make(map[invariant.Name]uint64),
+		Violations: make(map[invariant.Name]uint64), Report: c.report(),
 	}
 	for _, name := range invariant.Names {
 		s.Violations[name] = c.invariants.Count(name)
--- a/core/entry/agents.go
+++ b/core/entry/agents.go
@@ -35,6 +35,13 @@
 
 	load   message.Load
 	loadAt time.Duration
+	// offset is the highest offset that the agent has stated.
+	offset int64
+	// report is the last report, or nil; reportAt is when it came, and
+	// inspectedAt when it was last asked for.
+	report      *message.Report
+	reportAt    time.Duration
+	inspectedAt time.Duration
 	// sent is the number of tasks sent there that load does not cover.
 	sent int
 	dead bool
@@ -95,7 +102,11 @@
 // observe takes the load that an envelope carries.
 func (c *Core) observe(e *message.Envelope) {
 	a, ok := c.agents[e.From]
-	if !ok || e.Load == nil {
+	if !ok {
+		return
+	}
+	a.offset = max(a.offset, e.Offset)
+	if e.Load == nil {
 		return
 	}
 	a.load = *e.Load
@@ -113,6 +124,9 @@
 		return
 	}
 	a, ok := c.agents[e.From]
+	if ok && s.Report != nil {
+		c.reported(a, s.Report)
+	}
 	if ok && s.UpstreamVersion > a.upstreamVersion {
 		a.upstreams = s.Upstreams
 		a.upstreamVersion = s.UpstreamVersion
--- a/core/entry/api.go
+++ b/core/entry/api.go
@@ -80,24 +80,31 @@
 	Count int
 }
 
+// InspectCall asks every agent for a report of itself. It is answered with
+// Inspected once all have answered or InspectTimeout has passed; the reports are
+// in Status. Calls share a round of questions, and no two rounds begin within
+// inspectPause.
+type InspectCall struct{ Call uint64 }
+
 // CallerGone says that nobody waits for Call any more. The job goes on.
 type CallerGone struct{ Call uint64 }
 
 // Drain asks the entry to leave: it emits Drained once every call is answered.
 type Drain struct{}
 
-func (Tick) isEvent()       {}
-func (Received) isEvent()   {}
-func (PeerReset) isEvent()  {}
-func (PeerDead) isEvent()   {}
-func (LogRead) isEvent()    {}
-func (Published) isEvent()  {}
-func (SubmitCall) isEvent() {}
-func (FetchCall) isEvent()  {}
-func (CancelCall) isEvent() {}
-func (MintCall) isEvent()   {}
-func (CallerGone) isEvent() {}
-func (Drain) isEvent()      {}
+func (Tick) isEvent()        {}
+func (Received) isEvent()    {}
+func (PeerReset) isEvent()   {}
+func (PeerDead) isEvent()    {}
+func (LogRead) isEvent()     {}
+func (Published) isEvent()   {}
+func (SubmitCall) isEvent()  {}
+func (FetchCall) isEvent()   {}
+func (CancelCall) isEvent()  {}
+func (MintCall) isEvent()    {}
+func (InspectCall) isEvent() {}
+func (CallerGone) isEvent()  {}
+func (Drain) isEvent()       {}
 
 // Action is an output of Core.Step. Actions are carried out in order.
 type Action interface{ isAction() }
@@ -124,6 +131,9 @@
 	Kind errkind.Kind
 }
 
+// Inspected answers an InspectCall.
+type Inspected struct{ Call uint64 }
+
 // SetTimer asks for a Tick at the monotonic time At. It replaces the previous
 // timer.
 type SetTimer struct{ At time.Duration }
@@ -147,6 +157,7 @@
 func (Send) isAction()          {}
 func (Reply) isAction()         {}
 func (MintReply) isAction()     {}
+func (Inspected) isAction()     {}
 func (SetTimer) isAction()      {}
 func (SetPeers) isAction()      {}
 func (AppendControl) isAction() {}
--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -236,6 +236,7 @@
 	c.dead[ref] = true
 	if a, ok := c.agents[ref]; ok {
 		a.dead = true
+		delete(c.inspection.waiting, ref)
 	}
 	for _, k := range c.callsOf(ref) {
 		c.homeLost(k)
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -57,6 +57,7 @@
 	lastMinted uint64
 	mintTurn   int
 	gossip     gossip
+	inspection inspection
 	// version counts the changes of configuration and membership.
 	version uint64
 	// shares holds the version for which a team's share was last set.
@@ -126,6 +127,8 @@
 		c.cancel(e)
 	case MintCall:
 		c.mint(e)
+	case InspectCall:
+		c.inspect(e.Call)
 	case CallerGone:
 		c.forget(e.Call)
 	case Drain:
@@ -142,6 +145,9 @@
 	if next, ok := c.timers.Next(); ok {
 		at = min(at, next)
 	}
+	if len(c.inspection.calls) > 0 {
+		at = min(at, c.inspection.begun+InspectTimeout)
+	}
 	return at
 }
 
@@ -156,6 +162,7 @@
 	if c.gossip.next <= c.now.Mono {
 		c.periodic()
 	}
+	c.checkInspection()
 }
 
 // received delivers the messages of an envelope.
--- a/core/entry/status.go
+++ b/core/entry/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/control"
 	"github.com/dogwoodgauge/dogwoodgauge/core/invariant"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
@@ -16,10 +17,18 @@
 	Revision   int64                     `json:"revision"`
 	Synced     bool                      `json:"synced"`
 	Calls      int                       `json:"calls"`
+	Entries    []EntryStatus             `json:"entries"`
 	Agents     []AgentStatus             `json:"agents"`
 	Violations map[invariant.Name]uint64 `json:"violations"`
 }
 
+// EntryStatus is an entry that has joined.
+type EntryStatus struct {
+	Ref    node.Ref `json:"ref"`
+	Addr   string   `json:"addr"`
+	Domain string   `json:"domain"`
+}
+
 // AgentStatus is what an entry knows of one agent.
 type AgentStatus struct {
 	Ref    node.Ref     `json:"ref"`
@@ -28,9 +37,17 @@
 	Worker string       `json:"worker"`
 	Load   message.Load `json:"load"`
 	// Age is the age of Load.
-	Age       time.Duration      `json:"age"`
+	Age time.Duration `json:"age"`
+	// Offset is the highest offset that the agent has stated.
+	Offset    int64              `json:"offset"`
 	Dead      bool               `json:"dead"`
 	Upstreams []message.Upstream `json:"upstreams"`
+	// Report is the last report that the entry has asked for, or nil, and
+	// ReportAge its age.
+	Report    *message.Report `json:"report,omitempty"`
+	ReportAge time.Duration   `json:"report_age,omitempty"`
+	// Silent is true when the agent has not answered the last question.
+	Silent bool `json:"silent,omitempty"`
 }
 
 // Status returns a snapshot at the time of the last event.
@@ -40,14 +57,28 @@
 		Revision: c.state.Config().Revision(), Synced: c.state.Synced(), Calls: len(c.calls),
 		Violations: make(map[invariant.Name]uint64),
 	}
+	for _, m := range c.state.Members() {
+		if m.Role == control.RoleEntry {
+			s.Entries = append(s.Entries, EntryStatus{Ref: m.Ref, Addr: m.Addr, Domain: m.Domain})
+		}
+	}
 	for _, a := range c.order {
-		s.Agents = append(s.Agents, AgentStatus{
-			Ref: a.member.Ref, Addr: a.member.Addr, Domain: a.member.Domain, Worker: a.member.Worker,
-			Load: a.load, Age: c.now.Mono - a.loadAt, Dead: a.dead, Upstreams: a.upstreams,
-		})
+		s.Agents = append(s.Agents, a.status(c.now.Mono))
 	}
 	for _, name := range invariant.Names {
 		s.Violations[name] = c.invariants.Count(name)
 	}
 	return s
 }
+
+func (a *agent) status(now time.Duration) AgentStatus {
+	s := AgentStatus{
+		Ref: a.member.Ref, Addr: a.member.Addr, Domain: a.member.Domain, Worker: a.member.Worker,
+		Load: a.load, Age: now - a.loadAt, Offset: a.offset, Dead: a.dead, Upstreams: a.upstreams,
+		Report: a.report, Silent: a.silent(),
+	}
+	if a.report != nil {
+		s.ReportAge = now - a.reportAt
+	}
+	return s
+}
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -222,6 +222,33 @@
 	// WantDigest, in a query, asks for Digest in the answer.
 	WantDigest bool              `json:"wd,omitempty"`
 	Digest     *freshness.Digest `json:"dig,omitempty"`
+	// WantReport, in a query, asks for Report in the answer.
+	WantReport bool    `json:"wr,omitempty"`
+	Report     *Report `json:"rep,omitempty"`
+}
+
+// Report is what an agent tells operators of itself, on demand.
+type Report struct {
+	// LeaseLeft is how long the agent may go on starting tasks without new
+	// evidence. It is not positive once the lease has lapsed.
+	LeaseLeft time.Duration `json:"lease_left"`
+	// Revision is that of the configuration in use.
+	Revision int64 `json:"revision"`
+	Synced   bool  `json:"synced"`
+	// Records is the number of jobs that the agent is home of.
+	Records int `json:"records"`
+	// Quarantined is the number of workers that the agent sends nothing to for
+	// the failures it has seen itself. Quarantines lists the first of them.
+	Quarantined int          `json:"quarantined,omitempty"`
+	Quarantines []Quarantine `json:"quarantines,omitempty"`
+}
+
+// Quarantine is a worker that is sent nothing for its failures.
+type Quarantine struct {
+	// Agent is the agent of the worker.
+	Agent node.ID `json:"agent"`
+	// Left is the time to the probation. It is not positive on probation.
+	Left time.Duration `json:"left"`
 }
 
 // Upstream describes one announced upstream.
--- a/core/policy/quarantine/quarantine.go
+++ b/core/policy/quarantine/quarantine.go
@@ -218,6 +218,25 @@
 	}
 }
 
+// Mark is a worker that the detector has put in quarantine.
+type Mark struct {
+	Worker node.ID
+	// Left is the time to the probation. It is not positive on probation.
+	Left time.Duration
+}
+
+// Marks returns the workers in quarantine or on probation for what has been
+// observed here, by ID. What workers report of themselves is left out.
+func (d *Detector) Marks(now time.Duration) []Mark {
+	var marks []Mark
+	for _, id := range d.marked[:min(len(d.marked), d.bound())] {
+		if w := d.workers[id]; w.marked {
+			marks = append(marks, Mark{Worker: id, Left: w.until - now})
+		}
+	}
+	return marks
+}
+
 // withinBound reports whether worker is among the marked ones that may be
 // quarantined at one time. All processes that know the same marks agree.
 func (d *Detector) withinBound(id node.ID) bool {
--- a/core/sessions/world_test.go
+++ b/core/sessions/world_test.go
@@ -63,6 +63,8 @@
 	logAt   []time.Duration
 	ledger  *ledger
 	trace   func(format string, args ...any)
+	// sent sees every message.
+	sent    func(m message.Message)
 	steps   int
 	calls   uint64
 	waiting map[uint64]func(entry.Action)
@@ -78,6 +80,7 @@
 		ledger:  newLedger(),
 		waiting: make(map[uint64]func(entry.Action)),
 		trace:   func(string, ...any) {},
+		sent:    func(message.Message) {},
 	}
 }
 
@@ -200,6 +203,8 @@
 		w.answered(x.Call, x)
 	case entry.MintReply:
 		w.answered(x.Call, x)
+	case entry.Inspected:
+		w.answered(x.Call, x)
 	case entry.Drained:
 		p.drained = true
 		p.alive = false
@@ -254,6 +259,7 @@
 		copies++
 	}
 	w.traceMessage(p, to, m)
+	w.sent(m)
 	for range copies {
 		w.at(w.latency(), func() { w.arrive(p, env) })
 	}
--- a/examples/readme_test.go
+++ b/examples/readme_test.go
@@ -37,10 +37,10 @@
 	return entry.MintReply{IDs: make([]job.ID, count)}, nil
 }
 
-func (service) Status(context.Context) (any, error) { return struct{}{}, nil }
-func (service) Ready() error                        { return nil }
-func (service) Draining() bool                      { return false }
-func (service) WriteMetrics(io.Writer)              {}
+func (service) Status(context.Context, bool) (any, error) { return struct{}{}, nil }
+func (service) Ready() error                              { return nil }
+func (service) Draining() bool                            { return false }
+func (service) WriteMetrics(io.Writer)                    {}
 
 // call matches a call of the README: options, path, body, and the status line
 // after it if there is one.
--- /dev/null
+++ b/internal/command/statustable.go
@@ -0,0 +1,208 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/entryd"
+)
+
+const (
+	// smallFleet is the number of agents up to which every agent is listed.
+	smallFleet = 24
+	// maxRows bounds the agents, and maxNames the names, that are listed of a
+	// larger fleet.
+	maxRows  = 40
+	maxNames = 10
+)
+
+// agentState is an agent's state in the table.
+type agentState string
+
+// The states, from the one that hides all others to the one without a fault.
+const (
+	stateDead    agentState = "dead"
+	stateSilent  agentState = "silent"
+	stateLeaving agentState = "leaving"
+	stateUnread  agentState = "unread"
+	stateLapsed  agentState = "lapsed"
+	stateFailing agentState = "quarantined"
+	stateBehind  agentState = "behind"
+	stateUp      agentState = "up"
+)
+
+var agentStates = []agentState{
+	stateDead, stateSilent, stateLeaving, stateUnread, stateLapsed, stateFailing, stateBehind, stateUp,
+}
+
+// stateOf returns the state of an agent as seen by an entry at offset.
+func stateOf(a *entry.AgentStatus, offset int64) agentState {
+	switch {
+	case a.Dead:
+		return stateDead
+	case a.Silent:
+		return stateSilent
+	case a.Load.Draining:
+		return stateLeaving
+	case a.Report != nil && !a.Report.Synced:
+		return stateUnread
+	case a.Report != nil && a.Report.LeaseLeft <= 0:
+		return stateLapsed
+	case a.Load.Failing:
+		return stateFailing
+	case a.Offset < offset:
+		return stateBehind
+	default:
+		return stateUp
+	}
+}
+
+// printStatus writes a summary and then the agents: all of a small fleet, or
+// with all set, and else those that need attention.
+func printStatus(w io.Writer, s *entryd.Status, all bool) error {
+	fmt.Fprintf(w, "entry %s domain %s offset %d revision %d synced %t draining %t calls %d\n",
+		s.Self, s.Domain, s.Offset, s.Revision, s.Synced, s.Draining, s.Calls)
+	for _, name := range slices.Sorted(maps.Keys(s.Violations)) {
+		if count := s.Violations[name]; count > 0 {
+			fmt.Fprintf(w, "invariant %s violated %d times\n", name, count)
+		}
+	}
+	printEntries(w, s.Entries)
+	printSummary(w, s)
+	accused := accusers(s.Agents)
+	printQuarantines(w, accused)
+	return printAgents(w, s, accused, all)
+}
+
+func printEntries(w io.Writer, entries []entry.EntryStatus) {
+	names := make([]string, len(entries))
+	for i, e := range entries {
+		names[i] = string(e.Ref.ID)
+	}
+	fmt.Fprintf(w, "entries %d: %s\n", len(entries), shorten(names))
+}
+
+// shorten joins the first names and counts the others.
+func shorten(names []string) string {
+	if over := len(names) - maxNames; over > 0 {
+		return fmt.Sprintf("%s and %d more", strings.Join(names[:maxNames], ", "), over)
+	}
+	return strings.Join(names, ", ")
+}
+
+// printSummary writes the sums over all agents and names those that did not
+// answer.
+func printSummary(w io.Writer, s *entryd.Status) {
+	counts := make(map[agentState]int)
+	var slots, busy, queued, jobs int
+	var silent []string
+	for i := range s.Agents {
+		a := &s.Agents[i]
+		state := stateOf(a, s.Offset)
+		counts[state]++
+		if state == stateDead {
+			continue
+		}
+		slots, busy, queued = slots+a.Load.Slots, busy+a.Load.Busy, queued+a.Load.Queued
+		if a.Report != nil {
+			jobs += a.Report.Records
+		}
+		if a.Silent {
+			silent = append(silent, string(a.Ref.ID))
+		}
+	}
+	parts := make([]string, 0, len(agentStates))
+	for _, state := range agentStates {
+		if counts[state] > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", counts[state], state))
+		}
+	}
+	fmt.Fprintf(w, "agents %d: %s\n", len(s.Agents), strings.Join(parts, ", "))
+	fmt.Fprintf(w, "slots %d busy %d queued %d jobs held %d\n", slots, busy, queued, jobs)
+	if len(silent) > 0 {
+		fmt.Fprintf(w, "did not answer: %s\n", shorten(silent))
+	}
+}
+
+// accusation sums the quarantines of one worker.
+type accusation struct {
+	by int
+	// left is the longest time to a probation.
+	left time.Duration
+}
+
+// accusers returns for each quarantined worker how many agents send it nothing,
+// by the ID of its agent.
+func accusers(agents []entry.AgentStatus) map[node.ID]accusation {
+	sums := make(map[node.ID]accusation)
+	for _, a := range agents {
+		if a.Report == nil || a.Dead {
+			continue
+		}
+		for _, q := range a.Report.Quarantines {
+			sum := sums[q.Agent]
+			sums[q.Agent] = accusation{by: sum.by + 1, left: max(sum.left, q.Left)}
+		}
+	}
+	return sums
+}
+
+func printQuarantines(w io.Writer, accused map[node.ID]accusation) {
+	ids := slices.Sorted(maps.Keys(accused))
+	for _, id := range ids[:min(len(ids), maxNames)] {
+		q := accused[id]
+		until := fmt.Sprintf("probation in %s", q.left.Round(time.Millisecond))
+		if q.left <= 0 {
+			until = "on probation"
+		}
+		fmt.Fprintf(w, "quarantine of %s: by %d agents, %s\n", id, q.by, until)
+	}
+	if over := len(ids) - maxNames; over > 0 {
+		fmt.Fprintf(w, "quarantine of %d more\n", over)
+	}
+}
+
+func printAgents(w io.Writer, s *entryd.Status, accused map[node.ID]accusation, all bool) error {
+	all = all || len(s.Agents) <= smallFleet
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "AGENT\tADDR\tDOMAIN\tWORKER\tSLOTS\tBUSY\tQUEUED\tHEARD\tSTATE\tOFFSET\tLEASE\tUPSTREAMS")
+	fine, over, rows := 0, 0, 0
+	for i := range s.Agents {
+		a := &s.Agents[i]
+		state := stateOf(a, s.Offset)
+		_, suspect := accused[a.Ref.ID]
+		switch {
+		case !all && state == stateUp && !suspect:
+			fine++
+			continue
+		case !all && rows == maxRows:
+			over++
+			continue
+		}
+		rows++
+		printAgent(t, a, state)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if fine+over > 0 {
+		fmt.Fprintf(w, "not listed: %d that need no attention, %d that do; --all lists them\n", fine, over)
+	}
+	return nil
+}
+
+func printAgent(w io.Writer, a *entry.AgentStatus, state agentState) {
+	lease := "-"
+	if a.Report != nil {
+		lease = a.Report.LeaseLeft.Round(time.Millisecond).String()
+	}
+	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\t%d\t%s\t%d\n", a.Ref.ID, a.Addr, a.Domain, a.Worker,
+		a.Load.Slots, a.Load.Busy, a.Load.Queued, a.Age.Round(time.Millisecond), state, a.Offset, lease, len(a.Upstreams))
+}
--- a/internal/entryd/actions.go
+++ b/internal/entryd/actions.go
@@ -34,6 +34,8 @@
 		d.calls.answer(a.Call, result{reply: a})
 	case entry.MintReply:
 		d.calls.answer(a.Call, result{mint: a})
+	case entry.Inspected:
+		d.calls.answer(a.Call, result{})
 	case entry.SetTimer:
 		d.loop.SetTimer(a.At)
 	case entry.SetPeers:
--- a/internal/entryd/status.go
+++ b/internal/entryd/status.go
@@ -23,7 +23,13 @@
 }
 
 // Status implements httpapi.Service. The value is a Status.
-func (d *Daemon) Status(ctx context.Context) (any, error) {
+func (d *Daemon) Status(ctx context.Context, ask bool) (any, error) {
+	if ask {
+		_, err := d.call(ctx, func(call uint64) entry.Event { return entry.InspectCall{Call: call} })
+		if err != nil {
+			return nil, err
+		}
+	}
 	return d.Snapshot(ctx)
 }
 
--- a/internal/httpapi/api.go
+++ b/internal/httpapi/api.go
@@ -6,7 +6,7 @@
 //	DELETE /v1/jobs/ID?attempt=     cancel a job
 //	POST   /v1/ids {"count":n}      get job IDs
 //	GET    /v1/error-kinds          the table of error kinds
-//	GET    /v1/status               what this entry knows
+//	GET    /v1/status?ask=true      what this entry knows; ask gets reports of the agents first
 //	GET    /healthz, /readyz, /metrics
 package httpapi
 
@@ -33,8 +33,9 @@
 	Fetch(ctx context.Context, f entry.FetchCall) (entry.Reply, error)
 	Cancel(ctx context.Context, id job.ID, attempt int) (entry.Reply, error)
 	Mint(ctx context.Context, count int) (entry.MintReply, error)
-	// Status returns a value to be encoded as JSON.
-	Status(ctx context.Context) (any, error)
+	// Status returns a value to be encoded as JSON. With ask the agents are asked
+	// for reports first.
+	Status(ctx context.Context, ask bool) (any, error)
 	// Ready returns nil when the entry takes work, or the reason why it does not.
 	Ready() error
 	// Draining reports whether connections are to be closed after their answer.
@@ -160,7 +161,11 @@
 }
 
 func (a *api) status(c echo.Context) error {
-	s, err := a.Service.Status(c.Request().Context())
+	ask, err := boolParam(c, "ask", false)
+	if err != nil {
+		return err
+	}
+	s, err := a.Service.Status(c.Request().Context(), ask)
 	if err != nil {
 		return cut()
 	}
--- a/internal/httpapi/api_test.go
+++ b/internal/httpapi/api_test.go
@@ -51,10 +51,12 @@
 }
 
 func (s *fakeService) Mint(context.Context, int) (entry.MintReply, error) { return s.mint, s.err }
-func (s *fakeService) Status(context.Context) (any, error)                { return map[string]int{"calls": 3}, nil }
-func (s *fakeService) Ready() error                                       { return s.notReady }
-func (s *fakeService) Draining() bool                                     { return s.draining }
-func (s *fakeService) WriteMetrics(w io.Writer)                           { _, _ = io.WriteString(w, "m 1\n") }
+func (s *fakeService) Status(context.Context, bool) (any, error) {
+	return map[string]int{"calls": 3}, nil
+}
+func (s *fakeService) Ready() error             { return s.notReady }
+func (s *fakeService) Draining() bool           { return s.draining }
+func (s *fakeService) WriteMetrics(w io.Writer) { _, _ = io.WriteString(w, "m 1\n") }
 
 func newServer(t *testing.T, s *fakeService) *httptest.Server {
 	t.Helper()
--- a/internal/transport/size.go
+++ b/internal/transport/size.go
@@ -30,7 +30,7 @@
 	case m.Result != nil:
 		size += base64Size(len(m.Result.Body)) + len(m.Result.Detail)
 	case m.Status != nil:
-		size += len(m.Status.Upstreams)*baseBytes + digestSize(m.Status.Digest)
+		size += len(m.Status.Upstreams)*baseBytes + digestSize(m.Status.Digest) + reportSize(m.Status.Report)
 	case m.Records != nil:
 		size += base64Size(len(m.Records.Snapshot))
 		for _, r := range m.Records.Records {
@@ -51,6 +51,13 @@
 	return base64Size(len(d.Ages))
 }
 
+func reportSize(r *message.Report) int {
+	if r == nil {
+		return 0
+	}
+	return baseBytes + len(r.Quarantines)*taskBytes
+}
+
 func taskSize(t *job.Task) int {
 	size := taskBytes + base64Size(len(t.Payload))
 	for k, v := range t.Labels {
--- a/script_test.go
+++ b/script_test.go
@@ -71,6 +71,7 @@
 			"code":      code,
 			"sigterm":   sigterm,
 			"sigkill":   sigkill,
+			"signal":    signal,
 		},
 	})
 }
@@ -166,6 +167,13 @@
 	signalAll(ts, args[0], syscall.SIGKILL)
 }
 
+// signal STOP|CONT ARG pauses the background programs that have the argument, or
+// lets them go on.
+func signal(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+	signalAll(ts, args[1], signals[args[0]])
+}
+
 func signalAll(ts *testscript.TestScript, arg string, sig os.Signal) {
 	found := false
 	for _, cmd := range ts.BackgroundCmds() {
