home: the wait list in a file of its own

No change of behaviour: the wait list, the turn order and the retry estimate move from place.go, which mixed them with the choice of executors.

--- a/core/home/place.go
+++ b/core/home/place.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// placeBatch is the number of records that one call looks at.
-	placeBatch = 64
 	// firstResend is the delay after which an unanswered Start is repeated;
 	// later repetitions back off up to maxResend. A lost connection is
 	// reported by the transport and repeats at once.
@@ -24,73 +22,6 @@
 	maxResend   = 12 * time.Second
 )
 
-// waitlist holds the records with waiting tasks, by class, in turn order.
-type waitlist struct {
-	classes [3][]*record
-	tasks   int
-}
-
-func classIndex(c job.Class) int {
-	switch c {
-	case job.Urgent:
-		return 0
-	case job.Batch:
-		return 2
-	default:
-		return 1
-	}
-}
-
-func (w *waitlist) add(r *record) {
-	w.tasks += len(r.tasks)
-	w.enter(r)
-}
-
-// enter puts a record at the end of its class.
-func (w *waitlist) enter(r *record) {
-	if r.inWaitlist {
-		return
-	}
-	r.inWaitlist = true
-	list := &w.classes[classIndex(r.job.Class)]
-	*list = append(*list, r)
-}
-
-// place sends waiting tasks to executors with room, urgent classes first and
-// the records of a class in turn.
-func (c *Core) place() {
-	c.opensAt = never
-	for i := range c.waiting.classes {
-		c.placeClass(i)
-	}
-	if c.opensAt != never && (c.placeAt <= c.now.Mono || c.opensAt < c.placeAt) {
-		c.placeAt = c.opensAt
-		c.timers.Add(c.placeAt, timer{kind: timerPlace})
-	}
-}
-
-// never is a time that does not come.
-const never = time.Duration(1<<63 - 1)
-
-func (c *Core) placeClass(class int) {
-	list := c.waiting.classes[class]
-	n := min(len(list), placeBatch)
-	if n == 0 {
-		return
-	}
-	batch := slices.Clone(list[:n])
-	var again []*record
-	for _, r := range batch {
-		if c.placeRecord(r) {
-			again = append(again, r)
-			continue
-		}
-		r.inWaitlist = false
-	}
-	rest := c.waiting.classes[class][n:]
-	c.waiting.classes[class] = append(slices.Clone(rest), again...)
-}
-
 // placeRecord sends as many tasks of r as have room. It reports whether some
 // still wait.
 func (c *Core) placeRecord(r *record) bool {
@@ -272,17 +203,3 @@
 	c.begin(now, out)
 	c.place()
 }
-
-// retryAfter estimates when the waiting tasks will have been placed.
-func (c *Core) retryAfter() time.Duration {
-	slots := 0
-	var service time.Duration
-	for _, l := range c.order {
-		slots += l.load.Slots
-		service = max(service, l.load.Service)
-	}
-	if slots == 0 {
-		return noMatchWait
-	}
-	return service * time.Duration(1+c.waiting.tasks/slots)
-}
