--- a/core/agent/api.go
+++ b/core/agent/api.go
@@ -5,24 +5,36 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/label"
-	"github.com/dogwoodgauge/dogwoodgauge/core/message"
-	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 )
 
-// Event is an input of Core.Step.
-type Event interface{ isEvent() }
-
-// Tick says that the time of the last SetTimer has come. Early and extra ticks
-// are harmless.
-type Tick struct{}
+// Event is an input of Core.Step: one of the events below.
+type Event = step.Event
+
+// Events common to all roles.
+type (
+	Tick      = step.Tick
+	Received  = step.Received
+	PeerDead  = step.PeerDead
+	PeerReset = step.PeerReset
+	LogRead   = step.LogRead
+	Drain     = step.Drain
+)
 
-// Received delivers an envelope from another process. The transport has
-// checked the version; the core checks the destination incarnation.
-type Received struct{ Envelope message.Envelope }
+// Action is an output of Core.Step: one of the actions below.
+type Action = step.Action
+
+// Actions common to all roles.
+type (
+	Send          = step.Send
+	SetTimer      = step.SetTimer
+	AppendControl = step.AppendControl
+	SetPeers      = step.SetPeers
+	Peer          = step.Peer
+	Drained       = step.Drained
+)
 
-// PeerDead states that the run Ref has ended: its dedicated port refused a
-// connection or is served by another incarnation. Silence is never PeerDead.
-type PeerDead struct{ Ref node.Ref }
+var _ step.Core = (*Core)(nil)
 
 // UpstreamAnnounced adds an upstream beside the agent, or renews or changes it.
 // The announcement lapses after TTL.
@@ -48,44 +60,14 @@
 	Detail string
 }
 
-// PeerReset says that a connection with Ref was lost, so that messages sent on it
-// may be lost too.
-type PeerReset struct{ Ref node.Ref }
-
-// LogRead reports one successful read of the control stream. Records are
-// consecutive from offset From. End is the end of the stream when the log
-// service answered, AskedAt the monotonic time at which the read was sent.
-type LogRead struct {
-	From    int64
-	Records [][]byte
-	End     int64
-	// Oldest is the offset of the oldest record that the log retains.
-	Oldest  int64
-	AskedAt time.Duration
-}
-
-// Drain asks the agent to leave: it takes no new work and emits Drained once
-// nothing is in flight.
-type Drain struct{}
-
-func (Tick) isEvent()              {}
-func (Received) isEvent()          {}
-func (PeerReset) isEvent()         {}
-func (PeerDead) isEvent()          {}
-func (UpstreamAnnounced) isEvent() {}
-func (UpstreamWithdrawn) isEvent() {}
-func (TaskEnded) isEvent()         {}
-func (LogRead) isEvent()           {}
-func (Drain) isEvent()             {}
+// IsEvent implements Event.
+func (UpstreamAnnounced) IsEvent() {}
 
-// Action is an output of Core.Step. Actions are carried out in order.
-type Action interface{ isAction() }
+// IsEvent implements Event.
+func (UpstreamWithdrawn) IsEvent() {}
 
-// Send hands a message to the transport. It may be lost.
-type Send struct {
-	To      node.Ref
-	Message message.Message
-}
+// IsEvent implements Event.
+func (TaskEnded) IsEvent() {}
 
 // StartTask starts a task on the named upstream. The shell must check, right
 // before it writes to the upstream, that the monotonic clock has not passed
@@ -107,29 +89,5 @@
 	Trace string
 }
 
-// SetTimer asks for a Tick at the monotonic time At. It replaces the previous
-// timer.
-type SetTimer struct{ At time.Duration }
-
-// AppendControl appends a record to the control stream. It may be lost, and
-// may take effect although its reply is lost.
-type AppendControl struct{ Record []byte }
-
-// SetPeers tells the transport the addresses of the known agents.
-type SetPeers struct{ Peers []Peer }
-
-// Peer is the address of one agent.
-type Peer struct {
-	Ref  node.Ref
-	Addr string
-}
-
-// Drained says that nothing is in flight and the process may exit.
-type Drained struct{}
-
-func (Send) isAction()          {}
-func (StartTask) isAction()     {}
-func (SetTimer) isAction()      {}
-func (AppendControl) isAction() {}
-func (SetPeers) isAction()      {}
-func (Drained) isAction()       {}
+// IsAction implements Action.
+func (StartTask) IsAction() {}
--- a/core/doc.go
+++ b/core/doc.go
@@ -4,5 +4,6 @@
 // read no clock, open no file or socket and draw no random numbers. Time,
 // messages and seeds enter as typed events; messages to send, tasks to start
 // and answers to give leave as typed actions. The same events give the same
-// actions. See packages agent and entry for how to drive each role.
+// actions. Package step says how to drive a role; packages agent and entry add
+// the events and actions of their own.
 package core
--- a/core/entry/api.go
+++ b/core/entry/api.go
@@ -5,38 +5,36 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
-	"github.com/dogwoodgauge/dogwoodgauge/core/message"
-	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 )
 
-// Event is an input of Core.Step.
-type Event interface{ isEvent() }
-
-// Tick says that the time of the last SetTimer has come. Early and extra ticks
-// are harmless.
-type Tick struct{}
-
-// Received delivers an envelope from an agent.
-type Received struct{ Envelope message.Envelope }
+// Event is an input of Core.Step: one of the events below.
+type Event = step.Event
+
+// Events common to all roles.
+type (
+	Tick      = step.Tick
+	Received  = step.Received
+	PeerDead  = step.PeerDead
+	PeerReset = step.PeerReset
+	LogRead   = step.LogRead
+	Drain     = step.Drain
+)
 
-// PeerDead states that the run Ref has ended: its dedicated port refused a
-// connection or is served by another incarnation. Silence is never PeerDead.
-type PeerDead struct{ Ref node.Ref }
+// Action is an output of Core.Step: one of the actions below.
+type Action = step.Action
+
+// Actions common to all roles.
+type (
+	Send          = step.Send
+	SetTimer      = step.SetTimer
+	AppendControl = step.AppendControl
+	SetPeers      = step.SetPeers
+	Peer          = step.Peer
+	Drained       = step.Drained
+)
 
-// PeerReset says that a connection with Ref was lost, so that messages sent on it
-// may be lost too.
-type PeerReset struct{ Ref node.Ref }
-
-// LogRead reports one successful read of the control stream; see the event of
-// the same name in package agent.
-type LogRead struct {
-	From    int64
-	Records [][]byte
-	End     int64
-	// Oldest is the offset of the oldest record that the log retains.
-	Oldest  int64
-	AskedAt time.Duration
-}
+var _ step.Core = (*Core)(nil)
 
 // Published hands over records of the control stream that an operator has just
 // had accepted, consecutive from offset From. The entry passes them on, so that
@@ -89,31 +87,26 @@
 // CallerGone says that nobody waits for Call any more. The job goes on.
 type CallerGone struct{ Call uint64 }
 
-// Drain asks the entry to leave: it emits Drained once every call is answered.
-type Drain struct{}
-
-func (Tick) isEvent()        {}
-func (Received) isEvent()    {}
-func (PeerReset) isEvent()   {}
-func (PeerDead) isEvent()    {}
-func (LogRead) isEvent()     {}
-func (Published) isEvent()   {}
-func (SubmitCall) isEvent()  {}
-func (FetchCall) isEvent()   {}
-func (CancelCall) isEvent()  {}
-func (MintCall) isEvent()    {}
-func (InspectCall) isEvent() {}
-func (CallerGone) isEvent()  {}
-func (Drain) isEvent()       {}
-
-// Action is an output of Core.Step. Actions are carried out in order.
-type Action interface{ isAction() }
-
-// Send hands a message to the transport. It may be lost.
-type Send struct {
-	To      node.Ref
-	Message message.Message
-}
+// IsEvent implements Event.
+func (Published) IsEvent() {}
+
+// IsEvent implements Event.
+func (SubmitCall) IsEvent() {}
+
+// IsEvent implements Event.
+func (InspectCall) IsEvent() {}
+
+// IsEvent implements Event.
+func (FetchCall) IsEvent() {}
+
+// IsEvent implements Event.
+func (CancelCall) IsEvent() {}
+
+// IsEvent implements Event.
+func (MintCall) IsEvent() {}
+
+// IsEvent implements Event.
+func (CallerGone) IsEvent() {}
 
 // Reply answers a Submit, Fetch or Cancel call. When Pending is true the job is
 // known and not yet final, and Answer carries only its ID and attempt.
@@ -134,31 +127,11 @@
 // Inspected answers an InspectCall.
 type Inspected struct{ Call uint64 }
 
-// SetTimer asks for a Tick at the monotonic time At. It replaces the previous
-// timer.
-type SetTimer struct{ At time.Duration }
-
-// AppendControl appends a record to the control stream. It may be lost, and
-// may take effect although its reply is lost.
-type AppendControl struct{ Record []byte }
+// IsAction implements Action.
+func (Reply) IsAction() {}
 
-// SetPeers tells the transport the addresses of the known agents.
-type SetPeers struct{ Peers []Peer }
-
-// Peer is the address of one agent.
-type Peer struct {
-	Ref  node.Ref
-	Addr string
-}
+// IsAction implements Action.
+func (MintReply) IsAction() {}
 
-// Drained says that every call is answered and the process may exit.
-type Drained struct{}
-
-func (Send) isAction()          {}
-func (Reply) isAction()         {}
-func (MintReply) isAction()     {}
-func (Inspected) isAction()     {}
-func (SetTimer) isAction()      {}
-func (SetPeers) isAction()      {}
-func (AppendControl) isAction() {}
-func (Drained) isAction()       {}
+// IsAction implements Action.
+func (Inspected) IsAction() {}
--- /dev/null
+++ b/core/step/step.go
@@ -0,0 +1,118 @@
+// Package step defines how the deterministic core of every role is driven: an
+// event goes in, actions come out. It holds the events and actions that all
+// roles share; each role's package adds its own.
+package step
+
+import (
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+)
+
+// Event is an input of Core.Step.
+type Event interface{ IsEvent() }
+
+// Action is an output of Core.Step. Actions are carried out in order.
+type Action interface{ IsAction() }
+
+// Core is the state machine of one process. The same events at the same times
+// give the same actions. It is not safe for concurrent use.
+type Core interface {
+	// Step takes in one event. The monotonic time of now never goes back from
+	// one call to the next. The returned slice is valid until the next call.
+	Step(now clock.Now, event Event) []Action
+	// Offset returns the offset of the control stream that the core has reached.
+	Offset() int64
+}
+
+// Tick says that the time of the last SetTimer has come. Early and extra ticks
+// are harmless.
+type Tick struct{}
+
+// Received delivers an envelope from another process. The transport has
+// checked the version; the core checks the destination incarnation.
+type Received struct{ Envelope message.Envelope }
+
+// PeerDead states that the run Ref has ended: its dedicated port refused a
+// connection or is served by another incarnation. Silence is never PeerDead.
+type PeerDead struct{ Ref node.Ref }
+
+// PeerReset says that a connection with Ref was lost, so that messages sent on it
+// may be lost too.
+type PeerReset struct{ Ref node.Ref }
+
+// LogRead reports one successful read of the control stream. Records are
+// consecutive from offset From. End is the end of the stream when the log
+// service answered, AskedAt the monotonic time at which the read was sent.
+type LogRead struct {
+	From    int64
+	Records [][]byte
+	End     int64
+	// Oldest is the offset of the oldest record that the log retains.
+	Oldest  int64
+	AskedAt time.Duration
+}
+
+// Drain asks the process to leave: it emits Drained once nothing is in flight.
+type Drain struct{}
+
+// IsEvent implements Event.
+func (Tick) IsEvent() {}
+
+// IsEvent implements Event.
+func (Received) IsEvent() {}
+
+// IsEvent implements Event.
+func (PeerDead) IsEvent() {}
+
+// IsEvent implements Event.
+func (PeerReset) IsEvent() {}
+
+// IsEvent implements Event.
+func (LogRead) IsEvent() {}
+
+// IsEvent implements Event.
+func (Drain) IsEvent() {}
+
+// Send hands a message to the transport. It may be lost.
+type Send struct {
+	To      node.Ref
+	Message message.Message
+}
+
+// SetTimer asks for a Tick at the monotonic time At. It replaces the previous
+// timer.
+type SetTimer struct{ At time.Duration }
+
+// AppendControl appends a record to the control stream. It may be lost, and
+// may take effect although its reply is lost.
+type AppendControl struct{ Record []byte }
+
+// SetPeers tells the transport the addresses of the known agents.
+type SetPeers struct{ Peers []Peer }
+
+// Peer is the address of one agent.
+type Peer struct {
+	Ref  node.Ref
+	Addr string
+}
+
+// Drained says that nothing is in flight and the process may exit.
+type Drained struct{}
+
+// IsAction implements Action.
+func (Send) IsAction() {}
+
+// IsAction implements Action.
+func (SetTimer) IsAction() {}
+
+// IsAction implements Action.
+func (AppendControl) IsAction() {}
+
+// IsAction implements Action.
+func (SetPeers) IsAction() {}
+
+// IsAction implements Action.
+func (Drained) IsAction() {}
--- a/internal/agentd/actions.go
+++ b/internal/agentd/actions.go
@@ -3,47 +3,29 @@
 import (
 	"github.com/dogwoodgauge/dogwoodgauge/core/agent"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
-	"github.com/dogwoodgauge/dogwoodgauge/core/node"
-	"github.com/dogwoodgauge/dogwoodgauge/internal/transport"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/process"
 )
 
-// handler passes what the transport receives to the core.
-type handler struct{ d *Daemon }
-
-// Deliver implements transport.Handler.
-func (h handler) Deliver(env message.Envelope) {
-	h.d.loop.Post(agent.Received{Envelope: env})
-}
-
-// PeerReset implements transport.Handler.
-func (h handler) PeerReset(ref node.Ref) {
-	h.d.loop.Post(agent.PeerReset{Ref: ref})
-}
-
-// PeerDead implements transport.Handler.
-func (h handler) PeerDead(ref node.Ref) {
-	h.d.loop.Post(agent.PeerDead{Ref: ref})
-}
-
 // do carries out one action of the core.
-func (d *Daemon) do(action agent.Action) {
+func (d *Daemon) do(action step.Action) {
 	switch a := action.(type) {
-	case agent.Send:
+	case step.Send:
 		d.send(a)
 	case agent.StartTask:
 		d.startTask(a)
-	case agent.SetTimer:
+	case step.SetTimer:
 		d.loop.SetTimer(a.At)
-	case agent.AppendControl:
-		d.appender.Append(a.Record)
-	case agent.SetPeers:
-		d.setPeers(a.Peers)
-	case agent.Drained:
+	case step.AppendControl:
+		d.stream.Append(a.Record)
+	case step.SetPeers:
+		d.transport.SetPeers(process.Peers(a.Peers))
+	case step.Drained:
 		d.drained.Give()
 	}
 }
 
-func (d *Daemon) send(a agent.Send) {
+func (d *Daemon) send(a step.Send) {
 	if a.Message.Refused != nil {
 		d.metrics.TaskRefusals(string(a.Message.Refused.Reason)).Inc()
 	}
@@ -52,14 +34,6 @@
 	d.transport.Send(a.To, a.Message)
 }
 
-func (d *Daemon) setPeers(peers []agent.Peer) {
-	list := make([]transport.Peer, len(peers))
-	for i, p := range peers {
-		list[i] = transport.Peer(p)
-	}
-	d.transport.SetPeers(list)
-}
-
 // annotate adds to an envelope what the core last said of itself.
 func (d *Daemon) annotate(env *message.Envelope) {
 	s := d.said.Load()
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -9,10 +9,12 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/agent"
 	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/follow"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/httpserver"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/lifecycle"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/loop"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/process"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/settings"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/telemetry"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/transport"
@@ -36,10 +38,9 @@
 	metrics   *telemetry.Metrics
 	tracer    *telemetry.Tracer
 	core      *agent.Core
-	loop      *loop.Loop[agent.Event, agent.Action]
+	loop      *process.Loop
 	transport *transport.Transport
-	reader    *follow.Reader
-	appender  *follow.Appender
+	stream    *follow.Stream
 	http      *httpserver.Server
 	upstreams upstreams
 	tasks     *tasks
@@ -51,9 +52,7 @@
 	sent     atomic.Uint64
 	draining atomic.Bool
 	// cut is the number of tasks that a kill cut off.
-	cut atomic.Int64
-	// hasRead says that the log has answered.
-	hasRead atomic.Bool
+	cut     atomic.Int64
 	drained *lifecycle.Signal
 	killed  *lifecycle.Signal
 }
@@ -75,12 +74,10 @@
 		drained: lifecycle.NewSignal(),
 		killed:  lifecycle.NewSignal(),
 	}
-	d.loop = loop.New(loop.Config[agent.Event, agent.Action]{
+	d.loop = process.NewLoop(loop.Config[step.Event, step.Action]{
 		Step:    d.step,
 		Do:      d.do,
 		Stepped: d.publish,
-		Tick:    agent.Tick{},
-		Queue:   eventQueue,
 	})
 	d.upstreams.mono = d.loop.Mono
 	if err := d.listen(); err != nil {
@@ -100,7 +97,7 @@
 	d.transport, err = transport.Listen(transport.Config{
 		Self:     d.self,
 		Listen:   s.Listen.Transport.String(),
-		Handler:  handler{d},
+		Handler:  process.Handler{Loop: d.loop},
 		Annotate: d.annotate,
 		Delay:    d.cfg.Delay,
 		Cut:      d.cfg.Cut,
@@ -116,42 +113,23 @@
 }
 
 func (d *Daemon) followLog() {
-	log, stream := d.cfg.log(), d.cfg.Settings.Log.Stream
-	d.appender = follow.NewAppender(log, stream, d.logs, d.metrics)
-	d.reader = &follow.Reader{
-		Log:     log,
-		Stream:  stream,
+	d.stream = follow.NewStream(follow.StreamConfig{
+		Log:     d.cfg.LogClient(d.cfg.Settings.Log),
+		Name:    d.cfg.Settings.Log.Stream,
+		Wait:    min(follow.DefaultWait, d.cfg.Settings.Timing.Lease/3),
 		Offset:  d.offset,
 		Mono:    d.loop.Mono,
-		Wait:    min(follow.DefaultWait, d.cfg.Settings.Timing.Lease/3),
+		Deliver: d.loop.PostWait,
+		Peers:   d.transport,
+		Seeds:   d.cfg.Settings.Peers.Seeds,
 		Logs:    d.logs,
 		Metrics: d.metrics,
-		Deliver: func(r follow.Read) bool {
-			d.hasRead.Store(true)
-			return d.loop.PostWait(agent.LogRead{
-				From: r.From, Records: r.Records, End: r.End, Oldest: r.Oldest, AskedAt: r.AskedAt,
-			})
-		},
-	}
-}
-
-// seeds returns what asks known agents for the configuration.
-func (d *Daemon) seeds() *follow.Seeds {
-	return &follow.Seeds{
-		Peers:    d.transport,
-		Addrs:    d.cfg.Settings.Peers.Seeds,
-		Logs:     d.logs,
-		Informed: d.informed,
-	}
+	})
 }
 
-// informed reports whether anything of the control stream has come, be it that
-// it is empty.
-func (d *Daemon) informed() bool { return d.hasRead.Load() || d.offset() > 0 }
-
 // step hands one event to the core.
-func (d *Daemon) step(now clock.Now, event agent.Event) []agent.Action {
-	if e, ok := event.(agent.Received); ok {
+func (d *Daemon) step(now clock.Now, event step.Event) []step.Action {
+	if e, ok := event.(step.Received); ok {
 		d.spans.received(&e.Envelope)
 	}
 	return d.core.Step(now, event)
@@ -185,11 +163,9 @@
 // after a whole stop, and ErrCut or ErrKilled otherwise.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.logs.Info("started", "id", d.self.ID, "http", d.HTTPAddr(), "transport", d.Addr())
-	actors := []func(context.Context) error{
-		d.loop.Run, d.transport.Run, d.reader.Run, d.seeds().Run, d.appender.Run,
-	}
+	actors := append(d.stream.Actors(), d.loop.Run, d.transport.Run)
 	err := lifecycle.Serve(func() error { return d.leave(ctx) }, d.Kill, actors, d.http)
-	if err := lifecycle.Bounded(tracerTime, d.tracer.Shutdown); err != nil {
+	if err := lifecycle.Bounded(process.TracerTime, d.tracer.Shutdown); err != nil {
 		d.logs.Error(err, "exporting the last spans failed")
 	}
 	d.logs.Info("stopped", "id", d.self.ID)
--- a/internal/agentd/leave.go
+++ b/internal/agentd/leave.go
@@ -4,8 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/dogwoodgauge/dogwoodgauge/core/agent"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/lifecycle"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/process"
 )
 
 // flushPoll is the time between two looks at what the transport still holds.
@@ -21,7 +22,7 @@
 	}
 	d.draining.Store(true)
 	d.logs.Info("leaving", "tasks", d.tasks.count())
-	d.loop.Post(agent.Drain{})
+	d.loop.Post(step.Drain{})
 	grace := time.NewTimer(d.cfg.Settings.Timing.Grace)
 	defer grace.Stop()
 	select {
@@ -39,8 +40,8 @@
 
 // flush waits for the last control records and messages, for a bounded time.
 func (d *Daemon) flush() {
-	_ = lifecycle.Bounded(flushTime, d.appender.Flush)
-	_ = lifecycle.Bounded(flushTime, d.flushMessages)
+	_ = lifecycle.Bounded(process.FlushTime, d.stream.Flush)
+	_ = lifecycle.Bounded(process.FlushTime, d.flushMessages)
 }
 
 // flushMessages waits until the transport has written or dropped every message.
--- a/internal/agentd/status.go
+++ b/internal/agentd/status.go
@@ -10,6 +10,7 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/agent"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/httpserver"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/process"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/telemetry"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/transport"
 )
@@ -48,13 +49,13 @@
 	if d.draining.Load() {
 		return errors.New("the agent is leaving")
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+	ctx, cancel := context.WithTimeout(context.Background(), process.ProbeTime)
 	defer cancel()
 	s, err := d.Snapshot(ctx)
 	switch {
 	case err != nil:
 		return errors.Wrap(err, "the core does not answer")
-	case !s.Synced || !d.informed():
+	case !s.Synced || !d.stream.Informed():
 		return errors.New("the configuration has not been read yet")
 	case s.LeaseLeft <= 0:
 		return errors.New("the lease on the configuration has lapsed")
@@ -65,7 +66,7 @@
 
 // WriteMetrics writes the metrics in the Prometheus text format.
 func (d *Daemon) WriteMetrics(w io.Writer) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+	ctx, cancel := context.WithTimeout(context.Background(), process.ProbeTime)
 	defer cancel()
 	if s, err := d.Snapshot(ctx); err == nil {
 		d.collect(s)
--- a/internal/agentd/trace_test.go
+++ b/internal/agentd/trace_test.go
@@ -15,6 +15,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/agentd"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/entryd"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/process"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/settings"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/standin/logservice"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/standin/upstream"
@@ -104,7 +105,7 @@
 	as.Listen = settings.AgentListen{Transport: anyPort, Upstream: anyPort}
 	as.Log.Address = logAddr
 	as.Trace = trace("agent")
-	agent, err := agentd.New(agentd.Config{Settings: as, PanicOnViolation: true})
+	agent, err := agentd.New(agentd.Config{Settings: as, Options: process.Options{PanicOnViolation: true}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -115,7 +116,7 @@
 	es.Listen = settings.EntryListen{HTTP: anyPort, Transport: anyPort, Metrics: anyPort}
 	es.Log.Address = logAddr
 	es.Trace = trace("entry")
-	entry, err := entryd.New(entryd.Config{Settings: es, PanicOnViolation: true})
+	entry, err := entryd.New(entryd.Config{Settings: es, Options: process.Options{PanicOnViolation: true}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/cluster/process.go
+++ b/internal/cluster/process.go
@@ -9,6 +9,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/agentd"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/entryd"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/process"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/settings"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/standin/upstream"
 )
@@ -19,8 +20,8 @@
 	Kill()
 }
 
-// process runs one daemon after the other at the same addresses.
-type process[D daemon] struct {
+// restartable runs one daemon after the other at the same addresses.
+type restartable[D daemon] struct {
 	mu      sync.Mutex
 	current D
 	cancel  context.CancelFunc
@@ -29,7 +30,7 @@
 }
 
 // run starts a daemon in the background.
-func (p *process[D]) run(d D) {
+func (p *restartable[D]) run(d D) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	p.mu.Lock()
@@ -44,14 +45,14 @@
 	}()
 }
 
-func (p *process[D]) daemon() D {
+func (p *restartable[D]) daemon() D {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.current
 }
 
 // stop ends the daemon by a planned stop and returns what it cut off.
-func (p *process[D]) stop() error {
+func (p *restartable[D]) stop() error {
 	p.mu.Lock()
 	cancel, done := p.cancel, p.done
 	p.mu.Unlock()
@@ -63,7 +64,7 @@
 }
 
 // kill ends the daemon at once.
-func (p *process[D]) kill() {
+func (p *restartable[D]) kill() {
 	p.mu.Lock()
 	d, done := p.current, p.done
 	p.mu.Unlock()
@@ -74,9 +75,20 @@
 	<-done
 }
 
+// options returns what the cluster changes of the process id.
+func (c *Cluster) options(id node.ID) process.Options {
+	return process.Options{
+		Log:              &gatedLog{cluster: c, id: id, log: c.log},
+		Seed:             c.cfg.Seed,
+		PanicOnViolation: c.cfg.PanicOnViolation,
+		Delay:            c.delay(id),
+		Cut:              c.cut(id),
+	}
+}
+
 // Entry is one entry of a cluster.
 type Entry struct {
-	process[*entryd.Daemon]
+	restartable[*entryd.Daemon]
 	ID     node.ID
 	Domain string
 
@@ -105,13 +117,9 @@
 func (e *Entry) Start() error {
 	c := e.cluster
 	d, err := entryd.New(entryd.Config{
-		Settings:         e.settings,
-		Log:              &gatedLog{cluster: c, id: e.ID, log: c.log},
-		Seed:             c.cfg.Seed,
-		ReadinessDelay:   c.cfg.ReadinessDelay,
-		PanicOnViolation: c.cfg.PanicOnViolation,
-		Delay:            c.delay(e.ID),
-		Cut:              c.cut(e.ID),
+		Settings:       e.settings,
+		Options:        c.options(e.ID),
+		ReadinessDelay: c.cfg.ReadinessDelay,
 	})
 	if err != nil {
 		return err
@@ -149,7 +157,7 @@
 
 // Agent is one agent of a cluster and the upstream beside it.
 type Agent struct {
-	process[*agentd.Daemon]
+	restartable[*agentd.Daemon]
 	ID       node.ID
 	Domain   string
 	Rack     string
@@ -211,14 +219,7 @@
 // StartAgent starts only the agent, after Stop.
 func (a *Agent) StartAgent() error {
 	c := a.cluster
-	d, err := agentd.New(agentd.Config{
-		Settings:         a.settings,
-		Log:              &gatedLog{cluster: c, id: a.ID, log: c.log},
-		Seed:             c.cfg.Seed,
-		PanicOnViolation: c.cfg.PanicOnViolation,
-		Delay:            c.delay(a.ID),
-		Cut:              c.cut(a.ID),
-	})
+	d, err := agentd.New(agentd.Config{Settings: a.settings, Options: c.options(a.ID)})
 	if err != nil {
 		return err
 	}
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -12,11 +12,13 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/follow"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/httpapi"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/httpserver"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/lifecycle"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/loop"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/process"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/settings"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/telemetry"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/transport"
@@ -40,10 +42,9 @@
 	metrics   *telemetry.Metrics
 	tracer    *telemetry.Tracer
 	core      *entry.Core
-	loop      *loop.Loop[entry.Event, entry.Action]
+	loop      *process.Loop
 	transport *transport.Transport
-	reader    *follow.Reader
-	appender  *follow.Appender
+	stream    *follow.Stream
 	api       *httpserver.Server
 	monitor   *httpserver.Server
 	calls     calls
@@ -56,9 +57,7 @@
 	members  atomic.Int64
 	draining atomic.Bool
 	// cut is the number of calls that a kill cut off.
-	cut atomic.Int64
-	// hasRead says that the log has answered.
-	hasRead atomic.Bool
+	cut     atomic.Int64
 	drained *lifecycle.Signal
 	killed  *lifecycle.Signal
 }
@@ -79,12 +78,10 @@
 		killed:  lifecycle.NewSignal(),
 		reached: make(reached),
 	}
-	d.loop = loop.New(loop.Config[entry.Event, entry.Action]{
+	d.loop = process.NewLoop(loop.Config[step.Event, step.Action]{
 		Step:    d.step,
 		Do:      d.do,
 		Stepped: func() { d.offset.Store(d.core.Offset()) },
-		Tick:    entry.Tick{},
-		Queue:   eventQueue,
 	})
 	if err := d.listen(); err != nil {
 		d.closeSockets()
@@ -103,7 +100,7 @@
 	d.transport, err = transport.Listen(transport.Config{
 		Self:     d.self,
 		Listen:   s.Listen.Transport.String(),
-		Handler:  handler{d},
+		Handler:  process.Handler{Loop: d.loop},
 		Annotate: func(env *message.Envelope) { env.Offset = d.offset.Load() },
 		Delay:    d.cfg.Delay,
 		Cut:      d.cfg.Cut,
@@ -128,23 +125,17 @@
 }
 
 func (d *Daemon) followLog() {
-	log, stream := d.cfg.log(), d.cfg.Settings.Log.Stream
-	d.appender = follow.NewAppender(log, stream, d.logs, d.metrics)
-	d.reader = &follow.Reader{
-		Log:     log,
-		Stream:  stream,
+	d.stream = follow.NewStream(follow.StreamConfig{
+		Log:     d.cfg.LogClient(d.cfg.Settings.Log),
+		Name:    d.cfg.Settings.Log.Stream,
 		Offset:  d.offset.Load,
 		Mono:    d.loop.Mono,
-		Wait:    follow.DefaultWait,
+		Deliver: d.loop.PostWait,
+		Peers:   d.transport,
+		Seeds:   d.cfg.Settings.Peers.Seeds,
 		Logs:    d.logs,
 		Metrics: d.metrics,
-		Deliver: func(r follow.Read) bool {
-			d.hasRead.Store(true)
-			return d.loop.PostWait(entry.LogRead{
-				From: r.From, Records: r.Records, End: r.End, Oldest: r.Oldest, AskedAt: r.AskedAt,
-			})
-		},
-	}
+	})
 }
 
 func (d *Daemon) apiHandler() http.Handler {
@@ -164,23 +155,9 @@
 	return router
 }
 
-// seeds returns what asks known agents for the configuration.
-func (d *Daemon) seeds() *follow.Seeds {
-	return &follow.Seeds{
-		Peers:    d.transport,
-		Addrs:    d.cfg.Settings.Peers.Seeds,
-		Logs:     d.logs,
-		Informed: d.informed,
-	}
-}
-
-// informed reports whether anything of the control stream has come, be it that
-// it is empty.
-func (d *Daemon) informed() bool { return d.hasRead.Load() || d.offset.Load() > 0 }
-
 // step hands one event to the core.
-func (d *Daemon) step(now clock.Now, event entry.Event) []entry.Action {
-	if e, ok := event.(entry.Received); ok {
+func (d *Daemon) step(now clock.Now, event step.Event) []step.Action {
+	if e, ok := event.(step.Received); ok {
 		d.reached.heard(e.Envelope.From, e.Envelope.Offset)
 	}
 	return d.core.Step(now, event)
@@ -220,11 +197,9 @@
 // returns nil after a whole stop, and ErrCut or ErrKilled otherwise.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.logs.Info("started", "id", d.self.ID, "http", d.HTTPAddr(), "transport", d.Addr())
-	actors := []func(context.Context) error{
-		d.loop.Run, d.transport.Run, d.reader.Run, d.seeds().Run, d.appender.Run,
-	}
+	actors := append(d.stream.Actors(), d.loop.Run, d.transport.Run)
 	err := lifecycle.Serve(func() error { return d.leave(ctx) }, d.Kill, actors, d.api, d.monitor)
-	if err := lifecycle.Bounded(tracerTime, d.tracer.Shutdown); err != nil {
+	if err := lifecycle.Bounded(process.TracerTime, d.tracer.Shutdown); err != nil {
 		d.logs.Error(err, "exporting the last spans failed")
 	}
 	d.logs.Info("stopped", "id", d.self.ID)
--- a/internal/entryd/leave.go
+++ b/internal/entryd/leave.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 
-	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/lifecycle"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/process"
 )
 
 // leave waits for the end of ctx, then answers what is in flight. Readiness
@@ -44,10 +45,10 @@
 	case <-d.killed.Given():
 		return ErrKilled
 	}
-	d.loop.Post(entry.Drain{})
+	d.loop.Post(step.Drain{})
 	select {
 	case <-d.drained.Given():
-		_ = lifecycle.Bounded(flushTime, d.appender.Flush)
+		_ = lifecycle.Bounded(process.FlushTime, d.stream.Flush)
 		return nil
 	case <-grace.Done():
 		return ErrCut
--- a/internal/entryd/service_test.go
+++ b/internal/entryd/service_test.go
@@ -12,6 +12,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
 	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/process"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/settings"
 )
 
@@ -47,7 +48,7 @@
 	s.Node = settings.Node{Role: settings.RoleEntry, ID: "entry-a", Domain: "d"}
 	s.Listen = settings.EntryListen{HTTP: anyPort, Transport: anyPort, Metrics: anyPort}
 	s.Log.Address = netip.MustParseAddrPort("127.0.0.1:1")
-	d, err := New(Config{Settings: s, PanicOnViolation: true})
+	d, err := New(Config{Settings: s, Options: process.Options{PanicOnViolation: true}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/entryd/status.go
+++ b/internal/entryd/status.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/process"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/telemetry"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/transport"
 )
@@ -61,13 +62,13 @@
 	if d.draining.Load() {
 		return errors.New("the entry is leaving")
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+	ctx, cancel := context.WithTimeout(context.Background(), process.ProbeTime)
 	defer cancel()
 	s, err := d.Snapshot(ctx)
 	switch {
 	case err != nil:
 		return errors.Wrap(err, "the core does not answer")
-	case !s.Synced || !d.informed():
+	case !s.Synced || !d.stream.Informed():
 		return errors.New("the configuration has not been read yet")
 	}
 	for _, a := range s.Agents {
@@ -80,7 +81,7 @@
 
 // WriteMetrics implements httpapi.Service.
 func (d *Daemon) WriteMetrics(w io.Writer) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+	ctx, cancel := context.WithTimeout(context.Background(), process.ProbeTime)
 	defer cancel()
 	if s, err := d.Snapshot(ctx); err == nil {
 		d.collect(s)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/logclient"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/telemetry"
 )
@@ -50,7 +51,7 @@
 		Mono:    func() time.Duration { return now },
 		Logs:    telemetry.Part("test"),
 		Metrics: telemetry.NewMetrics(),
-		Deliver: func(read Read) bool {
+		Deliver: func(read step.LogRead) bool {
 			asked = append(asked, read.AskedAt)
 			offset = read.End
 			return len(asked) < 3
--- a/internal/follow/reader.go
+++ b/internal/follow/reader.go
@@ -8,6 +8,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/logclient"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/telemetry"
 )
@@ -23,13 +24,6 @@
 	maxRetry = time.Second
 )
 
-// Read is one successful read.
-type Read struct {
-	logclient.ReadResult
-	// AskedAt is the monotonic time right before the request was sent.
-	AskedAt time.Duration
-}
-
 // Reader polls a stream. Its fields are set before Run.
 type Reader struct {
 	Log    logclient.Log
@@ -40,7 +34,7 @@
 	Mono func() time.Duration
 	// Deliver takes in a read; Offset reflects it when it returns. It reports
 	// false when the reader must stop.
-	Deliver func(Read) bool
+	Deliver func(step.LogRead) bool
 	// Wait is how long a read waits at the end of the stream.
 	Wait time.Duration
 	// Logs receives a line when an outage begins and ends.
@@ -73,13 +67,19 @@
 		}
 		failing = false
 		delay.Reset()
-		if !r.Deliver(Read{ReadResult: res, AskedAt: asked}) {
+		if !r.Deliver(logRead(res, asked)) {
 			return nil
 		}
 	}
 	return nil
 }
 
+// logRead returns the event of a read that was asked for at the monotonic time
+// asked.
+func logRead(r logclient.ReadResult, asked time.Duration) step.LogRead {
+	return step.LogRead{From: r.From, Records: r.Records, End: r.End, Oldest: r.Oldest, AskedAt: asked}
+}
+
 func (r *Reader) noteFailure(failing bool, err error) {
 	if !failing {
 		r.Logs.Error(err, "reading the log failed; retrying")
