sessions, capacity: one way to drive a core of either role

Cause: both test fleets drove agents and entries by two events for one step and two switches over the same actions.

Change: they hold a step.Core and have one step and one switch. The trace of an entry's planned stop now says that it drained, as an agent's does; no golden session shows one.

--- a/core/sessions/faults_test.go
+++ b/core/sessions/faults_test.go
@@ -3,9 +3,8 @@
 import (
 	"slices"
 
-	"github.com/dogwoodgauge/dogwoodgauge/core/agent"
-	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 )
 
 // kill ends a process without notice. Its connections are reset.
@@ -23,7 +22,7 @@
 	for _, ref := range refs {
 		q := w.byRef[ref]
 		w.at(w.latency(), func() {
-			w.deliver(q, func() { w.step(q, agent.PeerReset{Ref: p.ref}, entry.PeerReset{Ref: p.ref}) })
+			w.deliver(q, func() { w.step(q, step.PeerReset{Ref: p.ref}) })
 		})
 	}
 }
@@ -55,5 +54,5 @@
 // drain asks a process to leave.
 func (w *world) drain(p *process) {
 	w.trace("%s is asked to leave", p.ref.ID)
-	w.deliver(p, func() { w.step(p, agent.Drain{}, entry.Drain{}) })
+	w.deliver(p, func() { w.step(p, step.Drain{}) })
 }
--- a/core/sessions/inspect_test.go
+++ b/core/sessions/inspect_test.go
@@ -7,6 +7,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 )
 
 // inspect asks e for reports and returns a function that says how often it was
@@ -15,8 +16,8 @@
 	c.calls++
 	answers := 0
 	call := c.calls
-	c.waiting[call] = func(entry.Action) { answers++ }
-	c.step(e, nil, entry.InspectCall{Call: call})
+	c.waiting[call] = func(step.Action) { answers++ }
+	c.step(e, entry.InspectCall{Call: call})
 	return func() int { return answers }
 }
 
--- a/core/sessions/outage_test.go
+++ b/core/sessions/outage_test.go
@@ -89,7 +89,7 @@
 		offset := p.Result().Outcome.Offset
 		records := slices.Clone(s.log[:offset+1])
 		for _, e := range []*process{s.e1, s.e2} {
-			s.deliver(e, func() { s.step(e, nil, entry.Published{Records: records}) })
+			s.deliver(e, func() { s.step(e, entry.Published{Records: records}) })
 		}
 	})
 }
--- a/core/sessions/random_test.go
+++ b/core/sessions/random_test.go
@@ -220,7 +220,7 @@
 	for _, p := range c.processes() {
 		if p.entry != nil && p.group == 0 {
 			c.at(c.latency(), func() {
-				c.deliver(p, func() { c.step(p, nil, entry.Published{From: offset, Records: records}) })
+				c.deliver(p, func() { c.step(p, entry.Published{From: offset, Records: records}) })
 			})
 		}
 	}
@@ -280,8 +280,8 @@
 // state, and that none is behind.
 func (c *chaos) checkAgreement() {
 	for _, p := range c.processes() {
-		if p.alive && c.offset(p) != int64(len(c.log)) {
-			panic(fmt.Sprintf("%s has applied %d of %d records", p.ref, c.offset(p), len(c.log)))
+		if p.alive && p.core.Offset() != int64(len(c.log)) {
+			panic(fmt.Sprintf("%s has applied %d of %d records", p.ref, p.core.Offset(), len(c.log)))
 		}
 	}
 }
--- a/core/sessions/trace_test.go
+++ b/core/sessions/trace_test.go
@@ -8,6 +8,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 )
 
 // recorder collects the lines of a golden file.
@@ -73,7 +74,7 @@
 func (w *world) submit(p *process, j job.Job, then func(entry.Reply)) {
 	w.calls++
 	call := w.calls
-	w.waiting[call] = func(x entry.Action) {
+	w.waiting[call] = func(x step.Action) {
 		r := x.(entry.Reply)
 		w.trace("%s answers its caller: %s", p.ref.ID, describeAnswer(r.Answer))
 		w.ledger.answer(&j, r)
@@ -81,18 +82,18 @@
 			then(r)
 		}
 	}
-	w.deliver(p, func() { w.step(p, nil, entry.SubmitCall{Call: call, Job: j, Wait: true}) })
+	w.deliver(p, func() { w.step(p, entry.SubmitCall{Call: call, Job: j, Wait: true}) })
 }
 
 func (w *world) cancel(p *process, id job.ID) {
 	w.calls++
 	call := w.calls
-	w.waiting[call] = func(x entry.Action) {
+	w.waiting[call] = func(x step.Action) {
 		r := x.(entry.Reply)
 		w.trace("%s answers the cancellation: %s", p.ref.ID, describeAnswer(r.Answer))
 		w.ledger.answer(&job.Job{}, entry.Reply{Pending: r.Pending || r.Answer.Complete(), Answer: r.Answer})
 	}
-	w.deliver(p, func() { w.step(p, nil, entry.CancelCall{Call: call, ID: id}) })
+	w.deliver(p, func() { w.step(p, entry.CancelCall{Call: call, ID: id}) })
 }
 
 // mint returns IDs from an entry.
@@ -100,7 +101,7 @@
 	w.calls++
 	call := w.calls
 	var ids []job.ID
-	w.waiting[call] = func(x entry.Action) { ids = x.(entry.MintReply).IDs }
-	w.deliver(p, func() { w.step(p, nil, entry.MintCall{Call: call, Count: n}) })
+	w.waiting[call] = func(x step.Action) { ids = x.(entry.MintReply).IDs }
+	w.deliver(p, func() { w.step(p, entry.MintCall{Call: call, Count: n}) })
 	return ids
 }
--- a/core/sessions/world_test.go
+++ b/core/sessions/world_test.go
@@ -12,6 +12,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 	"github.com/dogwoodgauge/dogwoodgauge/core/timerqueue"
 )
 
@@ -37,8 +38,9 @@
 type process struct {
 	ref     node.Ref
 	domain  string
-	agent   *agent.Core
-	entry   *entry.Core
+	core    step.Core
+	agent   *agent.Core // nil for an entry
+	entry   *entry.Core // nil for an agent
 	alive   bool
 	paused  bool
 	held    []func()
@@ -67,7 +69,7 @@
 	sent    func(m message.Message)
 	steps   int
 	calls   uint64
-	waiting map[uint64]func(entry.Action)
+	waiting map[uint64]func(step.Action)
 	nextInc node.Incarnation
 }
 
@@ -78,7 +80,7 @@
 		byRef:   make(map[node.Ref]*process),
 		current: make(map[node.ID]*process),
 		ledger:  newLedger(),
-		waiting: make(map[uint64]func(entry.Action)),
+		waiting: make(map[uint64]func(step.Action)),
 		trace:   func(string, ...any) {},
 		sent:    func(message.Message) {},
 	}
@@ -115,6 +117,7 @@
 		Seed: uint64(w.nextInc), PanicOnViolation: true, Retention: 30 * time.Second,
 		OutageLimit: w.cond.outageLimit,
 	})
+	p.core = p.agent
 	w.add(p)
 	w.announce(p)
 	return p
@@ -124,6 +127,7 @@
 	w.nextInc++
 	p := &process{ref: node.Ref{ID: id, Incarnation: w.nextInc}, alive: true}
 	p.entry = entry.New(entry.Config{Self: p.ref, Seed: uint64(w.nextInc), PanicOnViolation: true})
+	p.core = p.entry
 	w.add(p)
 	return p
 }
@@ -132,7 +136,7 @@
 	w.byRef[p.ref] = p
 	w.current[p.ref.ID] = p
 	w.poll(p)
-	w.deliver(p, func() { w.step(p, agent.Tick{}, entry.Tick{}) })
+	w.deliver(p, func() { w.step(p, step.Tick{}) })
 }
 
 func (w *world) announce(p *process) {
@@ -143,7 +147,7 @@
 		w.step(p, agent.UpstreamAnnounced{
 			Name: "up-" + string(p.ref.ID), Slots: p.slots, Connections: 64,
 			Labels: map[string]string{"kind": "records"}, TTL: announceTTL,
-		}, nil)
+		})
 	})
 	w.at(announceTTL/3, func() { w.announce(p) })
 }
@@ -159,59 +163,39 @@
 	}
 }
 
-// step drives the core of p with the event of its role.
-func (w *world) step(p *process, a agent.Event, e entry.Event) {
+// step drives the core of p.
+func (w *world) step(p *process, e step.Event) {
 	w.steps++
-	if p.agent != nil && a != nil {
-		for _, x := range slices.Clone(p.agent.Step(w.clock(p), a)) {
-			w.agentAction(p, x)
-		}
-	}
-	if p.entry != nil && e != nil {
-		for _, x := range slices.Clone(p.entry.Step(w.clock(p), e)) {
-			w.entryAction(p, x)
-		}
+	for _, x := range slices.Clone(p.core.Step(w.clock(p), e)) {
+		w.do(p, x)
 	}
 }
 
-func (w *world) agentAction(p *process, x agent.Action) {
+// do carries out one action of p.
+func (w *world) do(p *process, x step.Action) {
 	switch x := x.(type) {
-	case agent.Send:
+	case step.Send:
 		w.send(p, x.To, x.Message)
-	case agent.StartTask:
-		w.startTask(p, x)
-	case agent.SetTimer:
+	case step.SetTimer:
 		w.setTimer(p, x.At)
-	case agent.AppendControl:
+	case step.AppendControl:
 		w.appendLog(p, x.Record)
-	case agent.Drained:
+	case step.Drained:
 		p.drained = true
 		p.alive = false
 		w.trace("%s drained", p.ref.ID)
-	}
-}
-
-func (w *world) entryAction(p *process, x entry.Action) {
-	switch x := x.(type) {
-	case entry.Send:
-		w.send(p, x.To, x.Message)
-	case entry.SetTimer:
-		w.setTimer(p, x.At)
-	case entry.AppendControl:
-		w.appendLog(p, x.Record)
+	case agent.StartTask:
+		w.startTask(p, x)
 	case entry.Reply:
 		w.answered(x.Call, x)
 	case entry.MintReply:
 		w.answered(x.Call, x)
 	case entry.Inspected:
 		w.answered(x.Call, x)
-	case entry.Drained:
-		p.drained = true
-		p.alive = false
 	}
 }
 
-func (w *world) answered(call uint64, x entry.Action) {
+func (w *world) answered(call uint64, x step.Action) {
 	f, ok := w.waiting[call]
 	if !ok {
 		panic(fmt.Sprintf("call %d was answered twice", call))
@@ -226,7 +210,7 @@
 	real := time.Duration(float64(at) / (1 + p.drift))
 	w.at(max(real-w.now, 0)+time.Microsecond, func() {
 		if p.timer == n {
-			w.deliver(p, func() { w.step(p, agent.Tick{}, entry.Tick{}) })
+			w.deliver(p, func() { w.step(p, step.Tick{}) })
 		}
 	})
 }
@@ -243,13 +227,10 @@
 
 // send passes a message through the network.
 func (w *world) send(p *process, to node.Ref, m message.Message) {
-	env := message.Envelope{From: p.ref, To: to, Messages: []message.Message{m}}
+	env := message.Envelope{From: p.ref, To: to, Offset: p.core.Offset(), Messages: []message.Message{m}}
 	if p.agent != nil {
 		load := p.agent.Load()
 		env.Load = &load
-		env.Offset = p.agent.Offset()
-	} else {
-		env.Offset = p.entry.Offset()
 	}
 	copies := 1
 	if w.chance(w.cond.drop) {
@@ -275,12 +256,12 @@
 	if !to.alive || to.ref != env.To {
 		dead := env.To
 		w.at(w.latency(), func() {
-			w.deliver(from, func() { w.step(from, agent.PeerDead{Ref: dead}, entry.PeerDead{Ref: dead}) })
+			w.deliver(from, func() { w.step(from, step.PeerDead{Ref: dead}) })
 		})
 		return
 	}
 	w.deliver(to, func() {
-		w.step(to, agent.Received{Envelope: env}, entry.Received{Envelope: env})
+		w.step(to, step.Received{Envelope: env})
 	})
 }
 
@@ -312,7 +293,7 @@
 		return
 	}
 	asked := w.clock(p).Mono
-	from := w.offset(p)
+	from := p.core.Offset()
 	w.at(w.latency(), func() {
 		if w.cond.logDown {
 			return
@@ -321,20 +302,12 @@
 		records := slices.Clone(w.log[min(from, end):])
 		w.at(w.latency(), func() {
 			w.deliver(p, func() {
-				w.step(p, agent.LogRead{From: from, Records: records, End: end, AskedAt: asked},
-					entry.LogRead{From: from, Records: records, End: end, AskedAt: asked})
+				w.step(p, step.LogRead{From: from, Records: records, End: end, AskedAt: asked})
 			})
 		})
 	})
 }
 
-func (w *world) offset(p *process) int64 {
-	if p.agent != nil {
-		return p.agent.Offset()
-	}
-	return p.entry.Offset()
-}
-
 // startTask runs a task on the upstream of p.
 func (w *world) startTask(p *process, x agent.StartTask) {
 	if w.clock(p).Mono > x.NotAfter {
@@ -356,7 +329,7 @@
 	body := resultBody(x.ID, x.Index, x.Payload)
 	w.at(d, func() {
 		w.deliver(p, func() {
-			w.step(p, agent.TaskEnded{Handle: x.Handle, State: state, Body: body}, nil)
+			w.step(p, agent.TaskEnded{Handle: x.Handle, State: state, Body: body})
 		})
 	})
 }
--- a/internal/capacity/control_test.go
+++ b/internal/capacity/control_test.go
@@ -120,7 +120,7 @@
 				}
 				bytes = len(records[0]) + len(records[1])
 				f.now += time.Millisecond
-				f.deliver(first, f.offset(first), records, f.now)
+				f.deliver(first, first.core.Offset(), records, f.now)
 				last = next
 			}
 			b.ReportMetric(float64(bytes), "record-B")
--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 	"github.com/dogwoodgauge/dogwoodgauge/core/timerqueue"
 )
 
@@ -29,8 +30,9 @@
 // member is one process of a fleet.
 type member struct {
 	ref   node.Ref
-	agent *agent.Core
-	entry *entry.Core
+	core  step.Core
+	agent *agent.Core // nil for an entry
+	entry *entry.Core // nil for an agent
 	timer int
 	sent  traffic
 	got   traffic
@@ -95,16 +97,18 @@
 	ref := node.Ref{ID: node.ID(fmt.Sprintf("agent-%04d", i)), Incarnation: node.Incarnation(0x5a5a5a5a5a5a0000 + i)}
 	domain, worker := fmt.Sprintf("domain-%d", i%4), fmt.Sprintf("worker-%04d", i)
 	addr := fmt.Sprintf("10.0.%d.%d:7201", i/250, i%250+1)
-	m := &member{ref: ref, agent: agent.New(agent.Config{
+	core := agent.New(agent.Config{
 		Self: ref, Addr: addr, Domain: domain, Worker: worker, Seed: uint64(i), PanicOnViolation: true,
-	})}
+	})
+	m := &member{ref: ref, core: core, agent: core}
 	f.add(m, control.Member{Ref: ref, Addr: addr, Role: control.RoleAgent, Domain: domain, Worker: worker})
 }
 
 func (f *fleet) addEntry(i int) {
 	ref := node.Ref{ID: node.ID(fmt.Sprintf("entry-%04d", i)), Incarnation: node.Incarnation(0x6b6b6b6b6b6b0000 + i)}
 	addr := fmt.Sprintf("10.1.0.%d:7100", i+1)
-	m := &member{ref: ref, entry: entry.New(entry.Config{Self: ref, Addr: addr, Seed: uint64(i), PanicOnViolation: true})}
+	core := entry.New(entry.Config{Self: ref, Addr: addr, Seed: uint64(i), PanicOnViolation: true})
+	m := &member{ref: ref, core: core, entry: core}
 	f.add(m, control.Member{Ref: ref, Addr: addr, Role: control.RoleEntry, Domain: fmt.Sprintf("domain-%d", i%4)})
 }
 
@@ -141,42 +145,25 @@
 	return clock.Now{Mono: f.now, Wall: wallStart + f.now.Milliseconds()}
 }
 
-func (f *fleet) step(m *member, a agent.Event, e entry.Event) {
-	if m.agent != nil {
-		for _, x := range slices.Clone(m.agent.Step(f.clock(), a)) {
-			f.agentAction(m, x)
-		}
-		return
-	}
-	for _, x := range slices.Clone(m.entry.Step(f.clock(), e)) {
-		f.entryAction(m, x)
+func (f *fleet) step(m *member, e step.Event) {
+	for _, x := range slices.Clone(m.core.Step(f.clock(), e)) {
+		f.do(m, x)
 	}
 }
 
-func (f *fleet) agentAction(m *member, x agent.Action) {
+func (f *fleet) do(m *member, x step.Action) {
 	switch x := x.(type) {
-	case agent.Send:
+	case step.Send:
 		f.send(m, x.To, x.Message)
+	case step.SetTimer:
+		f.setTimer(m, x.At)
+	case step.AppendControl:
+		f.appendLog(x.Record)
 	case agent.StartTask:
 		f.starts++
 		f.at(f.service, func() {
-			f.step(m, agent.TaskEnded{Handle: x.Handle, State: "done", Body: x.Payload}, nil)
+			f.step(m, agent.TaskEnded{Handle: x.Handle, State: "done", Body: x.Payload})
 		})
-	case agent.SetTimer:
-		f.setTimer(m, x.At)
-	case agent.AppendControl:
-		f.appendLog(x.Record)
-	}
-}
-
-func (f *fleet) entryAction(m *member, x entry.Action) {
-	switch x := x.(type) {
-	case entry.Send:
-		f.send(m, x.To, x.Message)
-	case entry.SetTimer:
-		f.setTimer(m, x.At)
-	case entry.AppendControl:
-		f.appendLog(x.Record)
 	case entry.Reply:
 		f.replies[x.Call](x)
 		delete(f.replies, x.Call)
@@ -195,14 +182,14 @@
 	n := m.timer
 	f.at(max(at-f.now, 0), func() {
 		if m.timer == n {
-			f.step(m, agent.Tick{}, entry.Tick{})
+			f.step(m, step.Tick{})
 		}
 	})
 }
 
 // send encodes a message as the transport does and delivers it decoded.
 func (f *fleet) send(m *member, to node.Ref, msg message.Message) {
-	env := message.Envelope{From: m.ref, To: to, Offset: f.offset(m), Messages: []message.Message{msg}}
+	env := message.Envelope{From: m.ref, To: to, Offset: m.core.Offset(), Messages: []message.Message{msg}}
 	if m.agent != nil {
 		load := m.agent.Load()
 		env.Load = &load
@@ -219,21 +206,14 @@
 		if err := json.Unmarshal(data, &got); err != nil {
 			panic(err)
 		}
-		f.step(receiver, agent.Received{Envelope: got}, entry.Received{Envelope: got})
+		f.step(receiver, step.Received{Envelope: got})
 	})
 }
 
-func (f *fleet) offset(m *member) int64 {
-	if m.agent != nil {
-		return m.agent.Offset()
-	}
-	return m.entry.Offset()
-}
-
 // read keeps one read of the log waiting, as the shells do.
 func (f *fleet) read(m *member) {
 	m.reads++
-	asked, from := f.now, max(f.offset(m), f.oldest)
+	asked, from := f.now, max(m.core.Offset(), f.oldest)
 	wait := logWait
 	if from < f.end() {
 		wait = linkDelay
@@ -256,13 +236,12 @@
 	f.step(m, agent.UpstreamAnnounced{
 		Name: "upstream-" + string(m.ref.ID), Slots: slots, Connections: 64,
 		Labels: map[string]string{"service": "orders", "version": "7"}, TTL: 3 * time.Second,
-	}, nil)
+	})
 	f.at(time.Second, func() { f.announce(m) })
 }
 
 // deliver hands records of the log to a process.
 func (f *fleet) deliver(m *member, from int64, records [][]byte, asked time.Duration) {
 	end := from + int64(len(records))
-	f.step(m, agent.LogRead{From: from, Records: records, End: end, Oldest: f.oldest, AskedAt: asked},
-		entry.LogRead{From: from, Records: records, End: end, AskedAt: asked})
+	f.step(m, step.LogRead{From: from, Records: records, End: end, Oldest: f.oldest, AskedAt: asked})
 }
--- a/internal/capacity/gossip_test.go
+++ b/internal/capacity/gossip_test.go
@@ -66,7 +66,7 @@
 		{"announced again", extra, 2},
 	}
 	for _, s := range steps {
-		f.step(first, s.event, nil)
+		f.step(first, s.event)
 		f.run(time.Second)
 		if got := upstreamsAt(via, first); got != s.want {
 			t.Errorf("%s: the entry knows %d upstreams, want %d", s.name, got, s.want)
--- a/internal/capacity/inspect_test.go
+++ b/internal/capacity/inspect_test.go
@@ -23,7 +23,7 @@
 				return via.sent.bytes, via.got.bytes
 			}
 			idleSent, idleGot := second(func() {})
-			sent, got := second(func() { f.step(via, nil, entry.InspectCall{Call: 1}) })
+			sent, got := second(func() { f.step(via, entry.InspectCall{Call: 1}) })
 			answered := 0
 			for _, a := range via.entry.Status().Agents {
 				if a.Report != nil && !a.Silent {
--- a/internal/capacity/jobs_test.go
+++ b/internal/capacity/jobs_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/dogwoodgauge/dogwoodgauge/core/agent"
 	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 )
@@ -47,7 +46,7 @@
 		}
 	}
 	via := s.entries[s.calls%uint64(len(s.entries))]
-	s.fleet.step(via, agent.Tick{}, entry.SubmitCall{Call: s.calls, Job: j, Wait: true})
+	s.fleet.step(via, entry.SubmitCall{Call: s.calls, Job: j, Wait: true})
 }
 
 // offer sends jobs of the given size evenly for the duration.
