agent, control: a dead entry is evicted and its share of the quotas goes on

Cause: quotas are divided among the entries that are members, and only agents were evicted. A killed entry kept its share until its node ID joined again.

Change: three agents for each entry, chosen by rendezvous hashing, send it a query a second and append Evict after the transport's proof of its end, 200 ms apart, each again after 2 s at the earliest. An entry that was evicted and lives joins again with the same run, stating what it has read (Member.Read), and is not evicted a second time (Member.Rejoined).

TestRandom kills entries too, and checks that all live entries share the quotas. It now restarts those that end during it as well.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -91,6 +91,7 @@
 	peers      map[node.Ref]*peer
 	watched    []*peer
 	former     []formerPeer
+	entries    []*watchedEntry
 	gossip     gossip
 	members    memberState
 	drain      drainState
--- a/core/agent/gossip.go
+++ b/core/agent/gossip.go
@@ -64,6 +64,7 @@
 	c.gossip.digests = 0
 	c.queryWatched()
 	c.queryRandom()
+	c.queryEntries()
 	c.maintainMembership()
 	c.home.Tick(c.now, &c.homeOut)
 	c.exec.Tick(c.now, &c.execOut)
--- a/core/agent/membership.go
+++ b/core/agent/membership.go
@@ -102,6 +102,7 @@
 		ids = append(ids, m.Ref.ID)
 	}
 	peers = append(peers, c.formerPeers(known)...)
+	peers = append(peers, c.watchEntries()...)
 	c.peers = known
 	c.actions = append(c.actions, SetPeers{Peers: peers})
 	c.watchSubset(ids)
@@ -182,6 +183,9 @@
 
 // peerDead takes proof that a run has ended.
 func (c *Core) peerDead(ref node.Ref) {
+	if c.entryDead(ref) {
+		return
+	}
 	c.exec.HomeDead(c.now, ref, &c.execOut)
 	c.home.ExecutorDead(c.now, ref, &c.homeOut)
 	if p, ok := c.peers[ref]; ok {
@@ -195,6 +199,7 @@
 func (c *Core) maintainMembership() {
 	c.join()
 	c.evictDead()
+	c.evictEntries()
 	c.snapshot()
 	if record, due := c.owners.Confirm(c.now); due {
 		c.appendControl(record)
--- a/core/control/control_test.go
+++ b/core/control/control_test.go
@@ -23,6 +23,11 @@
 	return control.EncodeJoin(control.Member{Ref: ref(id, inc), Role: control.RoleAgent, Addr: addr})
 }
 
+// joinEntry is the join of the run e/1 that has applied the records before read.
+func joinEntry(read int64) []byte {
+	return control.EncodeJoin(control.Member{Ref: ref("e", 1), Role: control.RoleEntry, Read: read})
+}
+
 func quota(id string, from int64, team string, q float64) []byte {
 	return control.EncodeChange(control.Change{
 		ID: id, From: from, Author: "op-" + id,
@@ -49,6 +54,9 @@
 func TestStateRejects(t *testing.T) {
 	many := control.Change{ID: "m", From: -1}
 	bad := label.Selector{{Key: "a", Operator: "like"}}
+	evict := control.EncodeEvict(ref("e", 1), ref("a", 1))
+	evicted := [][]byte{join("a", 1), joinEntry(0), evict}
+	rejoined := append(evicted[:3:3], joinEntry(3))
 	for _, tc := range []struct {
 		name   string
 		before [][]byte
@@ -65,6 +73,9 @@
 		{"leave of a former run", [][]byte{join("a", 1), join("a", 2)}, control.EncodeLeave(ref("a", 1), 0), "not a member"},
 		{"evicted by a stranger", [][]byte{join("a", 1)}, control.EncodeEvict(ref("a", 1), ref("b", 1)), "evicted by a process that is not a member"},
 		{"evicted twice", [][]byte{join("a", 1), join("b", 1), control.EncodeEvict(ref("a", 1), ref("b", 1))}, control.EncodeEvict(ref("a", 1), ref("b", 1)), "not a member"},
+		{"late copy of an evicted entry's join", evicted, joinEntry(2), "run has ended"},
+		{"entry evicted after it joined again", rejoined, evict, "evicted before, and has joined again"},
+		{"entry that left after it joined again", append(rejoined[:4:4], control.EncodeLeave(ref("e", 1), 0)), joinEntry(5), "run has ended"},
 		{"confirm by a stranger", [][]byte{join("a", 1)}, control.EncodeConfirm(1, ref("b", 1)), "confirmed by a process that is not an agent"},
 		{"confirm of the future", [][]byte{join("a", 1)}, control.EncodeConfirm(2, ref("a", 1)), "confirms records that are not in the stream"},
 		{"confirm twice", [][]byte{join("a", 1), control.EncodeConfirm(1, ref("a", 1))}, control.EncodeConfirm(1, ref("a", 1)), "already confirmed"},
--- a/core/control/member.go
+++ b/core/control/member.go
@@ -33,8 +33,14 @@
 	// Effective is the wall-clock time in milliseconds since the Unix epoch from
 	// which created jobs are placed on the run by hashing. Zero is at once.
 	Effective int64 `json:"effective,omitempty"`
+	// Read is the offset before which the run had applied every record when it
+	// asked to join. It is needed of an entry that was evicted.
+	Read int64 `json:"read,omitempty"`
 	// Joined is the offset of the record by which the run joined.
 	Joined int64 `json:"joined,omitempty"`
+	// Rejoined says that the run is an entry that joined again after an
+	// eviction. It is not evicted a second time.
+	Rejoined bool `json:"rejoined,omitempty"`
 }
 
 // Ended is a run that was a member once.
@@ -48,12 +54,14 @@
 	// when the run ended without notice; no job is placed on it then.
 	From      int64 `json:"from,omitempty"`
 	Effective int64 `json:"effective,omitempty"`
+	// Evicted says that the run was an entry that another process removed.
+	Evicted bool `json:"evicted,omitempty"`
 }
 
 // members holds the current members and the runs that ended last.
 type members struct {
 	byID map[node.ID]Member
-	// ended is ordered by offset; ended runs cannot join again.
+	// ended is ordered by offset; see barred.
 	ended []Ended
 	// forgotten is the offset of the last removal that ended no longer holds.
 	forgotten int64
@@ -98,9 +106,10 @@
 	if former, ok := s.members.byID[m.Ref.ID]; ok {
 		// A run binds its address before it joins, which proves the end of a
 		// former run at that address only.
-		s.remove(offset, former, former.Addr == m.Addr, 0)
+		s.remove(former, former.Addr == m.Addr, Ended{Offset: offset})
 	}
 	m.Joined = offset
+	m.Rejoined = s.members.hasEnded(m.Ref)
 	s.members.byID[m.Ref.ID] = m
 	s.members.rebuild()
 	if m.Role == RoleAgent {
@@ -117,13 +126,23 @@
 		return "join with an unknown role"
 	case ms.byID[m.Ref.ID].Ref == m.Ref:
 		return "already a member"
-	case ms.hasEnded(m.Ref):
+	case ms.barred(m):
 		return "run has ended"
 	default:
 		return ""
 	}
 }
 
+// barred reports whether a run that has ended asks to join. An entry that was
+// evicted and lives may join again: it starts nothing, so a wrong proof of its
+// end does no harm. It states that it has read its eviction, which a late copy
+// of its first join does not.
+func (ms *members) barred(m Member) bool {
+	return slices.ContainsFunc(ms.ended, func(e Ended) bool {
+		return e.Ref == m.Ref && !(e.Evicted && m.Read > e.Offset)
+	})
+}
+
 func (ms *members) hasEnded(ref node.Ref) bool {
 	return slices.ContainsFunc(ms.ended, func(e Ended) bool { return e.Ref == ref })
 }
@@ -135,26 +154,32 @@
 	if s.sets.prove(e.Ref) {
 		return Effect{}
 	}
-	return s.applyRemoval(offset, e.Ref, 0)
+	m, _ := s.Member(e.Ref)
+	if m.Rejoined {
+		return Effect{Rejected: "evicted before, and has joined again"}
+	}
+	return s.applyRemoval(e.Ref, Ended{Offset: offset, Evicted: m.Role == RoleEntry})
 }
 
-func (s *State) applyRemoval(offset int64, ref node.Ref, effective int64) Effect {
+// applyRemoval removes a member whose end is proven or announced.
+func (s *State) applyRemoval(ref node.Ref, e Ended) Effect {
 	m, ok := s.Member(ref)
 	if !ok {
 		return Effect{Rejected: "not a member"}
 	}
-	s.remove(offset, m, true, effective)
+	s.remove(m, true, e)
 	s.members.rebuild()
 	return Effect{MembersChanged: true}
 }
 
 // remove removes a member; the caller rebuilds the lists. Proven says that the
-// run provably makes no statement any more.
-func (s *State) remove(offset int64, m Member, proven bool, effective int64) {
+// run provably makes no statement any more. The caller states when and how in e.
+func (s *State) remove(m Member, proven bool, e Ended) {
 	delete(s.members.byID, m.Ref.ID)
-	s.members.end(Ended{Ref: m.Ref, Role: m.Role, Offset: offset, From: m.Effective, Effective: effective})
+	e.Ref, e.Role, e.From = m.Ref, m.Role, m.Effective
+	s.members.end(e)
 	if m.Role == RoleAgent {
-		s.sets.add(agentOp{Offset: offset, Ref: m.Ref, Ended: proven})
+		s.sets.add(agentOp{Offset: e.Offset, Ref: m.Ref, Ended: proven})
 	}
 }
 
--- a/core/control/record.go
+++ b/core/control/record.go
@@ -96,7 +96,7 @@
 
 // EncodeJoin returns the record by which a run joins. Joined is not encoded.
 func EncodeJoin(m Member) []byte {
-	m.Joined = 0
+	m.Joined, m.Rejoined = 0, false
 	return Record{Join: &m}.encode()
 }
 
--- a/core/sessions/random_test.go
+++ b/core/sessions/random_test.go
@@ -126,7 +126,13 @@
 	c.restart(p)
 }
 
-func (c *chaos) killOne() { c.kill(c.pickAgent()) }
+func (c *chaos) killOne() {
+	p := c.pickAgent()
+	if rapid.IntRange(0, 4).Draw(c.t, "which") == 0 {
+		p = c.pickEntry()
+	}
+	c.kill(p)
+}
 
 func (c *chaos) pauseOne() {
 	if p := c.pickAgent(); p.alive {
@@ -238,17 +244,23 @@
 	acts[rapid.IntRange(0, len(acts)-1).Draw(c.t, "act")]()
 }
 
-// recover ends every fault and restarts what has ended.
+// recover ends every fault and restarts what has ended, then what was leaving.
 func (c *chaos) recover() {
 	c.heal()
 	c.resumeAll()
 	c.cond = steady
+	c.restartEnded()
+	c.run(30 * time.Second)
+	c.restartEnded()
+	c.run(30 * time.Second)
+}
+
+func (c *chaos) restartEnded() {
 	for _, p := range c.processes() {
 		if !p.alive {
 			c.restart(p)
 		}
 	}
-	c.run(30 * time.Second)
 }
 
 // checkAnswered verifies that no call of a live entry is left open.
@@ -283,6 +295,9 @@
 		if p.alive && p.core.Offset() != int64(len(c.log)) {
 			panic(fmt.Sprintf("%s has applied %d of %d records", p.ref, p.core.Offset(), len(c.log)))
 		}
+		if p.alive && p.entry != nil && len(p.entry.Status().Entries) != 2 {
+			panic(fmt.Sprintf("%s shares the quotas among %d entries", p.ref, len(p.entry.Status().Entries)))
+		}
 	}
 }
 
--- a/core/sessions/world_test.go
+++ b/core/sessions/world_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/agent"
 	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
+	"github.com/dogwoodgauge/dogwoodgauge/core/control"
 	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
@@ -71,6 +72,8 @@
 	calls   uint64
 	waiting map[uint64]func(step.Action)
 	nextInc node.Incarnation
+	// evictions counts the evictions that were asked for, lost ones included.
+	evictions int
 }
 
 func newWorld(seed uint64, cond conditions) *world {
@@ -267,6 +270,9 @@
 
 // appendLog appends to the log unless it cannot be reached.
 func (w *world) appendLog(p *process, record []byte) {
+	if r, err := control.DecodeRecord(record); err == nil && r.Evict != nil {
+		w.evictions++
+	}
 	if w.cond.logDown || p.noLog {
 		return
 	}
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -166,3 +166,21 @@
 		t.Fatal(err)
 	}
 }
+
+// TestDeadEntryIsEvicted kills an entry and waits until it shares no quota.
+func TestDeadEntryIsEvicted(t *testing.T) {
+	c, ctx := start(t)
+	c.Entries[0].Kill()
+	for {
+		s, err := c.Entries[1].daemon().Snapshot(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(s.Entries) == 1 {
+			return
+		}
+		if !sleep(ctx, pollInterval) {
+			t.Fatalf("%d entries share the quotas", len(s.Entries))
+		}
+	}
+}
