entry: new jobs get a home that answers

Cause: an agent that is stopped keeps its connections and its last load report, so that the entry went on choosing it and minting IDs for it until it went on. A run of pause shows these jobs waiting for the whole pause.

--- a/core/entry/agents.go
+++ b/core/entry/agents.go
@@ -11,6 +11,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/placement"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/silence"
 	"github.com/dogwoodgauge/dogwoodgauge/core/rendezvous"
 	"github.com/dogwoodgauge/dogwoodgauge/core/routing"
 )
@@ -45,6 +46,12 @@
 	// sent is the number of tasks sent there that load does not cover.
 	sent int
 	dead bool
+	// silence tells whether the agent answers; suspect is what the last round
+	// made of it.
+	silence silence.Watch
+	suspect bool
+	// round is the last round in which it was queried.
+	round uint64
 	// leftAt is when the agent left the membership, or zero.
 	leftAt time.Duration
 }
@@ -62,12 +69,14 @@
 }
 
 func (c *Core) periodic() {
+	c.judgeSilence()
 	c.gossip.next = c.now.Mono + statusInterval
 	c.gossip.round++
+	c.queryQuiet()
 	for range min(queryFanOut, len(c.order)) {
 		c.gossip.turn = (c.gossip.turn + 1) % len(c.order)
 		a := c.order[c.gossip.turn]
-		if a.dead || (a.upstreams != nil && c.now.Mono-a.loadAt < statusInterval) {
+		if a.dead || a.round == c.gossip.round || (a.upstreams != nil && c.now.Mono-a.loadAt < statusInterval) {
 			continue
 		}
 		c.query(a)
@@ -76,6 +85,8 @@
 }
 
 func (c *Core) query(a *agent) {
+	a.round = c.gossip.round
+	a.silence.Asked(c.now.Mono)
 	c.send(a.member.Ref, message.Message{Status: &message.Status{
 		Query: true, Round: c.gossip.round, UpstreamVersion: a.upstreamVersion,
 	}})
@@ -105,6 +116,8 @@
 	if !ok {
 		return
 	}
+	a.silence.Heard()
+	a.suspect = false
 	a.offset = max(a.offset, e.Offset)
 	if e.Load == nil {
 		return
@@ -233,7 +246,7 @@
 	cfg := c.state.Config()
 	rule, matched := cfg.Match(j.Team, j.Class, j.Tasks[0].Labels)
 	for _, a := range c.order {
-		if !a.usable() || !matched || !routing.AllowsAny(cfg, rule, a.member, a.upstreams) {
+		if !a.usable() || a.suspect || !matched || !routing.AllowsAny(cfg, rule, a.member, a.upstreams) {
 			continue
 		}
 		c.cands = append(c.cands, placement.Candidate{
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -212,14 +212,22 @@
 	}.ID()
 }
 
+// nextHome takes the next usable agent in turn, a suspect one only when there is
+// no other.
 func (c *Core) nextHome() *agent {
+	var suspect *agent
 	for range c.order {
 		c.mintTurn = (c.mintTurn + 1) % len(c.order)
-		if a := c.order[c.mintTurn]; a.usable() {
+		a := c.order[c.mintTurn]
+		switch {
+		case !a.usable():
+		case !a.suspect:
 			return a
+		case suspect == nil:
+			suspect = a
 		}
 	}
-	return nil
+	return suspect
 }
 
 func (c *Core) beginDrain() {
@@ -239,6 +247,9 @@
 }
 
 func (c *Core) send(to node.Ref, m message.Message) {
+	if a, ok := c.agents[to]; ok {
+		a.silence.Sent(c.now.Mono)
+	}
 	c.actions = append(c.actions, Send{To: to, Message: m})
 }
 
