home: a silent executor is sent no task

Change: agents watch the executors that they send to, query those that were sent a task and have not been heard since, and tell the home which are suspect. It sends them nothing until they are heard.

--- a/core/agent/gossip.go
+++ b/core/agent/gossip.go
@@ -10,6 +10,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/control"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/silence"
 )
 
 const (
@@ -36,6 +37,8 @@
 	upstreamVersion uint64
 	// heardAt is when the last envelope arrived.
 	heardAt time.Duration
+	// silence tells whether the peer answers.
+	silence silence.Watch
 	// round and askedAt belong to the last status query.
 	round   uint64
 	askedAt time.Duration
@@ -59,9 +62,11 @@
 
 // periodic starts a round of status queries and runs the slow checks.
 func (c *Core) periodic() {
+	c.judgeSilence()
 	c.gossip.next = c.now.Mono + statusInterval
 	c.gossip.round++
 	c.gossip.digests = 0
+	c.queryQuiet()
 	c.queryWatched()
 	c.queryRandom()
 	c.queryEntries()
@@ -75,7 +80,9 @@
 func (c *Core) queryWatched() {
 	for range min(watchFanOut, len(c.watched)) {
 		c.gossip.turn = (c.gossip.turn + 1) % len(c.watched)
-		c.query(c.watched[c.gossip.turn], false)
+		if p := c.watched[c.gossip.turn]; p.round != c.gossip.round {
+			c.query(p, false)
+		}
 	}
 	for _, p := range c.watched {
 		if p.upstreamVersion == 0 && p.round != c.gossip.round {
@@ -111,6 +118,7 @@
 	}
 	p.round = c.gossip.round
 	p.askedAt = c.now.Mono
+	p.silence.Asked(c.now.Mono)
 	c.send(p.member.Ref, message.Message{Status: &message.Status{
 		Query: true, Round: c.gossip.round, UpstreamVersion: p.upstreamVersion, WantDigest: digest,
 	}})
@@ -129,6 +137,7 @@
 		return nil
 	}
 	p.heardAt = c.now.Mono
+	p.silence.Heard()
 	if e.Load != nil {
 		c.home.ObserveLoad(c.now, e.From, *e.Load)
 	}
--- a/core/home/elsewhere.go
+++ b/core/home/elsewhere.go
@@ -13,7 +13,7 @@
 	c.now = now
 	j := &job.Job{Team: s.Team, Class: s.Class}
 	for _, l := range c.order {
-		if l.dead || l.ref == c.cfg.Self || c.faults.Quarantined(now.Mono, l.ref.ID) {
+		if l.dead || l.suspect || l.ref == c.cfg.Self || c.faults.Quarantined(now.Mono, l.ref.ID) {
 			continue
 		}
 		free := placement.AnyFree([]placement.Candidate{c.candidate(l, s.Class)})
--- a/core/home/link.go
+++ b/core/home/link.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
@@ -21,6 +22,8 @@
 	// known is false once the executor is no longer a member.
 	known bool
 	dead  bool
+	// suspect is true while the executor does not answer.
+	suspect bool
 	// inService is true while the configuration lets the executor take work;
 	// it began at upSince.
 	inService bool
@@ -99,6 +102,7 @@
 
 // observe takes a load report that arrived at now.
 func (l *link) observe(load message.Load, now time.Duration) {
+	l.suspect = false
 	l.load = load
 	l.loadAt = now
 	l.uncovered = 0
@@ -143,6 +147,14 @@
 	}
 }
 
+// SetSuspects names the executors that do not answer. They are sent nothing until
+// they are heard; what they have may have started and stays there.
+func (c *Core) SetSuspects(refs []node.Ref) {
+	for _, l := range c.order {
+		l.suspect = slices.Contains(refs, l.ref)
+	}
+}
+
 func (c *Core) link(ref node.Ref) *link {
 	l, ok := c.links[ref]
 	if !ok {
--- a/core/home/place.go
+++ b/core/home/place.go
@@ -128,7 +128,7 @@
 	c.candLinks = c.candLinks[:0]
 	class := classIndex(t.record.job.Class)
 	for _, l := range g.links {
-		if l.load.Draining || t.excluded.Has(l.ref) || c.faults.Quarantined(c.now.Mono, l.ref.ID) {
+		if l.suspect || l.load.Draining || t.excluded.Has(l.ref) || c.faults.Quarantined(c.now.Mono, l.ref.ID) {
 			continue
 		}
 		if until := l.closedUntil[class]; until > c.now.Mono {
