catchup, follow: a run whose gap ends at its own offset gets the state

Cause: a reader that meets a gap is not synced but goes on reading, so that its offset is soon that of its peers. catchup.Tail.For answered by the offset alone and sent nothing to an offset that is not below its own; and follow.Seeds stopped for good once the log had answered or the offset had moved, so that a new run without peers asked nobody.

Change: a query can say that its sender is not synced (Status.Unsynced); the answer is then the whole state also at the same offset. Seeds are asked whenever the process is not synced.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -329,6 +329,9 @@
 // Offset returns the offset of the next record of the control stream to read.
 func (c *Core) Offset() int64 { return c.state.Next() }
 
+// Synced reports whether the core holds every record before Offset.
+func (c *Core) Synced() bool { return c.state.Synced() }
+
 // Load returns the agent's report of itself.
 func (c *Core) Load() message.Load {
 	l := c.exec.Load()
--- a/core/agent/gossip.go
+++ b/core/agent/gossip.go
@@ -187,9 +187,7 @@
 		answer.Report = c.report()
 	}
 	c.send(e.From, message.Message{Status: answer})
-	if e.Offset < c.state.Next() {
-		c.teach(e.From, e.Offset)
-	}
+	c.teach(e.From, e.Offset, !s.Unsynced)
 }
 
 // logAge returns the age of the evidence held, or a negative value.
--- a/core/agent/membership.go
+++ b/core/agent/membership.go
@@ -27,6 +27,8 @@
 	keepFormer = 30 * time.Second
 	// askPause is the least time between two requests for missing records.
 	askPause = 20 * time.Millisecond
+	// askStatePause is the time between two requests for the whole state.
+	askStatePause = time.Second
 )
 
 // memberState is the agent's own membership.
@@ -41,6 +43,8 @@
 	end    int64
 	// askAgainAt is when records may be asked for again.
 	askAgainAt time.Duration
+	// askStateAt is when the whole state may be asked for again.
+	askStateAt time.Duration
 	// snapshotAt is when this agent appends a snapshot that is still due.
 	snapshotAt time.Duration
 }
@@ -197,6 +201,7 @@
 // maintainMembership joins the stream, removes dead peers and appends the
 // other records that are due.
 func (c *Core) maintainMembership() {
+	c.askState()
 	c.join()
 	c.evictDead()
 	c.evictEntries()
@@ -286,12 +291,27 @@
 }
 
 // teach sends a process the records that it lacks.
-func (c *Core) teach(to node.Ref, offset int64) {
-	if m := c.tail.For(offset); m != nil {
+func (c *Core) teach(to node.Ref, offset int64, synced bool) {
+	if m := c.tail.For(offset, synced); m != nil {
 		c.send(to, message.Message{Records: m})
 	}
 }
 
+// askState asks a random peer for the state when records are missing that the
+// log no longer holds. The offset alone does not show that: it may be the peer's.
+func (c *Core) askState() {
+	agents := c.state.Agents()
+	if c.state.Synced() || len(agents) == 0 || c.now.Mono < c.members.askStateAt {
+		return
+	}
+	m := agents[c.randomSource().IntN(len(agents))]
+	if p, ok := c.peers[m.Ref]; !ok || p.dead {
+		return
+	}
+	c.members.askStateAt = c.now.Mono + askStatePause
+	c.send(m.Ref, message.Message{Status: &message.Status{LogAge: -1, Query: true, Unsynced: true}})
+}
+
 // askRecords asks a process that is ahead for the records that are missing.
 func (c *Core) askRecords(from node.Ref) {
 	if c.now.Mono < c.members.askAgainAt {
--- a/core/catchup/catchup.go
+++ b/core/catchup/catchup.go
@@ -57,13 +57,15 @@
 }
 
 // For returns what a peer at offset lacks: the records, or the whole state
-// when they are no longer kept. It returns nil when the peer lacks nothing.
-func (t *Tail) For(offset int64) *message.Records {
-	if offset >= t.State.Next() || !t.State.Synced() {
+// when they are no longer kept or when the peer is not synced, so that it misses
+// records before offset. It returns nil when the peer lacks nothing.
+func (t *Tail) For(offset int64, synced bool) *message.Records {
+	lacks := offset < t.State.Next() || offset == t.State.Next() && !synced
+	if !lacks || !t.State.Synced() {
 		return nil
 	}
 	first := t.State.Next() - int64(len(t.recent))
-	if offset >= first {
+	if synced && offset >= first {
 		return &message.Records{Offset: offset, Records: t.recent[offset-first:]}
 	}
 	return &message.Records{Offset: t.State.Next(), Snapshot: t.State.Snapshot()}
--- a/core/entry/agents.go
+++ b/core/entry/agents.go
@@ -23,6 +23,9 @@
 	queryFanOut = 12
 	// joinRetry is the pause before a join that has not been read is repeated.
 	joinRetry = 2 * time.Second
+	// askStateRounds is the number of rounds from one request for the whole state
+	// to the next.
+	askStateRounds = 4
 	// keepFormer is how long an agent that has left is still asked for its jobs.
 	keepFormer = 30 * time.Second
 )
@@ -81,9 +84,20 @@
 		}
 		c.query(a)
 	}
+	c.askState()
 	c.join()
 }
 
+// askState asks an agent, in turn, for the state when records are missing that
+// the log no longer holds.
+func (c *Core) askState() {
+	if c.state.Synced() || len(c.order) == 0 || c.gossip.round%askStateRounds != 0 {
+		return
+	}
+	a := c.order[c.gossip.round/askStateRounds%uint64(len(c.order))]
+	c.send(a.member.Ref, message.Message{Status: &message.Status{LogAge: -1, Query: true, Unsynced: true}})
+}
+
 func (c *Core) query(a *agent) {
 	a.round = c.gossip.round
 	a.silence.Asked(c.now.Mono)
@@ -131,7 +145,7 @@
 // for records.
 func (c *Core) status(e *message.Envelope, s *message.Status) {
 	if s.Query {
-		if m := c.tail.For(e.Offset); m != nil {
+		if m := c.tail.For(e.Offset, !s.Unsynced); m != nil {
 			c.send(e.From, message.Message{Records: m})
 		}
 		return
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -255,3 +255,6 @@
 
 // Offset returns the offset of the next record of the control stream to read.
 func (c *Core) Offset() int64 { return c.state.Next() }
+
+// Synced reports whether the core holds every record before Offset.
+func (c *Core) Synced() bool { return c.state.Synced() }
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -212,6 +212,9 @@
 	// Round is repeated in the answer.
 	Query bool   `json:"query,omitempty"`
 	Round uint64 `json:"round,omitempty"`
+	// Unsynced, in a query, says that the sender misses records before its
+	// Offset and asks for the whole state.
+	Unsynced bool `json:"uns,omitempty"`
 	// UpstreamVersion numbers the changes of the upstreams beside the sender of
 	// an answer, from 1 in each run. In a query it is the version that the
 	// sender holds of the receiver's upstreams, or zero.
--- a/core/sessions/outage_test.go
+++ b/core/sessions/outage_test.go
@@ -10,6 +10,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/config"
 	"github.com/dogwoodgauge/dogwoodgauge/core/control"
 	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 )
 
 const (
@@ -262,3 +263,40 @@
 		})
 	}
 }
+
+// TestGapAtOwnOffset checks that processes which read the last record of the
+// log, but no longer those before it, get the state from their peers while the
+// log is down.
+func TestGapAtOwnOffset(t *testing.T) {
+	c := newCluster(1, steady, 3, 2)
+	cut := []*process{c.agents[0], c.e1}
+	for _, p := range cut {
+		p.group, p.noLog = 1, true
+	}
+	const changes = 3
+	for i := range changes {
+		out := config.Out{Domain: fmt.Sprint(i)}
+		c.publish(control.EncodeChange(control.Change{
+			ID: fmt.Sprint(i), From: int64(len(c.log)) - 1, Author: "operator", Edits: []config.Edit{{Put: &config.Object{Out: &out}}},
+		}))
+		c.run(time.Second)
+	}
+	c.cond.logDown = true
+	last := int64(len(c.log)) - 1
+	for _, p := range cut {
+		c.step(p, step.LogRead{From: last, Records: c.log[last:], End: last + 1, Oldest: last, AskedAt: c.now})
+		if p.core.Synced() || p.core.Offset() != last+1 {
+			t.Fatalf("%s is at %d, synced %v", p.ref.ID, p.core.Offset(), p.core.Synced())
+		}
+		p.group = 0
+	}
+	c.run(3 * time.Second)
+	for _, p := range cut {
+		if !p.core.Synced() {
+			t.Errorf("%s did not get the state from a peer", p.ref.ID)
+		}
+	}
+	if got := c.agents[0].agent.Status().Revision; got != last {
+		t.Errorf("%s is at revision %d, want %d", c.agents[0].ref.ID, got, last)
+	}
+}
--- a/core/step/step.go
+++ b/core/step/step.go
@@ -25,6 +25,8 @@
 	Step(now clock.Now, event Event) []Action
 	// Offset returns the offset of the control stream that the core has reached.
 	Offset() int64
+	// Synced reports whether the core holds every record before Offset.
+	Synced() bool
 }
 
 // Tick says that the time of the last SetTimer has come. Early and extra ticks
--- a/internal/agentd/actions.go
+++ b/internal/agentd/actions.go
@@ -48,12 +48,13 @@
 // said is what every envelope carries of the sender.
 type said struct {
 	offset int64
+	synced bool
 	load   message.Load
 }
 
 // publish makes the core's offset and load known to the transport.
 func (d *Daemon) publish() {
-	now := said{offset: d.core.Offset(), load: d.core.Load()}
+	now := said{offset: d.core.Offset(), synced: d.core.Synced(), load: d.core.Load()}
 	if last := d.said.Load(); last == nil || *last != now {
 		d.said.Store(&now)
 	}
@@ -65,3 +66,9 @@
 	}
 	return 0
 }
+
+// synced is true before the first event: a stream from its start misses nothing.
+func (d *Daemon) synced() bool {
+	s := d.said.Load()
+	return s == nil || s.synced
+}
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -118,6 +118,7 @@
 		Name:    d.cfg.Settings.Log.Stream,
 		Wait:    min(follow.DefaultWait, d.cfg.Settings.Timing.Lease/3),
 		Offset:  d.offset,
+		Synced:  d.synced,
 		Mono:    d.loop.Mono,
 		Deliver: d.loop.PostWait,
 		Peers:   d.transport,
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -53,6 +53,8 @@
 
 	// offset is the core's offset after the last batch of events.
 	offset atomic.Int64
+	// unsynced says that the core misses records before offset.
+	unsynced atomic.Bool
 	// members is the number of known agents at the last scrape.
 	members  atomic.Int64
 	draining atomic.Bool
@@ -81,7 +83,7 @@
 	d.loop = process.NewLoop(loop.Config[step.Event, step.Action]{
 		Step:    d.step,
 		Do:      d.do,
-		Stepped: func() { d.offset.Store(d.core.Offset()) },
+		Stepped: d.stepped,
 	})
 	if err := d.listen(); err != nil {
 		d.closeSockets()
@@ -129,6 +131,7 @@
 		Log:     d.cfg.LogClient(d.cfg.Settings.Log),
 		Name:    d.cfg.Settings.Log.Stream,
 		Offset:  d.offset.Load,
+		Synced:  func() bool { return !d.unsynced.Load() },
 		Mono:    d.loop.Mono,
 		Deliver: d.loop.PostWait,
 		Peers:   d.transport,
@@ -155,6 +158,12 @@
 	return router
 }
 
+// stepped makes how far the core has come known.
+func (d *Daemon) stepped() {
+	d.offset.Store(d.core.Offset())
+	d.unsynced.Store(!d.core.Synced())
+}
+
 // step hands one event to the core.
 func (d *Daemon) step(now clock.Now, event step.Event) []step.Action {
 	if e, ok := event.(step.Received); ok {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -116,17 +116,21 @@
 }
 
 func (p fakePeers) Send(to node.Ref, m message.Message) {
-	if m.Status != nil && m.Status.Query {
+	if m.Status != nil && m.Status.Query && m.Status.Unsynced {
 		p.asked <- to
 	}
 }
 
 func TestSeedsAskWhoAnswers(t *testing.T) {
 	peers := fakePeers{addr: "127.0.0.1:2", asked: make(chan node.Ref, 1)}
+	looks := 0
 	s := &Seeds{
 		Peers:    peers,
 		Addrs:    []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")},
-		Informed: func() bool { return false },
+		Informed: func() bool {
+			looks++
+			return looks == 1 // A gap in the stream comes later.
+		},
 		Logs:     telemetry.Part("test"),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/follow/seeds.go
+++ b/internal/follow/seeds.go
@@ -26,20 +26,23 @@
 type Seeds struct {
 	Peers Peers
 	Addrs []netip.AddrPort
-	// Informed reports whether something of the control stream has come.
+	// Informed reports whether something of the control stream has come, and no
+	// records are missing before the offset that was reached.
 	Informed func() bool
 	Logs     *telemetry.Logger
 }
 
-// Run asks until Informed, then waits until ctx ends.
+// Run asks whenever the process is not Informed, until ctx ends.
 func (s *Seeds) Run(ctx context.Context) error {
-	sleep(ctx, seedInterval)
-	for ctx.Err() == nil && len(s.Addrs) > 0 && !s.Informed() {
-		s.askAll(ctx)
+	for {
 		sleep(ctx, seedInterval)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if !s.Informed() {
+			s.askAll(ctx)
+		}
 	}
-	<-ctx.Done()
-	return nil
 }
 
 func (s *Seeds) askAll(ctx context.Context) {
@@ -50,6 +53,6 @@
 			continue
 		}
 		s.Logs.Info("asking a seed for the configuration", "peer", ref)
-		s.Peers.Send(ref, message.Message{Status: &message.Status{LogAge: -1, Query: true}})
+		s.Peers.Send(ref, message.Message{Status: &message.Status{LogAge: -1, Query: true, Unsynced: true}})
 	}
 }
--- a/internal/follow/stream.go
+++ b/internal/follow/stream.go
@@ -21,6 +21,8 @@
 	Wait time.Duration
 	// Offset returns the offset that the core has reached.
 	Offset func() int64
+	// Synced reports whether the core holds every record before Offset.
+	Synced func() bool
 	// Mono returns the monotonic time.
 	Mono func() time.Duration
 	// Deliver hands an event to the core and returns when it has been handled. It
@@ -77,7 +79,7 @@
 	seeds := &Seeds{
 		Peers:    s.cfg.Peers,
 		Addrs:    s.cfg.Seeds,
-		Informed: s.Informed,
+		Informed: func() bool { return s.Informed() && s.cfg.Synced() },
 		Logs:     s.cfg.Logs,
 	}
 	return []func(context.Context) error{reader.Run, seeds.Run, s.appender.Run}
