command: config reset begins a control stream anew that the log has lost

Cause: control.Reset existed and nothing appended it; and as a record without an offset a late copy of it would have undone what was published since.

--- a/core/control/control_test.go
+++ b/core/control/control_test.go
@@ -76,6 +76,7 @@
 		{"late copy of an evicted entry's join", evicted, joinEntry(2), "run has ended"},
 		{"entry evicted after it joined again", rejoined, evict, "evicted before, and has joined again"},
 		{"entry that left after it joined again", append(rejoined[:4:4], control.EncodeLeave(ref("e", 1), 0)), joinEntry(5), "run has ended"},
+		{"late copy of a reset", [][]byte{join("a", 1)}, control.EncodeReset("op", 0), "reset of another offset"},
 		{"confirm by a stranger", [][]byte{join("a", 1)}, control.EncodeConfirm(1, ref("b", 1)), "confirmed by a process that is not an agent"},
 		{"confirm of the future", [][]byte{join("a", 1)}, control.EncodeConfirm(2, ref("a", 1)), "confirms records that are not in the stream"},
 		{"confirm twice", [][]byte{join("a", 1), control.EncodeConfirm(1, ref("a", 1))}, control.EncodeConfirm(1, ref("a", 1)), "already confirmed"},
@@ -198,7 +199,7 @@
 }
 
 func TestResetIsTheSameForAllReaders(t *testing.T) {
-	records := [][]byte{join("a", 1), out("x", -1, "south"), control.EncodeReset("op"), join("a", 1), out("late", 1, "south"), out("y", 2, "north")}
+	records := [][]byte{join("a", 1), out("x", -1, "south"), control.EncodeReset("op", 2), join("a", 1), out("late", 1, "south"), out("y", 2, "north")}
 	full, fresh := control.NewState(), control.NewState()
 	read(full, records...)
 	for offset := 1; offset < len(records); offset++ {
--- a/core/control/property_test.go
+++ b/core/control/property_test.go
@@ -35,7 +35,7 @@
 		return nil
 	case 7:
 		if rapid.IntRange(0, 3).Draw(t, "reset") == 0 {
-			return control.EncodeReset("op")
+			return control.EncodeReset("op", int64(rapid.IntRange(0, len(written)).Draw(t, "next")))
 		}
 		return rapid.SliceOf(rapid.Byte()).Draw(t, "garbage")
 	default:
@@ -149,7 +149,7 @@
 	read(s, join("a", 1), quota("x", -1, "t", 1))
 	for _, seed := range [][]byte{
 		join("a", 1), control.EncodeLeave(ref("a", 1), 0), control.EncodeEvict(ref("a", 1), ref("a", 1)),
-		control.EncodeConfirm(1, ref("a", 1)), quota("y", 1, "t", 2), out("z", 1, "south"), control.EncodeReset("op"),
+		control.EncodeConfirm(1, ref("a", 1)), quota("y", 1, "t", 2), out("z", 1, "south"), control.EncodeReset("op", 2),
 		s.SnapshotRecord(), []byte("{}"), []byte(`{"change":{"id":"a","edits":[{}]}}`), nil,
 	} {
 		f.Add(seed)
--- a/core/control/record.go
+++ b/core/control/record.go
@@ -57,9 +57,11 @@
 
 // Reset replaces the state of every reader by an empty one. It is for operators
 // whose stream has lost the records that readers need while no process ran: a
-// stream like that has no snapshot, and no process can make one.
+// stream like that has no snapshot, and no process can make one. It counts only
+// at the offset Next, so that a late copy does not undo what came after.
 type Reset struct {
 	Author string `json:"author"`
+	Next   int64  `json:"next"`
 }
 
 // DecodeRecord parses a record and checks that exactly one field is set.
@@ -118,9 +120,9 @@
 	return Record{Confirm: &Confirm{Through: through, By: by}}.encode()
 }
 
-// EncodeReset returns the record of a Reset.
-func EncodeReset(author string) []byte {
-	return Record{Reset: &Reset{Author: author}}.encode()
+// EncodeReset returns the record of a Reset at the offset next.
+func EncodeReset(author string, next int64) []byte {
+	return Record{Reset: &Reset{Author: author, Next: next}}.encode()
 }
 
 // EncodeChange returns the record of a configuration change, or nil when an
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -90,7 +90,7 @@
 	case r.Snapshot != nil:
 		return s.applySnapshot(offset, r.Snapshot)
 	case r.Reset != nil:
-		return s.applyReset(offset)
+		return s.applyReset(offset, r.Reset)
 	case !s.synced:
 		return Effect{}
 	case r.Change != nil:
@@ -107,7 +107,10 @@
 }
 
 // applyReset makes the state empty. The revision does not go back.
-func (s *State) applyReset(offset int64) Effect {
+func (s *State) applyReset(offset int64, r *Reset) Effect {
+	if r.Next != offset {
+		return Effect{Rejected: "reset of another offset"}
+	}
 	fresh := NewState()
 	empty, err := fresh.config.Fold(offset, nil)
 	if err != nil {
--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -32,6 +32,7 @@
 	addConfigGet(cmd, std)
 	addConfigHistory(cmd, std)
 	addConfigDiff(cmd, std)
+	addConfigReset(cmd, std)
 }
 
 func addConfigCheck(parent *kingpin.CmdClause, std Streams) {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -125,13 +125,13 @@
 	peers := fakePeers{addr: "127.0.0.1:2", asked: make(chan node.Ref, 1)}
 	looks := 0
 	s := &Seeds{
-		Peers:    peers,
-		Addrs:    []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")},
+		Peers: peers,
+		Addrs: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")},
 		Informed: func() bool {
 			looks++
 			return looks == 1 // A gap in the stream comes later.
 		},
-		Logs:     telemetry.Part("test"),
+		Logs: telemetry.Part("test"),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/config"
 	"github.com/dogwoodgauge/dogwoodgauge/core/control"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/logclient"
 )
 
@@ -23,6 +24,9 @@
 	readErrors int
 }
 
+// self names a run that no stream knows.
+var self = node.Ref{ID: "stranger", Incarnation: 1}
+
 // fault is what becomes of an append.
 type fault int
 
@@ -30,6 +34,7 @@
 	lost      fault = iota // The append has no effect and no answer.
 	replyLost              // The append takes effect and has no answer.
 	refused                // The append is refused.
+	overtaken              // Another record is appended first.
 )
 
 func (l *fakeLog) Append(_ context.Context, _ string, record []byte) (int64, error) {
@@ -43,6 +48,9 @@
 	case replyLost:
 		l.records = append(l.records, record)
 		return 0, logclient.ErrUnknownEffect
+	case overtaken:
+		l.records = append(l.records, control.EncodeLeave(self, 0), record)
+		return int64(len(l.records) - 1), nil
 	case lost:
 		return 0, logclient.ErrUnknownEffect
 	default:
