experiment: fault wrong-sizes; faults hold together

Cause: nothing measured upstreams and tasks whose declarations are far off, and faults of one upstream or of the log replaced each other when they were combined.

Change: wrong-sizes lets upstreams declare four times or a quarter of the slots that they serve, and adds tasks whose size label is wrong by a factor of five. The report tells how long jobs waited for no_upstream_matches.

--- a/internal/command/experiment.go
+++ b/internal/command/experiment.go
@@ -18,7 +18,7 @@
 	o := experiment.Options{Progress: std.Err}
 	var entries string
 	cmd.Flag("scenario", "One of "+strings.Join(experiment.ScenarioNames(), ", ")+".").Default(experiment.DefaultScenario).StringVar(&o.Scenario)
-	cmd.Flag("fault", "Fault; may be repeated. One of "+strings.Join(experiment.FaultNames(), ", ")+".").
+	cmd.Flag("fault", "Fault; several may be repeated or separated by commas, and hold together. Of "+strings.Join(experiment.FaultNames(), ", ")+".").
 		StringsVar(&o.Faults)
 	cmd.Flag("policy", "Placement policy.").StringVar(&o.Policy)
 	cmd.Flag("seed", "Seed of the arrivals and of the policies.").Default("1").Uint64Var(&o.Seed)
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -7,12 +7,14 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/config"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/cluster"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/loadgen"
 )
@@ -44,7 +46,8 @@
 // Options describes a run. Zero values take the defaults.
 type Options struct {
 	Scenario string
-	// Faults are names from FaultNames, all in the same run.
+	// Faults are names from FaultNames, all in the same run. An element may hold
+	// several, separated by commas.
 	Faults []string
 	// Policy names the placement policy.
 	Policy   string
@@ -68,6 +71,7 @@
 	if o.Scenario == "" {
 		o.Scenario = DefaultScenario
 	}
+	o.Faults = splitNames(o.Faults)
 	if len(o.Faults) == 0 {
 		o.Faults = []string{"none"}
 	}
@@ -82,13 +86,23 @@
 	}
 }
 
+// splitNames splits each element at its commas.
+func splitNames(list []string) []string {
+	var names []string
+	for _, x := range list {
+		names = append(names, strings.Split(x, ",")...)
+	}
+	return names
+}
+
 // Run makes one run, and one without faults to compare with when there are
 // faults. The error is ErrInvariant when the run broke an invariant.
 func Run(ctx context.Context, o Options) (Report, error) {
 	o.setDefaults()
 	scenario, ok := findScenario(o.Scenario)
 	if !ok {
-		return Report{}, errors.Errorf("unknown scenario %q", o.Scenario)
+		return Report{}, errors.Errorf("unknown scenario %q; the scenarios are %s",
+			o.Scenario, strings.Join(ScenarioNames(), ", "))
 	}
 	chosen, err := findFaults(o.Faults)
 	if err != nil {
@@ -144,6 +158,10 @@
 	window    window
 	restarted atomic.Int64
 
+	// routing guards routes, those that faults have added.
+	routing sync.Mutex
+	routes  []config.Route
+
 	mu         sync.Mutex
 	maxInForce time.Duration
 	errs       []error
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"os"
 	"path/filepath"
 	"slices"
@@ -19,7 +18,7 @@
 func TestShortRunWithCombinedFaults(t *testing.T) {
 	dir := t.TempDir()
 	report, err := Run(context.Background(), Options{
-		Scenario: "quitanda", Faults: []string{"domain-out", "straggler"}, Seed: 1,
+		Scenario: "quitanda", Faults: []string{"domain-out,straggler", "wrong-sizes"}, Seed: 1,
 		Duration: 3 * time.Second, SkipBaseline: true, ReportDir: dir,
 	})
 	if err != nil {
@@ -37,7 +36,7 @@
 		}
 	}
 	var table bytes.Buffer
-	if err := WriteTable(&table, []Report{report}); err != nil || !strings.Contains(table.String(), "domain-out+straggler") {
+	if err := WriteTable(&table, []Report{report}); err != nil || !strings.Contains(table.String(), "domain-out+straggler+wrong-sizes") {
 		t.Errorf("table: %s, %v", table.String(), err)
 	}
 }
@@ -62,9 +61,18 @@
 }
 
 func TestUnknownNames(t *testing.T) {
-	for _, o := range []Options{{Scenario: "nowhere"}, {Faults: []string{"crash", "nothing"}}} {
-		if _, err := Run(context.Background(), o); err == nil || errors.Is(err, ErrInvariant) {
-			t.Errorf("%+v: %v", o, err)
+	tests := []struct {
+		o     Options
+		lists []string
+	}{
+		{Options{Scenario: "nowhere"}, ScenarioNames()},
+		{Options{Faults: []string{"crash", "nothing"}}, FaultNames()},
+		{Options{Faults: []string{"crash,"}}, FaultNames()},
+	}
+	for _, test := range tests {
+		_, err := Run(context.Background(), test.o)
+		if err == nil || !strings.Contains(err.Error(), strings.Join(test.lists, ", ")) {
+			t.Errorf("%+v: %v", test.o, err)
 		}
 	}
 }
@@ -94,7 +102,7 @@
 func TestFaultNames(t *testing.T) {
 	for _, name := range []string{
 		"none", "crash", "domain-out", "log-outage", "burst", "black-hole",
-		"rolling-restart", "straggler", "cancel-wave", "lost-replies", "partition",
+		"rolling-restart", "straggler", "cancel-wave", "lost-replies", "partition", "wrong-sizes",
 	} {
 		if !slices.Contains(FaultNames(), name) {
 			t.Errorf("%s is missing", name)
--- a/internal/experiment/fault.go
+++ b/internal/experiment/fault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -45,7 +46,7 @@
 	// plan changes the arrivals.
 	plan func(cfg *loadgen.Config, w window)
 	// begin and end change the cluster.
-	begin, end func(ctx context.Context, r *runner) error
+	begin, end step
 	// cutsOff says that requests in flight may be cut off.
 	cutsOff bool
 }
@@ -54,16 +55,17 @@
 	{name: "none"},
 	{name: "crash", begin: crash, end: restart, cutsOff: true},
 	{name: "domain-out", begin: domainOut, end: domainIn},
-	{name: "log-outage", begin: logFault(logservice.Faults{Outage: true}), end: logFault(logservice.Faults{})},
-	{name: "log-slow", begin: logFault(logservice.Faults{Delay: slowLog}), end: logFault(logservice.Faults{})},
-	{name: "lost-replies", begin: loseReplies, end: keepReplies},
+	{name: "log-outage", begin: outage(true), end: outage(false)},
+	{name: "log-slow", begin: logDelay(slowLog), end: logDelay(0)},
+	{name: "lost-replies", begin: loseReplies(true), end: loseReplies(false)},
 	{name: "partition", begin: partition, end: heal},
 	{name: "pause", begin: pause, end: resume},
-	{name: "straggler", begin: upstreamFault(upstream.Faults{Slow: stragglerFactor}), end: upstreamFault(upstream.Faults{})},
+	{name: "straggler", begin: slow(stragglerFactor), end: slow(0)},
 	{name: "burst", plan: planBurst},
-	{name: "black-hole", begin: upstreamFault(upstream.Faults{FailAll: true}), end: upstreamFault(upstream.Faults{})},
+	{name: "black-hole", begin: failAll(true), end: failAll(false)},
 	{name: "never-runnable", plan: planNeverRunnable, begin: routeSpecialTasks},
 	{name: "cancel-wave", plan: planCancel},
+	{name: "wrong-sizes", plan: planMislabelled, begin: misdeclare, end: declareTruly},
 	{name: "rolling-restart", begin: rollingRestart},
 }
 
@@ -86,7 +88,7 @@
 			}
 		}
 		if len(found) == n {
-			return nil, errors.Errorf("unknown fault %q", name)
+			return nil, errors.Errorf("unknown fault %q; the faults are %s", name, strings.Join(FaultNames(), ", "))
 		}
 	}
 	return found, nil
@@ -130,31 +132,47 @@
 	return r.awaitInForce(ctx, change, err)
 }
 
-func logFault(f logservice.Faults) func(context.Context, *runner) error {
+// step is the begin or the end of a fault.
+type step = func(ctx context.Context, r *runner) error
+
+func logFault(edit func(f *logservice.Faults)) step {
 	return func(_ context.Context, r *runner) error {
-		r.cluster.Log.SetFaults(f)
+		r.cluster.Log.EditFaults(edit)
 		return nil
 	}
 }
 
-func upstreamFault(f upstream.Faults) func(context.Context, *runner) error {
+func outage(down bool) step {
+	return logFault(func(f *logservice.Faults) { f.Outage = down })
+}
+
+func logDelay(d time.Duration) step {
+	return logFault(func(f *logservice.Faults) { f.Delay = d })
+}
+
+// upstreamFault changes the faults of the victim's upstream.
+func upstreamFault(edit func(f *upstream.Faults)) step {
 	return func(_ context.Context, r *runner) error {
-		r.victim().Upstream.SetFaults(f)
+		r.victim().Upstream.EditFaults(edit)
 		return nil
 	}
 }
 
-// loseReplies loses the replies of the log service and of one upstream.
-func loseReplies(_ context.Context, r *runner) error {
-	r.cluster.Log.SetFaults(logservice.Faults{LoseReplies: true})
-	r.victim().Upstream.SetFaults(upstream.Faults{DropAnswers: true})
-	return nil
+func slow(factor float64) step {
+	return upstreamFault(func(f *upstream.Faults) { f.Slow = factor })
 }
 
-func keepReplies(_ context.Context, r *runner) error {
-	r.cluster.Log.SetFaults(logservice.Faults{})
-	r.victim().Upstream.SetFaults(upstream.Faults{})
-	return nil
+func failAll(fail bool) step {
+	return upstreamFault(func(f *upstream.Faults) { f.FailAll = fail })
+}
+
+// loseReplies loses the replies of the log service and of one upstream.
+func loseReplies(lose bool) step {
+	return func(_ context.Context, r *runner) error {
+		r.cluster.Log.EditFaults(func(f *logservice.Faults) { f.LoseReplies = lose })
+		r.victim().Upstream.EditFaults(func(f *upstream.Faults) { f.DropAnswers = lose })
+		return nil
+	}
 }
 
 func partition(_ context.Context, r *runner) error {
@@ -193,10 +211,16 @@
 // routeSpecialTasks sends special tasks to upstreams that do not exist.
 func routeSpecialTasks(ctx context.Context, r *runner) error {
 	special := label.Selector{{Key: specialLabel, Operator: label.Exists}}
-	change, err := r.cluster.SetRoutes(ctx, config.Routes{Routes: []config.Route{
-		{Name: "special", Tasks: special, Upstreams: special},
-		{Name: "rest"},
-	}})
+	return r.addRoutes(ctx, config.Route{Name: "special", Tasks: special, Upstreams: special})
+}
+
+// addRoutes publishes routes beside those of other faults, and one for the rest.
+func (r *runner) addRoutes(ctx context.Context, routes ...config.Route) error {
+	r.routing.Lock()
+	defer r.routing.Unlock()
+	r.routes = append(r.routes, routes...)
+	all := append(slices.Clone(r.routes), config.Route{Name: "rest"})
+	change, err := r.cluster.SetRoutes(ctx, config.Routes{Routes: all})
 	return r.awaitInForce(ctx, change, err)
 }
 
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -1,8 +1,10 @@
 package experiment
 
 import (
+	"slices"
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/loadgen"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/standin/upstream"
@@ -24,6 +26,32 @@
 	P999  float64   `json:"response_over_ideal_p999"`
 }
 
+// Refusals are the times until jobs were refused.
+type Refusals struct {
+	Jobs       int     `json:"jobs"`
+	P50Seconds float64 `json:"p50_seconds"`
+	MaxSeconds float64 `json:"max_seconds"`
+}
+
+// refusals returns the times until the answers of one kind, or nil without any.
+func refusals(load *loadgen.Result, kind errkind.Kind) *Refusals {
+	var times []time.Duration
+	for i := range load.Outcomes {
+		if o := &load.Outcomes[i]; o.Kind == kind {
+			times = append(times, o.Response)
+		}
+	}
+	if len(times) == 0 {
+		return nil
+	}
+	slices.Sort(times)
+	return &Refusals{
+		Jobs:       len(times),
+		P50Seconds: times[len(times)/2].Seconds(),
+		MaxSeconds: times[len(times)-1].Seconds(),
+	}
+}
+
 // Report is the outcome of a run.
 type Report struct {
 	Scenario        string   `json:"scenario"`
@@ -43,6 +71,9 @@
 	OutcomeUnknown int                    `json:"outcome_unknown"`
 	Failures       []loadgen.FailureCount `json:"failures"`
 	Resubmissions  int                    `json:"resubmissions"`
+	// NoMatch is about the jobs that no upstream matched. It is absent when there
+	// were none.
+	NoMatch *Refusals `json:"no_match,omitempty"`
 
 	P50     float64  `json:"response_over_ideal_p50"`
 	P99     float64  `json:"response_over_ideal_p99"`
@@ -87,6 +118,7 @@
 		Complete: c.Complete, Failed: c.Failed, Unanswered: c.Unanswered,
 		NotRun: c.NotRun, OutcomeUnknown: c.OutcomeUnknown,
 		Failures: m.load.Failures(), Resubmissions: c.Resubmissions,
+		NoMatch: refusals(&m.load, errkind.NoUpstreamMatches),
 
 		MessagesPerTask:          ratio(float64(m.observed.work()), float64(ledger.Starts)),
 		WastedMessagesPerTask:    ratio(float64(m.observed.wasted()), float64(ledger.Starts)),
--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -110,10 +110,13 @@
 }
 
 // SetFaults replaces the faults. An outage also ends the reads that wait.
-func (s *Service) SetFaults(f Faults) {
+func (s *Service) SetFaults(f Faults) { s.EditFaults(func(faults *Faults) { *faults = f }) }
+
+// EditFaults changes the faults in place, so that several may hold together.
+func (s *Service) EditFaults(edit func(f *Faults)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.faults = f
+	edit(&s.faults)
 	s.tokens, s.refilled = 1, time.Now()
 	for _, st := range s.streams {
 		st.wake()
--- a/internal/standin/upstream/announce.go
+++ b/internal/standin/upstream/announce.go
@@ -96,10 +96,14 @@
 }
 
 func (u *Upstream) announceOnce(ctx context.Context) error {
+	slots := u.cfg.Slots
+	if declared := u.currentFaults().Declares; declared > 0 {
+		slots = declared
+	}
 	body, err := json.Marshal(Announcement{
 		Name:        u.cfg.Name,
 		Addr:        u.Addr(),
-		Slots:       u.cfg.Slots,
+		Slots:       slots,
 		Connections: u.cfg.Connections,
 		Labels:      u.cfg.Labels,
 		TTLMillis:   u.cfg.TTL.Milliseconds(),
--- a/internal/standin/upstream/task.go
+++ b/internal/standin/upstream/task.go
@@ -78,7 +78,7 @@
 	if faults.Slow > 0 {
 		d = time.Duration(float64(d) * faults.Slow)
 	}
-	if !sleep(u.ctx, d) || u.currentFaults().DropAnswers {
+	if !u.serve(func() bool { return sleep(u.ctx, d) }) || u.currentFaults().DropAnswers {
 		panic(http.ErrAbortHandler)
 	}
 	if u.cfg.Ledger != nil {
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -65,6 +65,11 @@
 	FailAll bool
 	// DropAnswers runs tasks and cuts the connection in place of the answer.
 	DropAnswers bool
+	// Declares is announced in place of Config.Slots. Zero is no change.
+	Declares int
+	// Serves is the number of tasks that run at a time; further ones that were
+	// taken wait. Zero is no limit.
+	Serves int
 	// Refuse answers 503 without starting the task.
 	Refuse bool
 }
@@ -87,8 +92,11 @@
 
 	mu     sync.Mutex
 	faults Faults
-	server *http.Server
-	addr   string
+	// serving holds an element for each task that runs, up to Faults.Serves. It
+	// is nil without that limit.
+	serving chan struct{}
+	server  *http.Server
+	addr    string
 	// announcing is nil when nothing is announced.
 	announcing *announcing
 }
@@ -153,10 +161,22 @@
 }
 
 // SetFaults replaces the faults.
-func (u *Upstream) SetFaults(f Faults) {
+func (u *Upstream) SetFaults(f Faults) { u.EditFaults(func(faults *Faults) { *faults = f }) }
+
+// EditFaults changes the faults in place, so that several may hold together. A
+// change of the declared slots is told by the next announcement.
+func (u *Upstream) EditFaults(edit func(f *Faults)) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.faults = f
+	serves := u.faults.Serves
+	edit(&u.faults)
+	if u.faults.Serves == serves {
+		return
+	}
+	u.serving = nil
+	if u.faults.Serves > 0 {
+		u.serving = make(chan struct{}, u.faults.Serves)
+	}
 }
 
 func (u *Upstream) currentFaults() Faults {
@@ -165,6 +185,24 @@
 	return u.faults
 }
 
+// serve runs f once the upstream serves fewer tasks than Faults.Serves. It
+// reports false when the upstream was closed first or f does.
+func (u *Upstream) serve(f func() bool) bool {
+	u.mu.Lock()
+	serving := u.serving
+	u.mu.Unlock()
+	if serving == nil {
+		return f()
+	}
+	select {
+	case serving <- struct{}{}:
+		defer func() { <-serving }()
+		return f()
+	case <-u.ctx.Done():
+		return false
+	}
+}
+
 // Run serves and announces until ctx ends, then withdraws and waits for the
 // tasks in flight.
 func Run(ctx context.Context, cfg Config) error {
