home, agent: a job that can never run is refused at once

Cause: the policy runnable.Patience was not used; every job without a matching upstream waited 2 s or a quarter of its timeout, and a job whose only upstream restarted was refused after that wait even when the upstream came back.

Change: the home follows the version of the fleet and asks Patience. The agent remembers which upstreams have left in the last 10 s, so that a job waits up to 5 s for one that restarts. The executor counts the changes of its upstreams, so that changed labels and a lapsed announcement reach the home, too; before, only a change of the number of slots and a withdrawal did.

Golden only_upstream_restarts is new, the others are unchanged. Shown to fail: without the memory of departures (golden), without the note of changes, without the reserve of the timeout, with refusals one step late (TestNoMatchWait).

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -96,6 +96,7 @@
 	members    memberState
 	drain      drainState
 	handedOver handedOver
+	departed   departed
 	// version counts the changes that may alter where tasks may run.
 	version uint64
 	// heard is the highest offset that another process has stated.
@@ -159,7 +160,6 @@
 		c.announced(e)
 	case UpstreamWithdrawn:
 		c.exec.Withdraw(now, e.Name, &c.execOut)
-		c.version++
 	case TaskEnded:
 		c.exec.TaskEnded(now, e.Handle, e.State, e.Body, e.Detail, &c.execOut)
 	case LogRead:
@@ -167,6 +167,7 @@
 	case Drain:
 		c.beginDrain()
 	}
+	c.followUpstreams()
 	c.tick()
 	c.settle()
 	c.setTimer()
@@ -279,13 +280,9 @@
 
 // announced takes an upstream's announcement.
 func (c *Core) announced(e UpstreamAnnounced) {
-	before := c.exec.Load().Slots
 	c.exec.Announce(c.now, executor.Announcement{
 		Name: e.Name, Slots: e.Slots, Connections: e.Connections, Labels: e.Labels, TTL: e.TTL,
 	}, &c.execOut)
-	if c.exec.Load().Slots != before {
-		c.version++
-	}
 	c.home.ObserveLoad(c.now, c.cfg.Self, c.exec.Load())
 	c.home.Place(c.now, &c.homeOut)
 }
--- a/core/agent/gate.go
+++ b/core/agent/gate.go
@@ -63,7 +63,7 @@
 }
 
 // Version implements home.Eligibility.
-func (g gate) Version() uint64 { return g.c.version }
+func (g gate) Version() uint64 { return g.c.version + g.c.exec.UpstreamsVersion() }
 
 // Eligible implements home.Eligibility.
 func (g gate) Eligible(ref node.Ref, j *job.Job, t *job.Task) bool {
@@ -83,6 +83,16 @@
 	return routing.AllowsAny(cfg, rule, p.member, p.upstreams)
 }
 
+// LastEligible implements home.Eligibility.
+func (g gate) LastEligible(j *job.Job, t *job.Task) (time.Duration, bool) {
+	c := g.c
+	rule, ok := c.state.Config().Match(j.Team, j.Class, t.Labels)
+	if !ok {
+		return 0, false
+	}
+	return c.departed.last(c.state.Config(), rule)
+}
+
 // InService implements home.Eligibility.
 func (g gate) InService(ref node.Ref) bool {
 	c := g.c
--- a/core/executor/upstream.go
+++ b/core/executor/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -38,7 +39,11 @@
 }
 
 // upstreams is the list of upstreams in order of name.
-type upstreams struct{ list []*upstream }
+type upstreams struct {
+	list []*upstream
+	// version counts the changes of what the upstreams may run.
+	version uint64
+}
 
 // slots returns the number of slots of all upstreams that take work.
 func (us *upstreams) slots() int {
@@ -68,8 +73,12 @@
 		us.list = append(us.list, u)
 		slices.SortFunc(us.list, func(x, y *upstream) int { return cmp.Compare(x.name, y.name) })
 	}
+	slots := min(a.Slots, a.Connections)
+	if !ok || u.withdrawn || u.slots != slots || !maps.Equal(u.labels, a.Labels) {
+		us.version++
+	}
 	u.labels = a.Labels
-	u.slots = min(a.Slots, a.Connections)
+	u.slots = slots
 	u.expires = now + a.TTL
 	u.withdrawn = false
 }
@@ -78,8 +87,8 @@
 // withdrawn ones that run nothing.
 func (us *upstreams) lapse(now time.Duration) {
 	for _, u := range us.list {
-		if u.expires <= now {
-			u.withdrawn = true
+		if u.expires <= now && !u.withdrawn {
+			us.withdraw(u)
 		}
 	}
 	us.list = slices.DeleteFunc(us.list, func(u *upstream) bool {
@@ -87,6 +96,12 @@
 	})
 }
 
+// withdraw takes u out of use.
+func (us *upstreams) withdraw(u *upstream) {
+	u.withdrawn = true
+	us.version++
+}
+
 // Announce adds or renews an upstream.
 func (c *Core) Announce(now clock.Now, a Announcement, out *Output) {
 	c.out = out
@@ -98,7 +113,7 @@
 // have nowhere else to go are refused.
 func (c *Core) Withdraw(now clock.Now, name string, out *Output) {
 	if u, ok := c.upstreams.find(name); ok {
-		u.withdrawn = true
+		c.upstreams.withdraw(u)
 		u.expires = now.Mono
 	}
 	c.upstreams.lapse(now.Mono)
@@ -116,6 +131,9 @@
 	return list
 }
 
+// UpstreamsVersion changes whenever Upstreams does.
+func (c *Core) UpstreamsVersion() uint64 { return c.upstreams.version }
+
 // NextExpiry returns the earliest time at which an announcement lapses.
 func (c *Core) NextExpiry() (time.Duration, bool) {
 	var next time.Duration
--- a/core/home/admission.go
+++ b/core/home/admission.go
@@ -129,7 +129,6 @@
 	r.detail = ""
 	r.retryAfter = 0
 	r.settling = false
-	r.matchTimer = false
 	r.groups = nil
 	r.final = nil
 	r.tasks = make([]task, len(j.Tasks))
--- a/core/home/attempt_test.go
+++ b/core/home/attempt_test.go
@@ -23,11 +23,16 @@
 type testSite struct {
 	matches bool
 	version uint64
+	// leftAt is when an upstream that matches left, or zero.
+	leftAt time.Duration
 }
 
-func (s *testSite) Version() uint64                              { return s.version }
-func (s *testSite) InService(node.Ref) bool                      { return true }
-func (s *testSite) Eligible(node.Ref, *job.Job, *job.Task) bool  { return s.matches }
+func (s *testSite) Version() uint64                             { return s.version }
+func (s *testSite) InService(node.Ref) bool                     { return true }
+func (s *testSite) Eligible(node.Ref, *job.Job, *job.Task) bool { return s.matches }
+func (s *testSite) LastEligible(*job.Job, *job.Task) (time.Duration, bool) {
+	return s.leftAt, s.leftAt > 0
+}
 func (s *testSite) Admit(clock.Now, job.ID, int64) (a Admission) { return a }
 
 // set changes whether the executor matches.
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -14,6 +14,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/placement"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/quarantine"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/retry"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/runnable"
 	"github.com/dogwoodgauge/dogwoodgauge/core/timerqueue"
 )
 
@@ -42,6 +43,9 @@
 	// Eligible reports whether some upstream of ref may run a task of this
 	// job with these labels.
 	Eligible(ref node.Ref, j *job.Job, t *job.Task) bool
+	// LastEligible returns the monotonic time until which an upstream that has
+	// left lately may have run such a task, and whether there was one.
+	LastEligible(j *job.Job, t *job.Task) (at time.Duration, ok bool)
 	// InService reports whether the configuration lets ref take any work.
 	InService(ref node.Ref) bool
 }
@@ -92,6 +96,10 @@
 	out     *Output
 	// linksVersion changes with the list of executors.
 	linksVersion uint64
+	// patience decides about tasks that no upstream matches. It has seen the
+	// fleet at fleetVersion.
+	patience     *runnable.Patience
+	fleetVersion uint64
 	// serviceVersion is the version at which the links' inService was set.
 	serviceVersion uint64
 	faults         *quarantine.Detector
@@ -257,6 +265,7 @@
 func (c *Core) begin(now clock.Now, out *Output) {
 	c.now = now
 	c.out = out
+	c.followFleet()
 }
 
 func (c *Core) reply(to node.Ref, m message.Message) {
--- a/core/home/place.go
+++ b/core/home/place.go
@@ -55,7 +55,7 @@
 		return false
 	}
 	if len(g.links) == 0 {
-		c.noMatch(t)
+		c.noMatch(t, g)
 		return false
 	}
 	if t.exhausted {
@@ -88,6 +88,11 @@
 	labels  label.Set
 	version uint64
 	links   []*link
+	// unmatched is true while links is empty, since unmatchedAt. The next look
+	// is due at lookAt.
+	unmatched   bool
+	unmatchedAt time.Duration
+	lookAt      time.Duration
 }
 
 // group returns the group of t with its executors up to date.
@@ -95,7 +100,7 @@
 	r := t.record
 	labels := r.job.Tasks[t.index].Labels
 	g := r.group(labels)
-	version := c.cfg.Eligibility.Version() + c.linksVersion
+	version := c.eligibleVersion()
 	if g.version == version {
 		return g
 	}
@@ -105,6 +110,7 @@
 	for _, l := range c.order {
 		if !l.dead && c.cfg.Eligibility.Eligible(l.ref, r.job, &r.job.Tasks[t.index]) {
 			g.links = append(g.links, l)
+			g.unmatched = false
 		}
 	}
 	return g
--- a/core/home/record.go
+++ b/core/home/record.go
@@ -76,8 +76,6 @@
 	retryAfter time.Duration
 	settling   bool
 	inWaitlist bool
-	// matchTimer is true once the wait for a matching upstream has begun.
-	matchTimer bool
 	groups     []*group
 	final      *job.Answer
 	// bytes is the size of the results held.
--- a/core/home/waitlist.go
+++ b/core/home/waitlist.go
@@ -86,7 +86,7 @@
 		service = max(service, l.load.Service)
 	}
 	if slots == 0 {
-		return noMatchWait
+		return noMatchRetry
 	}
 	return service * time.Duration(1+c.waiting.tasks/slots)
 }
--- a/core/sessions/golden_test.go
+++ b/core/sessions/golden_test.go
@@ -196,6 +196,21 @@
 		c.submit(c.e2, c.newJob(ownedBy("b1", "a1", "a2", "a3")+"-c", 1), nil)
 		c.run(time.Second)
 	}},
+	{"only_upstream_restarts", func(c *cluster) {
+		c.withdraw(c.agents[0])
+		c.withdraw(c.agents[1])
+		c.run(15 * time.Second)
+		c.withdraw(c.agents[2])
+		c.run(6 * time.Second)
+		c.submit(c.e1, c.newJob(c.mintFor(c.agents[0]), 1), nil)
+		c.run(time.Second)
+		c.agents[2].silent = false
+		c.run(4 * time.Second)
+		c.withdraw(c.agents[2])
+		c.run(15 * time.Second)
+		c.submit(c.e1, c.newJob(c.mintFor(c.agents[0]), 1), nil)
+		c.run(time.Second)
+	}},
 	{"rolling_restart_own_ids", func(c *cluster) {
 		for i, p := range c.agents {
 			c.drain(p)
--- a/core/sessions/world_test.go
+++ b/core/sessions/world_test.go
@@ -51,7 +51,9 @@
 	drift   float64       // of the monotonic clock
 	timer   uint64
 	drained bool
-	slots   int
+	// silent is true while the upstream is away.
+	silent bool
+	slots  int
 }
 
 // world joins processes in virtual time.
@@ -146,13 +148,23 @@
 	if !p.alive || p.drained {
 		return
 	}
+	w.at(announceTTL/3, func() { w.announce(p) })
+	if p.silent {
+		return
+	}
 	w.deliver(p, func() {
 		w.step(p, agent.UpstreamAnnounced{
 			Name: "up-" + string(p.ref.ID), Slots: p.slots, Connections: 64,
 			Labels: map[string]string{"kind": "records"}, TTL: announceTTL,
 		})
 	})
-	w.at(announceTTL/3, func() { w.announce(p) })
+}
+
+// withdraw takes the upstream of p away until silent is false again.
+func (w *world) withdraw(p *process) {
+	p.silent = true
+	w.step(p, agent.UpstreamWithdrawn{Name: "up-" + string(p.ref.ID)})
+	w.trace("the upstream of %s leaves", p.ref.ID)
 }
 
 // deliver runs f for p, or holds it while p is paused.
