transport: end idle connections in order; less memory for peers without one

Cause: queries to random peers left a connection to every agent open, 25 KB of heap and stacks at each end, and each known peer had a goroutine of 3.7 KB whether it had a connection or not. Found on the way: a third connection to a peer cut the oldest off, and a message under way on it was lost.

Change: a connection idle for 3 s (30 s after the last message that is no status) is ended by an exchange of byes, by the side that can open it again; so is one above two a peer. A link has a goroutine only while it has work. Agents collect garbage at 50% growth of the heap unless GOGC is set.

--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -58,6 +58,8 @@
 	oldest  int64
 	replies map[uint64]func(entry.Reply)
 	starts  int
+	// sent, when set, sees every message.
+	sent    func(from, to node.Ref)
 	logDown bool
 	// service is the time that a task takes.
 	service time.Duration
@@ -199,6 +201,9 @@
 		panic(err)
 	}
 	m.sent.add(len(data) + frameBytes)
+	if f.sent != nil {
+		f.sent(m.ref, to)
+	}
 	receiver := f.byRef[to]
 	f.at(linkDelay, func() {
 		receiver.got.add(len(data) + frameBytes)
--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -14,6 +15,11 @@
 	"github.com/dogwoodgauge/dogwoodgauge/internal/settings"
 )
 
+// agentGCPercent is the growth of an agent's heap, in percent, at which garbage
+// is collected, unless the environment variable GOGC is set. The agent shares its
+// host with upstreams, so that memory is dearer than processor time.
+const agentGCPercent = 50
+
 // daemon is a process that finishes its work when the context of Run ends, and
 // stops at once when it is killed.
 type daemon interface {
@@ -46,6 +52,9 @@
 		if err != nil {
 			return withCode(CodeUsage, err)
 		}
+		if os.Getenv("GOGC") == "" {
+			debug.SetGCPercent(agentGCPercent)
+		}
 		d, err := agentd.New(agentd.Config{Settings: s})
 		if err != nil {
 			return err
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -19,6 +20,8 @@
 type hello struct {
 	Version int      `json:"version"`
 	Node    node.Ref `json:"node"`
+	// Bye says that the sender knows the notification "bye".
+	Bye bool `json:"bye,omitempty"`
 }
 
 var (
@@ -40,8 +43,15 @@
 	// peer is written once by the reading goroutine before helloDone is closed.
 	peer      node.Ref
 	helloDone chan struct{}
-	// link is guarded by t.mu.
+	// link is written once, before helloDone is closed. It is nil when the
+	// transport was closed before.
 	link *link
+
+	mu       sync.Mutex
+	parting  parting
+	lastUsed time.Time
+	// lastWork is when a message passed last that was no status, or zero.
+	lastWork time.Time
 }
 
 // open says hello on nc and starts to read. It takes over nc.
@@ -49,7 +59,7 @@
 	c := &conn{t: t, remote: nc.RemoteAddr().String(), helloDone: make(chan struct{})}
 	c.stream = newStream(nc, t.cfg.MaxFrameBytes, &t.counters.bytesIn, &t.counters.bytesOut)
 	c.stream.onDeliver = c.onDeliver
-	if err := c.stream.notify(helloPrefix, hello{Version: message.Version, Node: t.cfg.Self}); err != nil {
+	if err := c.stream.notify(helloPrefix, hello{Version: message.Version, Node: t.cfg.Self, Bye: true}); err != nil {
 		_ = nc.Close()
 		return nil, err
 	}
@@ -83,6 +93,9 @@
 
 // readFailed ends the connection after a read error.
 func (c *conn) readFailed(err error) {
+	if err == io.EOF {
+		c.onEOF()
+	}
 	if !isConnectionError(err) {
 		c.t.counters.badFrames.Add(1)
 		klog.Warningf("transport: closing the connection from %s: %v", c.remote, err)
@@ -121,6 +134,14 @@
 			return errors.Wrap(errBadFrame, err.Error())
 		}
 		return c.onDeliver(env)
+	case methodBye:
+		if !c.saidHello() {
+			return errNoHello
+		}
+		if c.onBye() {
+			c.close()
+		}
+		return nil
 	default:
 		return errors.Wrapf(errMethod, "%.32q", req.Method)
 	}
@@ -153,6 +174,10 @@
 	}
 	c.stream.maxRead.Store(int64(c.t.cfg.MaxFrameBytes))
 	c.peer = h.Node
+	c.mu.Lock()
+	c.parting.offered = h.Bye
+	c.lastUsed = time.Now()
+	c.mu.Unlock()
 	c.t.attach(c)
 	close(c.helloDone)
 	return nil
@@ -175,6 +200,7 @@
 	c.t.counters.envelopesIn.Add(1)
 	c.t.counters.messagesIn.Add(uint64(len(env.Messages)))
 	c.t.counters.received.add(env.Messages)
+	c.used(env.Messages)
 	c.t.cfg.Handler.Deliver(*env)
 	return nil
 }
@@ -194,6 +220,7 @@
 		c.t.counters.envelopesOut.Add(1)
 		c.t.counters.messagesOut.Add(uint64(len(batch)))
 		c.t.counters.sent.add(batch)
+		c.used(batch)
 		return
 	}
 	c.t.counters.droppedOther.Add(uint64(len(batch)))
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -34,14 +34,16 @@
 }
 
 // link holds the queue and the connections to one run of a process. One
-// goroutine sends its messages.
+// goroutine sends its messages; it ends while there is nothing to wait for.
 type link struct {
 	t   *Transport
 	ref node.Ref
 	// wake has room for one signal: the state has changed.
 	wake chan struct{}
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// running is true while the sending goroutine runs.
+	running    bool
 	queue      []queued
 	queueBytes int
 	conns      []*conn
@@ -56,7 +58,18 @@
 	return &link{t: t, ref: ref, wake: make(chan struct{}, 1)}
 }
 
+// signal says that the state has changed.
 func (l *link) signal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.signalLocked()
+}
+
+func (l *link) signalLocked() {
+	if !l.running {
+		l.running = true
+		go l.run(l.t.ctx)
+	}
 	select {
 	case l.wake <- struct{}{}:
 	default:
@@ -74,15 +87,18 @@
 	}
 	l.queue = append(l.queue, queued{msg: m, bytes: size, at: now, due: now.Add(delay)})
 	l.queueBytes += size
+	l.signalLocked()
 	l.mu.Unlock()
-	l.signal()
 	return true
 }
 
-// step is what the sending goroutine does next. When conn is nil and dial is
-// empty it waits, without limit when wait is negative.
+// step is what the sending goroutine does next. When nothing else is set it
+// waits.
 type step struct {
-	done  bool
+	// done says that there is nothing to wait for.
+	done bool
+	// bye is a connection that the link no longer uses.
+	bye   *conn
 	conn  *conn
 	batch []message.Message
 	dial  string
@@ -95,6 +111,8 @@
 		switch {
 		case s.done:
 			return
+		case s.bye != nil:
+			s.bye.sayBye()
 		case s.conn != nil:
 			s.conn.send(s.batch)
 		case s.dial != "":
@@ -109,17 +127,13 @@
 // sleep waits for a signal, for d, or for the end of ctx, which it reports as
 // false.
 func (l *link) sleep(ctx context.Context, d time.Duration) bool {
-	var expired <-chan time.Time
-	if d > 0 {
-		timer := time.NewTimer(d)
-		defer timer.Stop()
-		expired = timer.C
-	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
 	case <-l.wake:
-	case <-expired:
+	case <-timer.C:
 	}
 	return true
 }
@@ -129,13 +143,27 @@
 func (l *link) next(now time.Time) step {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	s := l.nextLocked(now)
+	if s.wait == waitForever {
+		s.done = true
+	}
+	l.running = !s.done
+	return s
+}
+
+func (l *link) nextLocked(now time.Time) step {
 	l.dropStale(now)
-	switch {
-	case l.removed:
+	if l.removed {
 		l.dropAll()
 		return step{done: true}
+	}
+	c, idleIn := l.leastUsed(now)
+	switch {
+	case c != nil:
+		l.removeLocked(c)
+		return step{bye: c}
 	case len(l.queue) == 0:
-		return step{wait: waitForever}
+		return step{wait: idleIn}
 	case l.queue[0].due.After(now):
 		return step{wait: l.queue[0].due.Sub(now)}
 	case len(l.conns) > 0:
@@ -152,6 +180,40 @@
 	}
 }
 
+// leastUsed returns a connection to end: the oldest one above the limit, one whose
+// peer has said bye, or one that is idle and can be opened again. Otherwise it returns the time to the next one
+// that may be idle.
+func (l *link) leastUsed(now time.Time) (*conn, time.Duration) {
+	var wait time.Duration = waitForever
+	if len(l.conns) > maxConnsPerLink {
+		return l.conns[0], 0
+	}
+	if len(l.queue) > 0 && len(l.conns) < 2 {
+		return nil, wait
+	}
+	for _, c := range l.conns {
+		if c.heardBye() {
+			return c, 0
+		}
+		at, ok := c.idleAt()
+		switch {
+		case !ok || l.addr == "":
+		case !at.After(now):
+			return c, 0
+		case wait < 0 || at.Sub(now) < wait:
+			wait = at.Sub(now)
+		}
+	}
+	return nil, wait
+}
+
+// removeLocked takes a connection out of use.
+func (l *link) removeLocked(c *conn) {
+	if i := slices.Index(l.conns, c); i >= 0 {
+		l.conns = slices.Delete(slices.Clone(l.conns), i, i+1)
+	}
+}
+
 // take removes the messages that are due, up to the size of one envelope.
 func (l *link) take(now time.Time) []message.Message {
 	limit := min(maxBatchBytes, l.t.cfg.MaxFrameBytes/2)
@@ -206,8 +268,10 @@
 		l.addr = addr
 		l.backoff, l.nextDial = 0, time.Time{}
 	}
+	if len(l.queue)+len(l.conns) > 0 {
+		l.signalLocked()
+	}
 	l.mu.Unlock()
-	l.signal()
 }
 
 // dialed records the outcome of a connection attempt.
@@ -232,16 +296,17 @@
 	return first
 }
 
-// attach adds a live connection. It returns the oldest one when there are more
-// than the limit, for the caller to close.
+// attach adds a live connection. When there are more than the limit the oldest
+// one is ended with a bye; it is returned for the caller to close when its peer
+// does not know that.
 func (l *link) attach(c *conn) (excess *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns = append(l.conns, c)
-	if len(l.conns) > maxConnsPerLink {
+	if _, ok := l.conns[0].idleAt(); len(l.conns) > maxConnsPerLink && !ok {
 		excess = l.conns[0]
 	}
-	l.signal()
+	l.signalLocked()
 	return excess
 }
 
@@ -249,9 +314,7 @@
 func (l *link) detach(c *conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if i := slices.Index(l.conns, c); i >= 0 {
-		l.conns = slices.Delete(slices.Clone(l.conns), i, i+1)
-	}
+	l.removeLocked(c)
 	return len(l.conns) == 0
 }
 
@@ -263,6 +326,6 @@
 		return false
 	}
 	l.removed = true
-	l.signal()
+	l.signalLocked()
 	return true
 }
--- a/internal/transport/stats.go
+++ b/internal/transport/stats.go
@@ -24,6 +24,8 @@
 	Misaddressed uint64 `json:"misaddressed"`
 	// BadFrames counts connections closed because of what they sent.
 	BadFrames uint64 `json:"bad_frames"`
+	// Connections is the number of open connections.
+	Connections int `json:"connections"`
 	// Kinds counts messages by kind.
 	Kinds []KindCount `json:"kinds"`
 }
@@ -46,7 +48,11 @@
 // Stats returns the counters.
 func (t *Transport) Stats() Stats {
 	c := &t.counters
+	t.mu.Lock()
+	open := len(t.conns)
+	t.mu.Unlock()
 	return Stats{
+		Connections:      open,
 		EnvelopesIn:      c.envelopesIn.Load(),
 		EnvelopesOut:     c.envelopesOut.Load(),
 		MessagesIn:       c.messagesIn.Load(),
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -20,6 +20,7 @@
 const (
 	methodHello   = "hello"
 	methodDeliver = "deliver"
+	methodBye     = "bye"
 )
 
 const (
@@ -42,6 +43,7 @@
 var (
 	helloPrefix   = []byte(`{"jsonrpc":"2.0","method":"` + methodHello + `","params":`)
 	deliverPrefix = []byte(`{"jsonrpc":"2.0","method":"` + methodDeliver + `","params":`)
+	byePrefix     = []byte(`{"jsonrpc":"2.0","method":"` + methodBye + `","params":`)
 	notifySuffix  = []byte(`}`)
 )
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -5,7 +5,10 @@
 // protocol version and the sender's node.Ref. Each "deliver" after it carries
 // one message.Envelope. Frames have a varint length prefix.
 //
-// Connections are opened on demand and kept. Any live connection between two
+// Connections are opened on demand. The side that knows the other's address ends
+// one that has been idle: IdleTime after the last message, and WorkIdleTime after
+// the last one that was no status. Nothing is lost by that and nothing reported;
+// see parting. Any live connection between two
 // runs carries messages both ways, so that a process answers peers whose address
 // it does not know. The messages that gather while a write is in progress leave
 // in one envelope. Messages may be lost; they are never delivered to another run
@@ -35,6 +38,13 @@
 	DefaultMaxFrameBytes = 32 << 20
 	DefaultQueueBytes    = 32 << 20
 	DefaultDialTimeout   = time.Second
+	// DefaultIdleTime is longer than the pause between the status queries to a
+	// watched peer.
+	DefaultIdleTime = 3 * time.Second
+	// DefaultWorkIdleTime is longer than the longest pause after which a request
+	// without word is repeated, so that a connection stays open, and tells of its
+	// peer's end, while an answer is awaited.
+	DefaultWorkIdleTime = 30 * time.Second
 )
 
 // maxConns bounds the connections that are accepted at the same time.
@@ -82,6 +92,9 @@
 	QueueBytes int
 	// DialTimeout bounds a connection attempt and the wait for a hello.
 	DialTimeout time.Duration
+	// IdleTime and WorkIdleTime are the times after which an idle connection is
+	// ended; see the package comment.
+	IdleTime, WorkIdleTime time.Duration
 }
 
 // Transport exchanges envelopes with other processes. All methods are safe for
@@ -133,6 +146,12 @@
 	if cfg.DialTimeout == 0 {
 		cfg.DialTimeout = DefaultDialTimeout
 	}
+	if cfg.IdleTime == 0 {
+		cfg.IdleTime = DefaultIdleTime
+	}
+	if cfg.WorkIdleTime == 0 {
+		cfg.WorkIdleTime = DefaultWorkIdleTime
+	}
 }
 
 // Addr returns the bound IP:port.
@@ -167,7 +186,6 @@
 	}
 	l := newLink(t, ref)
 	t.links[ref] = l
-	go l.run(t.ctx)
 	return l
 }
 
@@ -284,9 +302,10 @@
 	}
 }
 
-// forget removes a connection from its link. It reports whether that was the
-// last connection with the peer while the transport is open.
+// forget removes a connection from its link. It reports whether messages may be
+// lost that no other connection carries, while the transport is open.
 func (t *Transport) forget(c *conn) bool {
+	parting, orderly := c.ended()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if _, ok := t.conns[c]; !ok {
@@ -294,10 +313,10 @@
 	}
 	delete(t.conns, c)
 	last := c.link.detach(c)
-	if c.link.removeIfIdle() {
+	if t.links[c.peer] == c.link && c.link.removeIfIdle() {
 		delete(t.links, c.peer)
 	}
-	return last && !t.closed
+	return (last || parting) && !orderly && !t.closed
 }
 
 // Close closes the socket and all connections. What is queued is dropped.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,8 @@
 type recorder struct {
 	envs chan message.Envelope
 	dead chan node.Ref
+	// resets counts PeerReset.
+	resets atomic.Int64
 }
 
 func newRecorder() *recorder {
@@ -25,7 +28,7 @@
 }
 
 func (r *recorder) Deliver(env message.Envelope) { r.envs <- env }
-func (r *recorder) PeerReset(node.Ref)           {}
+func (r *recorder) PeerReset(node.Ref)           { r.resets.Add(1) }
 func (r *recorder) PeerDead(ref node.Ref)        { r.dead <- ref }
 
 func (r *recorder) next(t *testing.T) message.Envelope {
