--- a/script_test.go
+++ b/script_test.go
@@ -168,21 +168,26 @@
 }
 
 // signal STOP|CONT ARG pauses the background programs that have the argument, or
-// lets them go on.
+// lets them go on. What is paused goes on when the script ends, as it could not
+// be stopped otherwise.
 func signal(ts *testscript.TestScript, _ bool, args []string) {
 	signals := map[string]syscall.Signal{"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
-	signalAll(ts, args[1], signals[args[0]])
+	for _, cmd := range signalAll(ts, args[1], signals[args[0]]) {
+		ts.Defer(func() { _ = cmd.Process.Signal(syscall.SIGCONT) })
+	}
 }
 
-func signalAll(ts *testscript.TestScript, arg string, sig os.Signal) {
-	found := false
+// signalAll returns the background programs that have the argument.
+func signalAll(ts *testscript.TestScript, arg string, sig os.Signal) []*exec.Cmd {
+	var found []*exec.Cmd
 	for _, cmd := range ts.BackgroundCmds() {
 		if slices.Contains(cmd.Args, arg) {
-			found = true
+			found = append(found, cmd)
 			ts.Check(cmd.Process.Signal(sig))
 		}
 	}
-	if !found {
+	if len(found) == 0 {
 		ts.Fatalf("no background program has the argument %s", arg)
 	}
+	return found
 }
