entry: a submission whose home is silent is refused at once

Cause: in a partition and a pause a submission whose home was out of reach waited for it until its deadline, while another entry could have reached the home. A job that waited at a stopped home came to it before its lease did and failed. Change: after a second without any word from the home, the entry answers unavailable and sends nothing; an entry that half of the agents or more leave without word refuses jobs without an ID and requests for IDs. The golden session of a stopped home gets unavailable at the moment of the resumption and the former answer a second later; both are in it now. Checks: TestSilentHomeIsRefusedAtOnce fails without the refusal, and without the check for half of the agents.

--- a/core/entry/agents.go
+++ b/core/entry/agents.go
@@ -49,10 +49,11 @@
 	// sent is the number of tasks sent there that load does not cover.
 	sent int
 	dead bool
-	// silence tells whether the agent answers; suspect is what the last round
-	// made of it.
+	// silence tells whether the agent answers. The last round made it suspect, and
+	// perhaps mute: silent for so long that requests for it are refused.
 	silence silence.Watch
 	suspect bool
+	mute    bool
 	// round is the last round in which it was queried.
 	round uint64
 	// leftAt is when the agent left the membership, or zero.
@@ -131,7 +132,7 @@
 		return
 	}
 	a.silence.Heard()
-	a.suspect = false
+	a.suspect, a.mute = false, false
 	a.offset = max(a.offset, e.Offset)
 	if e.Load == nil {
 		return
--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -89,6 +89,10 @@
 		c.replyKind(k, errkind.OverQuota, "the team is over its quota", retryAfter)
 		return
 	}
+	if c.cutOff {
+		c.replyKind(k, errkind.NotRun, "most agents do not answer this entry", silentRetry)
+		return
+	}
 	a := c.chooseHome(k.job)
 	if a == nil {
 		c.replyKind(k, errkind.NotRun, "no agent is known that takes work", unknownAgentsRetry)
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -57,6 +57,8 @@
 	lastMinted uint64
 	mintTurn   int
 	gossip     gossip
+	// cutOff is true while half of the agents or more have long been silent.
+	cutOff     bool
 	inspection inspection
 	// version counts the changes of configuration and membership.
 	version uint64
@@ -193,6 +195,10 @@
 // mint answers a request for IDs. Homes are taken in turn among the agents
 // that take work.
 func (c *Core) mint(e MintCall) {
+	if c.cutOff {
+		c.actions = append(c.actions, MintReply{Call: e.Call, Kind: errkind.Unavailable})
+		return
+	}
 	ids := make([]job.ID, 0, e.Count)
 	for range e.Count {
 		a := c.nextHome()
--- a/core/entry/route.go
+++ b/core/entry/route.go
@@ -17,7 +17,7 @@
 			c.homeLost(k)
 			return
 		}
-		c.begin(k, m.Home)
+		c.reach(k)
 		return
 	}
 	home, ok := c.homeOf(k)
@@ -26,7 +26,14 @@
 		c.homeLost(k)
 		return
 	}
-	c.begin(k, home.Ref)
+	c.reach(k)
+}
+
+// reach sends the call to its home unless that does not answer.
+func (c *Core) reach(k *call) {
+	if !c.refuseSilent(k) {
+		c.begin(k, k.home)
+	}
 }
 
 // homeOf finds the home of an ID of the caller's own: by the agents in force
--- a/core/sessions/golden_test.go
+++ b/core/sessions/golden_test.go
@@ -125,6 +125,8 @@
 		c.run(4 * time.Second)
 		c.resume(c.agents[0])
 		c.submit(c.e2, j, nil)
+		c.run(time.Second)
+		c.submit(c.e2, j, nil)
 		c.run(2 * time.Second)
 	}},
 	{"crossed_answers", func(c *cluster) {
--- a/core/sessions/silence_test.go
+++ b/core/sessions/silence_test.go
@@ -1,10 +1,13 @@
 package sessions
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
+	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 )
 
 // TestSilentAgentGetsNoNewWork stops one agent of five without notice. Once it is
@@ -32,3 +35,36 @@
 	c.run(time.Second)
 	c.mintFor(silent)
 }
+
+// TestSilentHomeIsRefusedAtOnce checks that a job whose home is silent is refused
+// while there is time, and runs once under the same ID and attempt afterwards;
+// and that an entry that hears less than half of the agents gives no new IDs.
+func TestSilentHomeIsRefusedAtOnce(t *testing.T) {
+	c := newCluster(1, steady, 5, 2)
+	j := c.newJob(c.mintFor(c.agents[0]), 1)
+	var kinds []errkind.Kind
+	submit := func(j job.Job) {
+		c.submit(c.e1, j, func(r entry.Reply) { kinds = append(kinds, r.Answer.Kind) })
+		c.run(500 * time.Millisecond)
+	}
+	c.pause(c.agents[0])
+	c.run(2 * time.Second)
+	submit(j)
+	c.pause(c.agents[1])
+	c.pause(c.agents[2])
+	c.run(2 * time.Second)
+	submit(c.newJob("", 1))
+	if ids := c.mint(c.e1, 1); len(ids) > 0 {
+		t.Errorf("%v was minted while most agents are silent", ids)
+	}
+	for _, p := range c.agents[:3] {
+		c.resume(p)
+	}
+	c.run(time.Second)
+	submit(j)
+	submit(c.newJob("", 1))
+	want := []errkind.Kind{errkind.Unavailable, errkind.NotRun, errkind.None, errkind.None}
+	if !slices.Equal(kinds, want) {
+		t.Errorf("answers %q, want %q", kinds, want)
+	}
+}
