entry: a handover of records needs a signature

Cause: whoever reached the metrics address of an entry could post records to /v1/published, and the entry applied them and spread them without a look at the log: a forged one took effect, and the true record of its offset never did.

Without the key an entry takes none and operators' commands send none; the log is enough then, but for one that fails at once. Refusals are counted. New error kind forbidden. The command also reports a refusal now; it took any answer for success.

Conclusion: a forged handover does nothing. Messages on transport ports are still believed; the design note says so.

--- a/core/errkind/errkind.go
+++ b/core/errkind/errkind.go
@@ -21,6 +21,7 @@
 	NotFound          Kind = "not_found"
 	Conflict          Kind = "conflict"
 	Unavailable       Kind = "unavailable"
+	Forbidden         Kind = "forbidden"
 )
 
 // Row is the answer that belongs to one kind.
@@ -53,6 +54,7 @@
 	{NotFound, 404, false, false, "no record of this job is held; this does not say whether it ran"},
 	{Conflict, 409, false, false, "the job ID is in use with different contents, or the change was made from an older revision"},
 	{Unavailable, 503, false, true, "the request could not be served now; it changed nothing"},
+	{Forbidden, 403, true, false, "the request is not permitted; it changed nothing"},
 }
 
 // Table returns a copy of the table in documentation order.
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -14,6 +14,7 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/control"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/entryd"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/handover"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/logclient"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/publish"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/settings"
@@ -34,6 +35,8 @@
 	logAddr string
 	stream  string
 	entries []string
+	// keyFile holds the key of handovers. It may be empty.
+	keyFile string
 	author  string
 	timeout time.Duration
 	lease   time.Duration
@@ -57,6 +60,8 @@
 	o := logFlags(cmd, std)
 	cmd.Flag("entry", "HTTP IP:port of an entry that tells what is in force; may be repeated.").
 		Default("127.0.0.1:8080").Envar("DOGWOODGAUGE_ENTRY").StringsVar(&o.entries)
+	cmd.Flag("key-file", "File with the key that changes are handed over to entries with; without it they read the log only.").
+		Envar("DOGWOODGAUGE_KEY_FILE").StringVar(&o.keyFile)
 	cmd.Flag("author", "Name of the operator.").Default(os.Getenv("USER")).StringVar(&o.author)
 	cmd.Flag("lease", "Freshness lease of the agents.").
 		Default(settings.DefaultAgent().Timing.Lease.String()).DurationVar(&o.lease)
@@ -156,19 +161,33 @@
 	return nil
 }
 
-// handOver gives the accepted record to the entries, which pass it on.
+// handOver gives the accepted record to the entries, which pass it on. It needs
+// the key.
 func (o *operator) handOver(ctx context.Context, p publish.Publication) {
+	if o.keyFile == "" {
+		return
+	}
 	body, err := json.Marshal(entryd.Published{From: p.From, Records: p.Records})
 	if err != nil {
 		return
 	}
+	key, err := handover.ReadKey(o.keyFile)
+	if err != nil {
+		fmt.Fprintln(o.std.Err, "the change is not handed over to the entries:", err)
+		return
+	}
+	header := http.Header{handover.Header: {key.Sign(o.stream, body)}}
 	for _, addr := range o.entries {
 		s, err := entryStatus(ctx, addr)
 		if err != nil {
 			continue
 		}
 		operator := &client{addr: s.OperatorAddr}
-		if _, err := operator.call(ctx, http.MethodPost, entryd.PublishedPath, nil, body); err != nil {
+		a, err := operator.call(ctx, http.MethodPost, entryd.PublishedPath, header, body)
+		if err == nil && a.status != http.StatusNoContent {
+			err = a.refusal()
+		}
+		if err != nil {
 			fmt.Fprintf(o.std.Err, "entry %s did not take the change over: %v\n", addr, err)
 		}
 	}
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/follow"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/handover"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/httpapi"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/httpserver"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/lifecycle"
@@ -66,6 +67,11 @@
 
 // New opens the sockets of an entry. Run must be called next, or Kill.
 func New(cfg Config) (*Daemon, error) {
+	if path := string(cfg.Settings.Access.KeyFile); path != "" {
+		if _, err := handover.ReadKey(path); err != nil {
+			return nil, err
+		}
+	}
 	tracer, err := telemetry.NewTracer(cfg.Settings.Trace, settings.RoleEntry, cfg.Settings.Node.ID)
 	if err != nil {
 		return nil, err
--- a/internal/entryd/published.go
+++ b/internal/entryd/published.go
@@ -8,7 +8,9 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
+	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/handover"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/httpserver"
 )
 
@@ -37,6 +39,11 @@
 	if err != nil {
 		return err
 	}
+	if err := d.permit(body, c.Request().Header.Get(handover.Header)); err != nil {
+		d.metrics.HandoversRefused().Inc()
+		d.logs.Info("refused a handover of records", "from", c.RealIP(), "reason", err)
+		return err
+	}
 	var p Published
 	if err := httpserver.Decode(body, &p); err != nil {
 		return err
@@ -48,6 +55,23 @@
 	return c.NoContent(http.StatusNoContent)
 }
 
+// permit checks that a handover was signed with the key. The key is read each
+// time, so that it can be replaced while the entry runs.
+func (d *Daemon) permit(body []byte, signature string) error {
+	path := string(d.cfg.Settings.Access.KeyFile)
+	if path == "" {
+		return &httpserver.Error{Kind: errkind.Forbidden, Detail: "this entry takes no handovers: its settings name no key_file"}
+	}
+	key, err := handover.ReadKey(path)
+	if err != nil {
+		return &httpserver.Error{Kind: errkind.Forbidden, Detail: "this entry takes no handovers: its key can't be read"}
+	}
+	if !key.Check(d.cfg.Settings.Log.Stream, body, signature) {
+		return &httpserver.Error{Kind: errkind.Forbidden, Detail: "the signature does not match the records"}
+	}
+	return nil
+}
+
 // Reached says that a run has read the control stream up to Next.
 type Reached struct {
 	Ref node.Ref `json:"ref"`
--- a/internal/entryd/service_test.go
+++ b/internal/entryd/service_test.go
@@ -41,13 +41,16 @@
 }
 
 // startEntry runs an entry whose log service does not exist.
-func startEntry(t *testing.T) *Daemon {
+func startEntry(t testing.TB, change ...func(*settings.Entry)) *Daemon {
 	t.Helper()
 	anyPort := netip.MustParseAddrPort("127.0.0.1:0")
 	s := settings.DefaultEntry()
 	s.Node = settings.Node{Role: settings.RoleEntry, ID: "entry-a", Domain: "d"}
 	s.Listen = settings.EntryListen{HTTP: anyPort, Transport: anyPort, Metrics: anyPort}
 	s.Log.Address = netip.MustParseAddrPort("127.0.0.1:1")
+	for _, f := range change {
+		f(&s)
+	}
 	d, err := New(Config{Settings: s, Options: process.Options{PanicOnViolation: true}})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -31,6 +31,7 @@
 	Listen EntryListen `ini:"listen"`
 	Log    Log         `ini:"log"`
 	Peers  Peers       `ini:"peers"`
+	Access Access      `ini:"access"`
 	Limits EntryLimits `ini:"limits"`
 	Timing Timing      `ini:"timing"`
 	Policy Policy      `ini:"policy"`
@@ -98,6 +99,13 @@
 	Seeds []netip.AddrPort `ini:"seeds"`
 }
 
+// Access says who may hand over accepted changes.
+type Access struct {
+	// KeyFile holds the key that operators sign handovers with. Without it none
+	// is taken.
+	KeyFile Path `ini:"key_file"`
+}
+
 // EntryLimits bounds what callers may send.
 type EntryLimits struct {
 	// Body is the largest request body.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -85,6 +85,11 @@
 	return m.counter(FramesRejectedTotal, "reason", reason)
 }
 
+// HandoversRefused counts handovers of records without a valid signature.
+func (m *Metrics) HandoversRefused() *metrics.Counter {
+	return m.set.GetOrCreateCounter(HandoversRefusedTotal)
+}
+
 // LogRequests counts requests to the log service; operation is "read" or
 // "append", result is "ok" or "error".
 func (m *Metrics) LogRequests(operation, result string) *metrics.Counter {
