agentd: the OTLP exporter is tested against a stand-in collector

Cause: the exporter otlp had never been run. Change: the test of one job's span tree runs with both exporters; for otlp a collector on loopback decodes what arrives with the library's own types, and checks path, content type and that entry and agent both name themselves.

The exporter passed at once; nothing had to be mended. Checks that were seen to fail: without WithInsecure, and with the parent's context handed on in place of the span's. Not seen to fail: without the flush at the stop, because an agent's stop lasts longer than the interval of the batches.

--- a/internal/agentd/trace_test.go
+++ b/internal/agentd/trace_test.go
@@ -93,11 +93,35 @@
 }
 
 func TestSpansOfOneJob(t *testing.T) {
-	dir := t.TempDir()
+	t.Run("file", func(t *testing.T) {
+		dir := t.TempDir()
+		runTracedJob(t, func(file string) settings.Trace {
+			return settings.Trace{Exporter: settings.ExporterFile, File: settings.Path(filepath.Join(dir, file))}
+		})
+		checkSpanTree(t, readSpans(t, filepath.Join(dir, "entry"), filepath.Join(dir, "agent")))
+	})
+	t.Run("otlp", func(t *testing.T) {
+		c, addr := startCollector(t)
+		runTracedJob(t, func(string) settings.Trace {
+			return settings.Trace{Exporter: settings.ExporterOTLP, Endpoint: addr}
+		})
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if len(c.faults) > 0 || len(c.senders) != 2 || !c.senders["entry-a"] || !c.senders["agent-a"] {
+			t.Errorf("senders %v, faults %v", c.senders, c.faults)
+		}
+		checkSpanTree(t, c.spans)
+	})
+}
+
+// The caller's trace context.
+const traceID, callerSpan = "0af7651916cd43dd8448eb211c80319c", "b7ad6b7169203331"
+
+// runTracedJob sends a job of two tasks through an entry and an agent and stops
+// both. Trace returns the settings of either.
+func runTracedJob(t *testing.T, trace func(file string) settings.Trace) {
+	t.Helper()
 	logAddr := startLog(t)
-	trace := func(file string) settings.Trace {
-		return settings.Trace{Exporter: settings.ExporterFile, File: settings.Path(filepath.Join(dir, file))}
-	}
 
 	as := settings.DefaultAgent()
 	as.Node = settings.Node{Role: settings.RoleAgent, ID: node.ID("agent-a"), Domain: "d"}
@@ -131,7 +155,6 @@
 	defer up.Close()
 	awaitReady(t, entry)
 
-	const traceID, callerSpan = "0af7651916cd43dd8448eb211c80319c", "b7ad6b7169203331"
 	req, err := http.NewRequest("POST", "http://"+entry.HTTPAddr()+"/v1/jobs", strings.NewReader(`{"team":"t","tasks":[{},{}]}`))
 	if err != nil {
 		t.Fatal(err)
@@ -147,8 +170,12 @@
 	}
 	stopEntry()
 	stopAgent()
+}
 
-	spans := readSpans(t, filepath.Join(dir, "entry"), filepath.Join(dir, "agent"))
+// checkSpanTree checks the spans of runTracedJob, by name: one of the entry under
+// the caller's, and each further hop under the one before.
+func checkSpanTree(t *testing.T, spans map[string][]span) {
+	t.Helper()
 	parents := map[string]bool{callerSpan: true}
 	hops := []struct {
 		name  string
