settings: readiness_delay of an entry, in place of a flag

Change: the key readiness_delay in the section timing (2s as before; 0s takes none), checked against grace and max_timeout. The flag is gone: one place for one value. Scripts and tests set the key; what they check is unchanged.

Checks: TestContradictions has three cases of it; the one on grace was seen to fail without the check.

--- a/internal/agentd/trace_test.go
+++ b/internal/agentd/trace_test.go
@@ -138,6 +138,7 @@
 	es := settings.DefaultEntry()
 	es.Node = settings.Node{Role: settings.RoleEntry, ID: node.ID("entry-a"), Domain: "d"}
 	es.Listen = settings.EntryListen{HTTP: anyPort, Transport: anyPort, Metrics: anyPort}
+	es.Timing.ReadinessDelay = 0
 	es.Log.Address = logAddr
 	es.Trace = trace("entry")
 	entry, err := entryd.New(entryd.Config{Settings: es, Options: process.Options{PanicOnViolation: true}})
--- a/internal/cluster/process.go
+++ b/internal/cluster/process.go
@@ -105,6 +105,7 @@
 	s := settings.DefaultEntry()
 	s.Node = settings.Node{Role: settings.RoleEntry, ID: e.ID, Domain: e.Domain}
 	s.Listen = settings.EntryListen{HTTP: loopback, Transport: loopback, Metrics: loopback}
+	s.Timing.ReadinessDelay = settings.Delay(c.cfg.ReadinessDelay)
 	if c.cfg.Grace > 0 {
 		s.Timing.Grace = c.cfg.Grace
 	}
@@ -117,9 +118,8 @@
 func (e *Entry) Start() error {
 	c := e.cluster
 	d, err := entryd.New(entryd.Config{
-		Settings:       e.settings,
-		Options:        c.options(e.ID),
-		ReadinessDelay: c.cfg.ReadinessDelay,
+		Settings: e.settings,
+		Options:  c.options(e.ID),
 	})
 	if err != nil {
 		return err
--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -30,14 +30,12 @@
 func addEntry(app *kingpin.Application) {
 	cmd := app.Command("entry", "Run an entry. Example: dogwoodgauge entry --settings entry.ini")
 	path := settingsFlag(cmd)
-	delay := cmd.Flag("readiness-delay", "How long calls are taken after SIGTERM, while the readiness check fails.").
-		Default(entryd.DefaultReadinessDelay.String()).Duration()
 	cmd.Action(action(func() error {
 		s, err := settings.LoadEntry(*path)
 		if err != nil {
 			return withCode(CodeUsage, err)
 		}
-		d, err := entryd.New(entryd.Config{Settings: s, ReadinessDelay: *delay})
+		d, err := entryd.New(entryd.Config{Settings: s})
 		if err != nil {
 			return err
 		}
--- a/internal/entryd/config.go
+++ b/internal/entryd/config.go
@@ -5,8 +5,6 @@
 package entryd
 
 import (
-	"time"
-
 	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/httpapi"
@@ -14,17 +12,10 @@
 	"github.com/dogwoodgauge/dogwoodgauge/internal/settings"
 )
 
-// DefaultReadinessDelay is how long a leaving entry goes on taking calls after
-// its readiness check fails, so that the balancer notices first.
-const DefaultReadinessDelay = 2 * time.Second
-
 // Config holds the settings of a Daemon.
 type Config struct {
 	Settings settings.Entry
 	process.Options
-	// ReadinessDelay is how long a leaving entry goes on taking calls. Zero
-	// takes none after readiness fails.
-	ReadinessDelay time.Duration
 }
 
 func (cfg *Config) core(self node.Ref, addr string) entry.Config {
--- a/internal/entryd/leave.go
+++ b/internal/entryd/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/lifecycle"
@@ -20,7 +21,7 @@
 	d.logs.Info("leaving", "calls", d.calls.count())
 	grace, cancel := context.WithTimeout(context.Background(), d.cfg.Settings.Timing.Grace)
 	defer cancel()
-	if !lifecycle.Wait(d.cfg.ReadinessDelay, d.killed.Given()) {
+	if !lifecycle.Wait(time.Duration(d.cfg.Settings.Timing.ReadinessDelay), d.killed.Given()) {
 		return ErrKilled
 	}
 	err := d.finish(grace)
--- a/internal/entryd/service_test.go
+++ b/internal/entryd/service_test.go
@@ -47,6 +47,7 @@
 	s := settings.DefaultEntry()
 	s.Node = settings.Node{Role: settings.RoleEntry, ID: "entry-a", Domain: "d"}
 	s.Listen = settings.EntryListen{HTTP: anyPort, Transport: anyPort, Metrics: anyPort}
+	s.Timing.ReadinessDelay = 0
 	s.Log.Address = netip.MustParseAddrPort("127.0.0.1:1")
 	for _, f := range change {
 		f(&s)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -25,7 +25,8 @@
 
 func (c checker) entry(e *Entry) {
 	c.role(e.Node, RoleEntry)
-	c.timing(&e.Timing)
+	c.timing(&e.Timing.Timing)
+	c.readinessDelay(&e.Timing)
 	c.log(&e.Log)
 	c.peers(&e.Peers)
 	c.trace(&e.Trace)
@@ -63,6 +64,12 @@
 	c.require(t.OutageLimit == noLimit || limit >= t.Lease, "timing", "outage_limit", "outage_limit %v is shorter than lease %v", limit, t.Lease)
 }
 
+// readinessDelay checks that the calls taken last have their whole time left.
+func (c checker) readinessDelay(t *EntryTiming) {
+	delay := time.Duration(t.ReadinessDelay)
+	c.require(t.Grace < t.MaxTimeout || t.Grace >= delay+t.MaxTimeout, "timing", "readiness_delay", "readiness_delay %v and max_timeout %v together are longer than grace %v", delay, t.MaxTimeout, t.Grace)
+}
+
 func (c checker) records(a *Agent) {
 	shortest := a.Timing.MaxTimeout + a.Timing.ClockBound
 	c.require(a.Records.Retention >= shortest, "records", "retention", "retention %v is shorter than max_timeout and clock_bound together, %v", a.Records.Retention, shortest)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -227,6 +227,9 @@
 		{"outage limit shorter than the lease", validAgent + "[timing]\noutage_limit = 2s", "13: outage_limit 2s is shorter than lease 2.5s"},
 		{"outage limit that is no duration", validAgent + "[timing]\noutage_limit = never", "13: outage_limit = never: want none or a positive duration with its unit such as 30s, 10m or 2h"},
 		{"outage limit of an entry", validEntry + "[timing]\noutage_limit = 1h", "12: unknown key outage_limit in section timing"},
+		{"readiness delay without time for the last calls", validEntry + "[timing]\nreadiness_delay = 15.5s", "12: readiness_delay 15.5s and max_timeout 1m0s together are longer than grace 1m15s"},
+		{"negative readiness delay", validEntry + "[timing]\nreadiness_delay = -1s", "12: readiness_delay = -1s: want a duration that is not negative with its unit such as 0s, 500ms or 2s"},
+		{"readiness delay of an agent", validAgent + "[timing]\nreadiness_delay = 1s", "13: unknown key readiness_delay in section timing"},
 		{"section twice", validAgent + "[log]\n", "12: the section log is given twice"},
 	}
 	for _, tt := range tests {
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -19,6 +19,9 @@
 // Size is a number of bytes, written as 512, 64KiB, 32MiB or 1GiB.
 type Size int64
 
+// Delay is a duration that may be 0s.
+type Delay time.Duration
+
 // OutageLimit is a duration, or noLimit, written as none.
 type OutageLimit time.Duration
 
@@ -33,7 +36,7 @@
 	Peers  Peers       `ini:"peers"`
 	Access Access      `ini:"access"`
 	Limits EntryLimits `ini:"limits"`
-	Timing Timing      `ini:"timing"`
+	Timing EntryTiming `ini:"timing"`
 	Policy Policy      `ini:"policy"`
 	Trace  Trace       `ini:"trace"`
 }
@@ -127,6 +130,14 @@
 	Grace time.Duration `ini:"grace" default:"75s"`
 }
 
+// EntryTiming holds the durations of an entry.
+type EntryTiming struct {
+	Timing
+	// ReadinessDelay is how long calls are taken after SIGTERM while the readiness
+	// check fails, so that the balancer notices first. It is part of Grace.
+	ReadinessDelay Delay `ini:"readiness_delay" default:"2s"`
+}
+
 // AgentTiming holds the durations of an agent.
 type AgentTiming struct {
 	Timing
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -70,6 +70,8 @@
 		*p, err = parseFraction(text)
 	case *time.Duration:
 		*p, err = parseDuration(text)
+	case *Delay:
+		*p, err = parseDelay(text)
 	case *OutageLimit:
 		*p, err = parseOutageLimit(text)
 	case *Size:
@@ -130,6 +132,14 @@
 	return d, nil
 }
 
+func parseDelay(text string) (Delay, error) {
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 {
+		return 0, errors.New("want a duration that is not negative with its unit such as 0s, 500ms or 2s")
+	}
+	return Delay(d), nil
+}
+
 func parseOutageLimit(text string) (OutageLimit, error) {
 	if text == "none" {
 		return noLimit, nil
