home: a job whose home is not sure of its range may come again

Cause: a home without a valid lease answered a new job with an ID of the caller's own outcome_unknown, which is final, although the lease comes back with the next read of the log. Change: unavailable with Retry-After; no record is made, so it changed nothing. Check: TestHomeWithoutLeaseAsksToComeBack fails without the change in the gate.

--- a/core/agent/gate.go
+++ b/core/agent/gate.go
@@ -48,7 +48,7 @@
 	switch v.Kind {
 	case ownership.Own:
 		if c.heard > c.state.Next() || !c.lease.Valid(now.Mono) {
-			return home.Admission{Detail: "this process cannot tell whether it is still the home of the ID"}
+			return home.Admission{Later: true, Detail: "this process cannot tell whether it is still the home of the ID"}
 		}
 		return home.Admission{Granted: true}
 	case ownership.Elsewhere:
--- a/core/home/admission.go
+++ b/core/home/admission.go
@@ -1,11 +1,16 @@
 package home
 
 import (
+	"time"
+
 	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 )
 
+// laterRetry is the pause told to a caller whose job may be admitted soon.
+const laterRetry = 250 * time.Millisecond
+
 // mayCreate reports whether a job without a record may be given one. When not,
 // it answers the subscriber.
 func (c *Core) mayCreate(j *job.Job, sub subscriber) bool {
@@ -28,6 +33,8 @@
 		c.reply(sub.entry, message.Message{NotHome: &message.NotHome{
 			Request: sub.request, Home: a.Home, Detail: a.Detail,
 		}})
+	case a.Later:
+		c.answerAlone(j, sub, job.Answer{Kind: errkind.Unavailable, Detail: a.Detail, RetryAfter: laterRetry})
 	default:
 		c.answerUnknown(j, sub, a.Detail)
 	}
@@ -40,7 +47,12 @@
 }
 
 func (c *Core) answerUnknown(j *job.Job, sub subscriber, detail string) {
-	a := job.Answer{ID: j.ID, Attempt: j.Attempt, Kind: errkind.OutcomeUnknown, Detail: detail}
+	c.answerAlone(j, sub, job.Answer{Kind: errkind.OutcomeUnknown, Detail: detail})
+}
+
+// answerAlone answers one request for a job that gets no record.
+func (c *Core) answerAlone(j *job.Job, sub subscriber, a job.Answer) {
+	a.ID, a.Attempt = j.ID, j.Attempt
 	c.reply(sub.entry, message.Message{Answer: &message.Answer{Request: sub.request, Answer: a}})
 }
 
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -32,6 +32,8 @@
 	Home node.Ref
 	// Former is true when a former home may hold the job.
 	Former bool
+	// Later is true when the decision may be another soon.
+	Later bool
 	// Detail says why it is not granted.
 	Detail string
 }
--- a/core/sessions/silence_test.go
+++ b/core/sessions/silence_test.go
@@ -68,3 +68,25 @@
 		t.Errorf("answers %q, want %q", kinds, want)
 	}
 }
+
+// TestHomeWithoutLeaseAsksToComeBack checks that a job that reaches its home
+// before the home has evidence again that it still is one is not failed for good.
+func TestHomeWithoutLeaseAsksToComeBack(t *testing.T) {
+	c := newCluster(1, steady, 3, 2)
+	j := c.newJob(ownedBy("a1", "a2", "a3"), 1)
+	j.Timeout = 20 * time.Second
+	var kinds []errkind.Kind
+	submit := func() {
+		c.submit(c.e1, j, func(r entry.Reply) { kinds = append(kinds, r.Answer.Kind) })
+	}
+	c.pause(c.agents[0])
+	submit()
+	c.run(5 * time.Second)
+	c.resume(c.agents[0])
+	c.run(time.Second)
+	submit()
+	c.run(time.Second)
+	if want := []errkind.Kind{errkind.Unavailable, errkind.None}; !slices.Equal(kinds, want) {
+		t.Errorf("answers %q, want %q", kinds, want)
+	}
+}
