--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -26,8 +26,6 @@
 	ErrKilled = errors.New("the agent was killed")
 	// ErrCut says that the grace time ended with tasks or jobs in flight.
 	ErrCut = errors.New("the grace time ended with work in flight")
-
-	errStopped = errors.New("the agent has stopped")
 )
 
 // Daemon is one agent. Its methods are safe for concurrent use.
--- a/internal/agentd/status.go
+++ b/internal/agentd/status.go
@@ -24,16 +24,8 @@
 
 // Snapshot returns the state of the agent.
 func (d *Daemon) Snapshot(ctx context.Context) (Status, error) {
-	snapshot := make(chan agent.Status, 1)
-	go d.loop.Call(func() { snapshot <- d.core.Status() })
-	select {
-	case s := <-snapshot:
-		return Status{Status: s, Draining: d.draining.Load(), Transport: d.transport.Stats()}, nil
-	case <-ctx.Done():
-		return Status{}, ctx.Err()
-	case <-d.loop.Done():
-		return Status{}, errStopped
-	}
+	s, err := process.Snapshot(ctx, d.loop, d.core.Status)
+	return Status{Status: s, Draining: d.draining.Load(), Transport: d.transport.Stats()}, err
 }
 
 func (d *Daemon) status(c echo.Context) error {
@@ -47,16 +39,14 @@
 // Ready returns nil when the agent may start tasks, or the reason why not.
 func (d *Daemon) Ready() error {
 	if d.draining.Load() {
-		return errors.New("the agent is leaving")
+		return process.ErrLeaving
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), process.ProbeTime)
-	defer cancel()
-	s, err := d.Snapshot(ctx)
+	s, err := process.Probe(d.Snapshot)
 	switch {
 	case err != nil:
-		return errors.Wrap(err, "the core does not answer")
+		return err
 	case !s.Synced || !d.stream.Informed():
-		return errors.New("the configuration has not been read yet")
+		return process.ErrNoConfiguration
 	case s.LeaseLeft <= 0:
 		return errors.New("the lease on the configuration has lapsed")
 	default:
@@ -66,12 +56,7 @@
 
 // WriteMetrics writes the metrics in the Prometheus text format.
 func (d *Daemon) WriteMetrics(w io.Writer) {
-	ctx, cancel := context.WithTimeout(context.Background(), process.ProbeTime)
-	defer cancel()
-	if s, err := d.Snapshot(ctx); err == nil {
-		d.collect(s)
-	}
-	d.metrics.Write(w)
+	process.WriteMetrics(w, d.metrics, d.Snapshot, d.collect)
 }
 
 // registerGauges adds the gauges, which are read at every scrape.
@@ -102,12 +87,5 @@
 // collect copies a snapshot into the metrics.
 func (d *Daemon) collect(s Status) {
 	d.scraped.Store(&s)
-	for name, count := range s.Violations {
-		d.metrics.InvariantViolations(string(name)).Set(count)
-	}
-	d.metrics.Messages("sent").Set(s.Transport.MessagesOut)
-	d.metrics.Messages("received").Set(s.Transport.MessagesIn)
-	d.metrics.MessageBytes("sent").Set(s.Transport.BytesOut)
-	d.metrics.MessageBytes("received").Set(s.Transport.BytesIn)
-	d.metrics.FramesRejected("bad").Set(s.Transport.BadFrames)
+	process.CollectCounts(d.metrics, s.Violations, s.Transport)
 }
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -31,8 +31,6 @@
 	ErrKilled = errors.New("the entry was killed")
 	// ErrCut says that the grace time ended before every call was answered.
 	ErrCut = errors.New("the grace time ended with calls in flight")
-
-	errStopped = errors.New("the entry has stopped")
 )
 
 // Daemon is one entry. Its methods are safe for concurrent use.
--- a/internal/entryd/service.go
+++ b/internal/entryd/service.go
@@ -6,6 +6,7 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/process"
 )
 
 // result is the core's answer to one call.
@@ -97,7 +98,7 @@
 	call, answer := d.calls.begin()
 	defer d.calls.forget(call)
 	if !d.loop.Post(event(call)) {
-		return result{}, errStopped
+		return result{}, process.ErrStopped
 	}
 	select {
 	case r := <-answer:
@@ -106,8 +107,8 @@
 		d.loop.Post(entry.CallerGone{Call: call})
 		return result{}, ctx.Err()
 	case <-d.killed.Given():
-		return result{}, errStopped
+		return result{}, process.ErrStopped
 	case <-d.loop.Done():
-		return result{}, errStopped
+		return result{}, process.ErrStopped
 	}
 }
--- a/internal/entryd/service_test.go
+++ b/internal/entryd/service_test.go
@@ -102,7 +102,7 @@
 		t.Errorf("caller gone: error %v", err)
 	}
 	d.Kill()
-	if _, err := d.call(context.Background(), func(uint64) entry.Event { return entry.Tick{} }); !errors.Is(err, errStopped) {
+	if _, err := d.call(context.Background(), func(uint64) entry.Event { return entry.Tick{} }); !errors.Is(err, process.ErrStopped) {
 		t.Errorf("entry killed: error %v", err)
 	}
 	select {
--- a/internal/entryd/status.go
+++ b/internal/entryd/status.go
@@ -36,21 +36,13 @@
 
 // Snapshot returns the state of the entry.
 func (d *Daemon) Snapshot(ctx context.Context) (Status, error) {
-	snapshot := make(chan Status, 1)
-	go d.loop.Call(func() {
-		snapshot <- Status{Status: d.core.Status(), Reached: d.reached.list()}
+	s, err := process.Snapshot(ctx, d.loop, func() Status {
+		return Status{Status: d.core.Status(), Reached: d.reached.list()}
 	})
-	select {
-	case s := <-snapshot:
-		s.Draining = d.draining.Load()
-		s.OperatorAddr = d.MetricsAddr()
-		s.Transport = d.transport.Stats()
-		return s, nil
-	case <-ctx.Done():
-		return Status{}, ctx.Err()
-	case <-d.loop.Done():
-		return Status{}, errStopped
-	}
+	s.Draining = d.draining.Load()
+	s.OperatorAddr = d.MetricsAddr()
+	s.Transport = d.transport.Stats()
+	return s, err
 }
 
 // Draining implements httpapi.Service.
@@ -60,16 +52,14 @@
 // configuration, knows an agent that is alive, and is not leaving.
 func (d *Daemon) Ready() error {
 	if d.draining.Load() {
-		return errors.New("the entry is leaving")
+		return process.ErrLeaving
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), process.ProbeTime)
-	defer cancel()
-	s, err := d.Snapshot(ctx)
+	s, err := process.Probe(d.Snapshot)
 	switch {
 	case err != nil:
-		return errors.Wrap(err, "the core does not answer")
+		return err
 	case !s.Synced || !d.stream.Informed():
-		return errors.New("the configuration has not been read yet")
+		return process.ErrNoConfiguration
 	}
 	for _, a := range s.Agents {
 		if !a.Dead && a.Load.Slots > 0 && !a.Load.Draining {
@@ -81,12 +71,7 @@
 
 // WriteMetrics implements httpapi.Service.
 func (d *Daemon) WriteMetrics(w io.Writer) {
-	ctx, cancel := context.WithTimeout(context.Background(), process.ProbeTime)
-	defer cancel()
-	if s, err := d.Snapshot(ctx); err == nil {
-		d.collect(s)
-	}
-	d.metrics.Write(w)
+	process.WriteMetrics(w, d.metrics, d.Snapshot, d.collect)
 }
 
 // registerGauges adds the gauges, which are read at every scrape.
@@ -105,12 +90,5 @@
 // collect copies a snapshot into the metrics.
 func (d *Daemon) collect(s Status) {
 	d.members.Store(int64(len(s.Agents)))
-	for name, count := range s.Violations {
-		d.metrics.InvariantViolations(string(name)).Set(count)
-	}
-	d.metrics.Messages("sent").Set(s.Transport.MessagesOut)
-	d.metrics.Messages("received").Set(s.Transport.MessagesIn)
-	d.metrics.MessageBytes("sent").Set(s.Transport.BytesOut)
-	d.metrics.MessageBytes("received").Set(s.Transport.BytesIn)
-	d.metrics.FramesRejected("bad").Set(s.Transport.BadFrames)
+	process.CollectCounts(d.metrics, s.Violations, s.Transport)
 }
