entry, capacity: a handed-over change is known to be in force at once

Cause: nobody had measured how long a change takes until it is in force with more than eleven agents.

Change: the entry asks the agents that have not stated the handed-over offset at once, and once a round for 3 s. cluster.Config.Neighbours bounds who reaches whom for a fleet whose connections exceed the open files of one process.

Mutations: the hand-over of a known record ignored, no question at once, and none in the rounds after fail TestHandOverTellsHowFarAllAre.

--- a/core/entry/agents.go
+++ b/core/entry/agents.go
@@ -23,6 +23,9 @@
 	queryFanOut = 12
 	// joinRetry is the pause before a join that has not been read is repeated.
 	joinRetry = 2 * time.Second
+	// askReached is how long after operators have handed a record over the agents
+	// that have not stated that they applied it are asked in every round.
+	askReached = 3 * time.Second
 	// askStateRounds is the number of rounds from one request for the whole state
 	// to the next.
 	askStateRounds = 4
@@ -70,6 +73,10 @@
 	round    uint64
 	joinedAt time.Duration
 	asked    bool
+	// handedOver is the end of the records that operators have handed over last.
+	// Agents below it are asked until askUntil.
+	handedOver int64
+	askUntil   time.Duration
 }
 
 func (c *Core) periodic() {
@@ -85,6 +92,7 @@
 		}
 		c.query(a)
 	}
+	c.queryBehind()
 	c.askState()
 	c.join()
 }
@@ -164,16 +172,26 @@
 // logRead folds records of the control stream.
 func (c *Core) logRead(e LogRead) { c.changed(c.tail.Apply(e.From, e.Records)) }
 
-// published folds records that an operator has handed over and makes every
-// agent ask for them.
+// published folds records that an operator has handed over, makes the agents
+// that lack them ask for them, and learns how far all have come, also when this
+// entry has read the records before.
 func (c *Core) published(e Published) {
-	before := c.state.Next()
 	c.changed(c.tail.Take(&message.Records{Offset: e.From, Records: e.Records}))
-	if c.state.Next() == before {
+	c.gossip.handedOver = max(c.gossip.handedOver, e.From+int64(len(e.Records)))
+	c.gossip.askUntil = c.now.Mono + askReached
+	c.queryBehind()
+}
+
+// queryBehind asks the agents that have not stated that they applied the
+// records handed over last.
+func (c *Core) queryBehind() {
+	if c.now.Mono >= c.gossip.askUntil {
 		return
 	}
 	for _, a := range c.order {
-		c.query(a)
+		if !a.dead && a.offset < c.gossip.handedOver {
+			c.query(a)
+		}
 	}
 }
 
--- a/core/sessions/entries_test.go
+++ b/core/sessions/entries_test.go
@@ -29,7 +29,6 @@
 	c.publish(control.EncodeChange(control.Change{
 		ID: "quota", From: -1, Author: "operator", Edits: []config.Edit{{Put: &config.Object{Team: &team}}},
 	}))
-	c.run(time.Second)
 }
 
 // admitted offers jobs of one task to an entry, more than the quota, and
@@ -64,6 +63,7 @@
 	for _, outage := range []time.Duration{0, time.Minute} {
 		c := newCluster(1, steady, 6, 8)
 		c.setQuota()
+		c.run(time.Second)
 		checkAdmitted(t, c.admitted(c.e2), teamQuota/2)
 		c.cond.logDown = true
 		c.kill(c.e1)
--- a/core/sessions/outage_test.go
+++ b/core/sessions/outage_test.go
@@ -300,3 +300,27 @@
 		t.Errorf("%s is at revision %d, want %d", c.agents[0].ref.ID, got, last)
 	}
 }
+
+// TestHandOverTellsHowFarAllAre checks that an entry which is handed a record
+// soon knows that every agent has applied it: after a round trip when all have
+// read it before, and else after a round of queries.
+func TestHandOverTellsHowFarAllAre(t *testing.T) {
+	const round = 260 * time.Millisecond
+	for _, tt := range []struct{ before, after time.Duration }{{2 * pollEvery, 10 * time.Millisecond}, {0, round}} {
+		c := newCluster(1, steady, 40, 2)
+		c.setQuota()
+		c.run(tt.before)
+		record := int64(len(c.log)) - 1
+		c.deliver(c.e1, func() { c.step(c.e1, entry.Published{From: record, Records: c.log[record:]}) })
+		c.run(tt.after)
+		behind := 0
+		for _, a := range c.e1.entry.Status().Agents {
+			if a.Offset <= record {
+				behind++
+			}
+		}
+		if behind > 0 {
+			t.Errorf("handed over %v after the append: %d agents are not known to have the record %v later", tt.before, behind, tt.after)
+		}
+	}
+}
--- a/internal/cluster/change.go
+++ b/internal/cluster/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -88,6 +89,24 @@
 	return time.Since(change.Accepted), nil
 }
 
+// AwaitEverywhere waits until every process has the change, and returns the time
+// from its acceptance to the look at the last of them.
+func (c *Cluster) AwaitEverywhere(ctx context.Context, change Change) (time.Duration, error) {
+	left := c.looks()
+	for {
+		left = slices.DeleteFunc(left, func(l look) bool {
+			o, err := l(ctx)
+			return err == nil && o.Revision >= change.Offset
+		})
+		if len(left) == 0 {
+			return time.Since(change.Accepted), nil
+		}
+		if !sleep(ctx, pollInterval) {
+			return 0, errors.Wrapf(ctx.Err(), "%d processes lack a change", len(left))
+		}
+	}
+}
+
 func (c *Cluster) inForce(ctx context.Context, revision int64) bool {
 	for _, r := range c.Observe(ctx) {
 		if r.Revision < revision {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -28,6 +28,10 @@
 	RackSize int
 	// Slots and Connections are limits of each upstream.
 	Slots, Connections int
+	// Neighbours bounds the agents that an agent reaches to those which are at most
+	// this many places away, for fleets whose connections do not fit into one
+	// process. Zero is no bound. Entries reach all.
+	Neighbours int
 	// LinkDelay is the one-way delay between failure domains.
 	LinkDelay time.Duration
 	// Placement names the agents' placement policy. Empty is the default.
@@ -60,6 +64,8 @@
 
 	mu     sync.Mutex
 	domain map[node.ID]string
+	// place is the number of each agent.
+	place map[node.ID]int
 	// island is the side of a partition that a process is on; zero is the side
 	// of the log service.
 	island map[node.ID]int
@@ -74,6 +80,7 @@
 		Log:    logservice.New(logservice.Config{Listen: loopback.String()}),
 		Ledger: upstream.NewLedger(),
 		domain: make(map[node.ID]string),
+		place:  make(map[node.ID]int),
 		island: make(map[node.ID]int),
 		paused: make(map[node.ID]chan struct{}),
 	}
--- a/internal/cluster/links.go
+++ b/internal/cluster/links.go
@@ -8,8 +8,8 @@
 	"github.com/dogwoodgauge/dogwoodgauge/internal/logclient"
 )
 
-// place records the failure domain of a process.
-func (c *Cluster) place(id node.ID, domain string) {
+// setDomain records the failure domain of a process.
+func (c *Cluster) setDomain(id node.ID, domain string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.domain[id] = domain
@@ -34,10 +34,22 @@
 		c.awaitResume(from)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		return c.island[from] != c.island[to]
+		return c.island[from] != c.island[to] || c.far(from, to)
 	}
 }
 
+// far reports whether two agents are more than Neighbours places apart, in a
+// ring. The caller holds the lock.
+func (c *Cluster) far(a, b node.ID) bool {
+	i, agentA := c.place[a]
+	j, agentB := c.place[b]
+	if c.cfg.Neighbours == 0 || !agentA || !agentB {
+		return false
+	}
+	apart := max(i, j) - min(i, j)
+	return min(apart, c.cfg.Agents-apart) > c.cfg.Neighbours
+}
+
 // Isolate cuts the agents and entries of a failure domain off from all others
 // and from the log service. Callers still reach its entries, and its agents
 // their own upstreams.
--- a/internal/cluster/observe.go
+++ b/internal/cluster/observe.go
@@ -32,22 +32,32 @@
 	var mu sync.Mutex
 	var all []Observation
 	var wait sync.WaitGroup
-	observe := func(look func(context.Context) (Observation, error)) {
-		o, err := look(ctx)
-		if err != nil {
-			return
-		}
-		mu.Lock()
-		defer mu.Unlock()
-		all = append(all, o)
+	for _, l := range c.looks() {
+		wait.Go(func() {
+			o, err := l(ctx)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, o)
+		})
 	}
+	wait.Wait()
+	return all
+}
+
+// look returns an observation of one process.
+type look func(context.Context) (Observation, error)
+
+func (c *Cluster) looks() []look {
+	var all []look
 	for _, e := range c.Entries {
-		wait.Go(func() { observe(e.observe) })
+		all = append(all, e.observe)
 	}
 	for _, a := range c.Agents {
-		wait.Go(func() { observe(a.observe) })
+		all = append(all, a.observe)
 	}
-	wait.Wait()
 	return all
 }
 
--- a/internal/cluster/process.go
+++ b/internal/cluster/process.go
@@ -110,7 +110,7 @@
 		s.Timing.Grace = c.cfg.Grace
 	}
 	e.settings = s
-	c.place(e.ID, e.Domain)
+	c.setDomain(e.ID, e.Domain)
 	return e
 }
 
@@ -189,7 +189,8 @@
 		s.Policy.Placement = settings.Placement(c.cfg.Placement)
 	}
 	a.settings = s
-	c.place(a.ID, a.Domain)
+	c.setDomain(a.ID, a.Domain)
+	c.place[a.ID] = i
 	return a
 }
 
