loadgen, experiment: refusals counted apart, retries with jitter

Cause: the client waited for the time that a refusal names, but without jitter, and its retries were counted together with the repeats of lost jobs, so that a run did not show what was refused, how fast, and how admitted work fared.

Change: up to half of the pause is added at random. The report has the refused submissions, those without a time to come back, the slowest refusal, and for each class the share of jobs refused at least once, the p99 from the submission that was not refused, and the p99 of the jobs that arrive 2 s after the fault or later. The response time from the intended arrival stays as it is.

--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -24,6 +24,12 @@
 	P50   float64   `json:"response_over_ideal_p50"`
 	P99   float64   `json:"response_over_ideal_p99"`
 	P999  float64   `json:"response_over_ideal_p999"`
+	// AdmittedP99 leaves out the time before the submission that was not refused.
+	AdmittedP99 float64 `json:"admitted_over_ideal_p99"`
+	// RecoveredP99 is P99 of the jobs that arrived after the recovery time.
+	RecoveredP99 float64 `json:"recovered_over_ideal_p99"`
+	// Refused is the share of the jobs that were refused at least once.
+	Refused float64 `json:"refused_fraction"`
 }
 
 // Refusals are the times until jobs were refused.
@@ -52,6 +58,10 @@
 	}
 }
 
+// recoveryTime is the time after a fault within which the figures must be those
+// of a run without it.
+const recoveryTime = 2 * time.Second
+
 // Report is the outcome of a run.
 type Report struct {
 	Scenario        string   `json:"scenario"`
@@ -74,6 +84,11 @@
 	// NoMatch is about the jobs that no upstream matched. It is absent when there
 	// were none.
 	NoMatch *Refusals `json:"no_match,omitempty"`
+	// RefusedSubmissions counts those that may be repeated, UnpacedRefusals those
+	// among them without a time to come back.
+	RefusedSubmissions    int     `json:"refused_submissions"`
+	UnpacedRefusals       int     `json:"unpaced_refusals"`
+	SlowestRefusalSeconds float64 `json:"slowest_refusal_seconds"`
 
 	P50     float64  `json:"response_over_ideal_p50"`
 	P99     float64  `json:"response_over_ideal_p99"`
@@ -118,7 +133,9 @@
 		Complete: c.Complete, Failed: c.Failed, Unanswered: c.Unanswered,
 		NotRun: c.NotRun, OutcomeUnknown: c.OutcomeUnknown,
 		Failures: m.load.Failures(), Resubmissions: c.Resubmissions,
-		NoMatch: refusals(&m.load, errkind.NoUpstreamMatches),
+		NoMatch:            refusals(&m.load, errkind.NoUpstreamMatches),
+		RefusedSubmissions: c.Refusals, UnpacedRefusals: c.Unpaced,
+		SlowestRefusalSeconds: m.load.SlowestRefusal.Seconds(),
 
 		MessagesPerTask:          ratio(float64(m.observed.work()), float64(ledger.Starts)),
 		WastedMessagesPerTask:    ratio(float64(m.observed.wasted()), float64(ledger.Starts)),
@@ -133,16 +150,17 @@
 		CutOffRequests: c.CutOffRequests, InternalViolations: m.observed.violations,
 		ClientErrors: m.load.Errors,
 	}
-	r.addRatios(&m.load)
+	r.addRatios(&m.load, m.window.end+recoveryTime)
 	return r
 }
 
-func (r *Report) addRatios(load *loadgen.Result) {
+// addRatios fills in the ratios; jobs that arrive from recovered on count as
+// after the fault.
+func (r *Report) addRatios(load *loadgen.Result, recovered time.Duration) {
 	all := load.Ratios(everything)
 	r.P50, r.P99, r.P999 = all.P50, all.P99, all.P999
 	for _, class := range job.Classes {
-		q := load.Ratios(func(o *loadgen.Outcome) bool { return o.Class == class })
-		r.ByClass = append(r.ByClass, Ratios{Class: class, Jobs: q.Jobs, P50: q.P50, P99: q.P99, P999: q.P999})
+		r.ByClass = append(r.ByClass, classRatios(load, class, recovered))
 	}
 	var wanted, complete int
 	for i := range load.Outcomes {
@@ -158,6 +176,29 @@
 	r.CompletedFraction = ratio(float64(complete), float64(wanted))
 }
 
+func classRatios(load *loadgen.Result, class job.Class, recovered time.Duration) Ratios {
+	ofClass := func(o *loadgen.Outcome) bool { return o.Class == class }
+	late := func(o *loadgen.Outcome) bool { return o.Class == class && o.At >= recovered }
+	q := load.Ratios(ofClass)
+	jobs, refused := 0, 0
+	for i := range load.Outcomes {
+		o := &load.Outcomes[i]
+		if o.Class != class {
+			continue
+		}
+		jobs++
+		if o.Refusals > 0 {
+			refused++
+		}
+	}
+	return Ratios{
+		Class: class, Jobs: q.Jobs, P50: q.P50, P99: q.P99, P999: q.P999,
+		AdmittedP99:  load.AdmittedRatios(ofClass).P99,
+		RecoveredP99: load.Ratios(late).P99,
+		Refused:      ratio(float64(refused), float64(jobs)),
+	}
+}
+
 // compare fills in what the run without faults is needed for.
 func (r *Report) compare(m, baseline measurement) {
 	during := func(o *loadgen.Outcome) bool { return m.window.holds(o.At) }
--- a/internal/loadgen/call.go
+++ b/internal/loadgen/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,6 +19,9 @@
 	// again when the answer names none.
 	retryDelay    = 20 * time.Millisecond
 	maxRetryDelay = time.Second
+	// retryJitter is the largest share that is added to the pause of a retry, so
+	// that jobs refused together do not return together.
+	retryJitter = 0.5
 )
 
 // call is one job on its way.
@@ -29,6 +33,10 @@
 	// tries counts submissions, to draw the next entry.
 	mu    sync.Mutex
 	tries int
+	// sentAt is when the last submission but for repeats was sent, refusals the
+	// number of submissions that were refused.
+	sentAt   time.Time
+	refusals int
 }
 
 // run submits one job until it has its outcome.
@@ -107,6 +115,7 @@
 			return httpapi.JobAnswer{}, false
 		}
 		c.setTimeout(&request)
+		c.sentAt = time.Now()
 		answer, err := c.g.client.submit(ctx, entry, &request)
 		if err != nil {
 			if !c.retryError(ctx, err, request.ID) {
@@ -118,7 +127,8 @@
 		if !retryable(&answer) {
 			return answer, true
 		}
-		wait := max(delay, time.Duration(answer.Error.RetryAfterMillis)*time.Millisecond)
+		c.refused(&answer)
+		wait := jitter(max(delay, time.Duration(answer.Error.RetryAfterMillis)*time.Millisecond))
 		if time.Now().Add(wait).After(c.due.Add(c.arrival.Kind.Timeout)) || !sleep(ctx, wait) {
 			return answer, true
 		}
@@ -129,6 +139,17 @@
 	}
 }
 
+// refused notes that the job was refused although it may be submitted again.
+func (c *call) refused(answer *httpapi.JobAnswer) {
+	c.refusals++
+	c.g.recorder.refusal(time.Since(c.sentAt), answer.Error.RetryAfterMillis > 0)
+}
+
+// jitter returns a time between d and d with the jitter of a retry.
+func jitter(d time.Duration) time.Duration {
+	return d + time.Duration(retryJitter*rand.Float64()*float64(d))
+}
+
 // setTimeout asks for the time that is left until the deadline.
 func (c *call) setTimeout(request *httpapi.JobRequest) {
 	left := time.Until(c.due.Add(c.arrival.Kind.Timeout))
@@ -222,6 +243,7 @@
 }
 
 func (c *call) outcome(answer httpapi.JobAnswer, ok bool) Outcome {
+	now := time.Now()
 	o := Outcome{
 		At:         c.arrival.At,
 		Class:      c.arrival.Kind.Class,
@@ -230,9 +252,14 @@
 		Unanswered: !ok,
 		Cancelled:  c.arrival.Cancel > 0,
 		NeverRuns:  c.arrival.Kind.NeverRuns,
-		Response:   time.Since(c.due),
+		Refusals:   c.refusals,
+		Response:   now.Sub(c.due),
+		Admitted:   now.Sub(c.due),
 		Ideal:      c.arrival.Longest + 2*c.g.target.ClientDelay,
 	}
+	if c.refusals > 0 {
+		o.Admitted = now.Sub(c.sentAt)
+	}
 	if answer.Error != nil {
 		o.Kind, o.Detail = answer.Error.Kind, answer.Error.Detail
 	}
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -92,6 +92,9 @@
 	}
 }
 
+// testPause is the time after which a refused job may come back.
+const testPause = 50 * time.Millisecond
+
 // fakeEntry answers jobs at once; the first submission of every third job is
 // refused.
 type fakeEntry struct {
@@ -119,7 +122,7 @@
 	}
 	if refuse {
 		answer.Status, answer.Results = httpapi.Failed, nil
-		answer.Error = &httpapi.JobError{Kind: errkind.NotRun}
+		answer.Error = &httpapi.JobError{Kind: errkind.NotRun, RetryAfterMillis: testPause.Milliseconds()}
 	}
 	_ = json.NewEncoder(w).Encode(answer)
 }
@@ -140,6 +143,14 @@
 	if got.PartialAnswers+got.MisdeliveredAnswers+got.CutOffRequests != 0 {
 		t.Errorf("counts: %+v", got)
 	}
+	if got.Refusals == 0 || got.Unpaced != 0 {
+		t.Errorf("counts: %+v", got)
+	}
+	for _, o := range result.Outcomes {
+		if pause := o.Response - o.Admitted; pause < time.Duration(o.Refusals)*testPause {
+			t.Errorf("submitted again %v after %d refusals that asked for %v", pause, o.Refusals, testPause)
+		}
+	}
 	all := result.Ratios(func(*Outcome) bool { return true })
 	if all.Jobs != len(plan) || all.P50 <= 0 || all.P50 > all.P99 {
 		t.Errorf("quantiles: %+v", all)
--- a/internal/loadgen/result.go
+++ b/internal/loadgen/result.go
@@ -27,9 +27,12 @@
 	// Cancelled is true when the caller cancelled the job, NeverRuns when no
 	// upstream could run it.
 	Cancelled, NeverRuns bool
+	// Refusals counts the submissions that were refused with nothing started.
+	Refusals int
 	// Response is the time from the intended arrival to the final answer, Ideal
-	// that of an idle system.
-	Response, Ideal time.Duration
+	// that of an idle system. Admitted is the part of Response that began with
+	// the submission which was not refused.
+	Response, Ideal, Admitted time.Duration
 }
 
 // Complete reports whether the whole answer came.
@@ -42,8 +45,12 @@
 	Complete, Failed, Unanswered int
 	// NotRun and OutcomeUnknown are part of Failed.
 	NotRun, OutcomeUnknown int
-	// Resubmissions counts submissions beyond the first of each job.
+	// Resubmissions counts submissions beyond the first of each job, those after
+	// a refusal included.
 	Resubmissions int
+	// Refusals counts submissions that were refused and could be repeated, and
+	// Unpaced those among them whose answer named no time to come back.
+	Refusals, Unpaced int
 	// PartialAnswers counts answers that are neither whole nor failed.
 	PartialAnswers int
 	// MisdeliveredAnswers counts answers with content of another job or task.
@@ -64,6 +71,8 @@
 type Result struct {
 	Counts   Counts
 	Outcomes []Outcome
+	// SlowestRefusal is the longest time from a submission to its refusal.
+	SlowestRefusal time.Duration
 	// Errors holds the first few errors of the client itself.
 	Errors []string
 }
@@ -91,6 +100,17 @@
 	}
 }
 
+// refusal notes a submission that was refused after d.
+func (r *recorder) refusal(d time.Duration, paced bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Counts.Refusals++
+	if !paced {
+		r.result.Counts.Unpaced++
+	}
+	r.result.SlowestRefusal = max(r.result.SlowestRefusal, d)
+}
+
 func (r *recorder) outcome(o Outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -154,6 +174,16 @@
 
 // Ratios returns the quantiles over the complete jobs that keep selects.
 func (r *Result) Ratios(keep func(o *Outcome) bool) RatioQuantiles {
+	return r.quantiles(keep, func(o *Outcome) time.Duration { return o.Response })
+}
+
+// AdmittedRatios is Ratios of the response to the submission of each job that
+// was not refused.
+func (r *Result) AdmittedRatios(keep func(o *Outcome) bool) RatioQuantiles {
+	return r.quantiles(keep, func(o *Outcome) time.Duration { return o.Admitted })
+}
+
+func (r *Result) quantiles(keep func(o *Outcome) bool, response func(o *Outcome) time.Duration) RatioQuantiles {
 	const lowest, highest, digits = 1, 10_000_000, 3
 	h := hdrhistogram.New(lowest, highest, digits)
 	q := RatioQuantiles{}
@@ -162,7 +192,7 @@
 		if !o.Complete() || !keep(o) {
 			continue
 		}
-		ratio := float64(o.Response) / float64(o.Ideal)
+		ratio := float64(response(o)) / float64(o.Ideal)
 		_ = h.RecordValue(min(int64(ratio*ratioScale), highest))
 		q.Jobs++
 	}
