executor, agentd: an upstream may announce fewer slots, or none for now

Cause: workers throttle and checkpoint what they run. An upstream could say so by fewer slots in its next announcement, but not by none, and tasks that waited beside it stayed until their deadline.

Change: an announcement may state 0 slots; tasks that wait for this upstream alone are then refused as not started and run elsewhere. The experiment has the fault throttle.

Golden worker_throttles is new, the others are unchanged; without refuseStranded its second task is still pending at the end.

Conclusion: what workers signal is taken in without a second protocol.

--- a/core/agent/api.go
+++ b/core/agent/api.go
@@ -37,7 +37,7 @@
 var _ step.Core = (*Core)(nil)
 
 // UpstreamAnnounced adds an upstream beside the agent, or renews or changes it.
-// The announcement lapses after TTL.
+// The announcement lapses after TTL. Zero slots take no further task for now.
 type UpstreamAnnounced struct {
 	Name        string
 	Slots       int
--- a/core/executor/upstream.go
+++ b/core/executor/upstream.go
@@ -13,7 +13,9 @@
 
 // Announcement describes an upstream that has made itself known.
 type Announcement struct {
-	Name        string
+	Name string
+	// Slots is the number of tasks that its worker lets it run at a time now. With
+	// fewer than run already, or zero, no further task starts there.
 	Slots       int
 	Connections int
 	Labels      label.Set
@@ -30,7 +32,8 @@
 	withdrawn bool
 }
 
-// free returns the number of slots that a new task may take.
+// free returns the number of slots that a new task may take. It is negative while
+// more tasks run than the upstream has slots for since its last announcement.
 func (u *upstream) free() int {
 	if u.withdrawn {
 		return 0
@@ -66,7 +69,9 @@
 	return us.list[i], true
 }
 
-func (us *upstreams) set(now time.Duration, a Announcement) {
+// set adds or renews an upstream. It reports whether the upstream has lost all
+// its slots.
+func (us *upstreams) set(now time.Duration, a Announcement) (closed bool) {
 	u, ok := us.find(a.Name)
 	if !ok {
 		u = &upstream{name: a.Name}
@@ -77,10 +82,12 @@
 	if !ok || u.withdrawn || u.slots != slots || !maps.Equal(u.labels, a.Labels) {
 		us.version++
 	}
+	closed = u.slots > 0 && slots == 0
 	u.labels = a.Labels
 	u.slots = slots
 	u.expires = now + a.TTL
 	u.withdrawn = false
+	return closed
 }
 
 // lapse withdraws upstreams whose announcement was not renewed, and removes
@@ -102,13 +109,36 @@
 	us.version++
 }
 
-// Announce adds or renews an upstream.
+// Announce adds or renews an upstream. When it has no slots any more, tasks that
+// wait for it alone are refused.
 func (c *Core) Announce(now clock.Now, a Announcement, out *Output) {
 	c.out = out
-	c.upstreams.set(now.Mono, a)
+	if c.upstreams.set(now.Mono, a) {
+		c.refuseStranded(now)
+	}
 	c.dispatch(now)
 }
 
+// refuseStranded refuses the waiting tasks that no upstream has slots for, so that
+// they may run elsewhere.
+func (c *Core) refuseStranded(now clock.Now) {
+	stranded := c.queue.RemoveFunc(func(e *entry) bool { return !c.hasSlots(now, e) })
+	for _, e := range stranded {
+		c.refuse(e, message.RefusedBusy, 0)
+	}
+}
+
+// hasSlots reports whether an upstream that may take e has slots, free or not.
+func (c *Core) hasSlots(now clock.Now, e *entry) bool {
+	return slices.ContainsFunc(c.upstreams.list, func(u *upstream) bool {
+		if u.withdrawn || u.slots == 0 {
+			return false
+		}
+		why, _ := c.cfg.Gate.Permit(now, e.start, Place{Upstream: u.name, Labels: u.labels})
+		return why == ""
+	})
+}
+
 // Withdraw removes an upstream. Its running tasks go on; tasks that wait and
 // have nowhere else to go are refused.
 func (c *Core) Withdraw(now clock.Now, name string, out *Output) {
--- a/core/sessions/golden_test.go
+++ b/core/sessions/golden_test.go
@@ -161,6 +161,18 @@
 		c.submit(c.e1, c.newJob(c.mintFor(c.agents[0]), 8), nil)
 		c.run(6 * time.Second)
 	}},
+	{"worker_throttles", func(c *cluster) {
+		c.cond.service = 500 * time.Millisecond
+		c.grant(c.agents[0], 1)
+		c.grant(c.agents[1], 0)
+		c.grant(c.agents[2], 0)
+		c.submit(c.e1, c.newJob(c.mintFor(c.agents[1]), 3), nil)
+		c.run(700 * time.Millisecond)
+		c.grant(c.agents[0], 0)
+		c.run(time.Second)
+		c.grant(c.agents[1], 2)
+		c.run(time.Second)
+	}},
 	{"own_id", func(c *cluster) {
 		j := c.newJob("order-17", 1)
 		c.submit(c.e1, j, nil)
--- a/internal/agentd/announce.go
+++ b/internal/agentd/announce.go
@@ -27,7 +27,8 @@
 	Name string `json:"name"`
 	// Addr is the IP:port on which the upstream takes tasks.
 	Addr string `json:"addr"`
-	// Slots is the number of tasks that the upstream runs at the same time.
+	// Slots is the number of tasks that the upstream runs at the same time. It may
+	// change with each renewal; zero takes no further task for now.
 	Slots int `json:"slots"`
 	// Connections is the number of connections that it accepts.
 	Connections int       `json:"connections"`
@@ -44,8 +45,8 @@
 	if _, err := netip.ParseAddrPort(a.Addr); err != nil {
 		return httpserver.BadRequest("addr is %q; an IP and port is expected, such as 127.0.0.1:8080", a.Addr)
 	}
-	if a.Slots < 1 || a.Slots > maxSlots {
-		return httpserver.BadRequest("slots is %d; it must be from 1 to %d", a.Slots, maxSlots)
+	if a.Slots < 0 || a.Slots > maxSlots {
+		return httpserver.BadRequest("slots is %d; it must be from 0 to %d", a.Slots, maxSlots)
 	}
 	if a.Connections < 1 || a.Connections > maxConnections {
 		return httpserver.BadRequest("connections is %d; it must be from 1 to %d", a.Connections, maxConnections)
--- a/internal/experiment/fault.go
+++ b/internal/experiment/fault.go
@@ -66,6 +66,7 @@
 	{name: "never-runnable", plan: planNeverRunnable, begin: routeSpecialTasks},
 	{name: "cancel-wave", plan: planCancel},
 	{name: "wrong-sizes", plan: planMislabelled, begin: misdeclare, end: declareTruly},
+	{name: "throttle", begin: throttle, end: unthrottle},
 	{name: "rolling-restart", begin: rollingRestart},
 }
 
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -67,6 +67,8 @@
 	DropAnswers bool
 	// Declares is announced in place of Config.Slots. Zero is no change.
 	Declares int
+	// Paused announces no slots.
+	Paused bool
 	// Serves is the number of tasks that run at a time; further ones that were
 	// taken wait. Zero is no limit.
 	Serves int
