home: overload is refused at once, the lower classes first

Change: a home watches the wait of its own urgent jobs and the new Overloaded of its executor's load. Over the target it refuses at once, with a true not_run and a time to come back, the jobs of which nothing has been sent: the lower classes first, then urgent jobs that would wait longer than the target, have waited so long, or were refused by an executor. Urgent tasks then go to free slots only, and lower classes to no executor that is overloaded. A job whose deadline passes before the queue ahead could end is refused at once in any state. The target of urgent work is 20 ms, from a task of 50 ms within 1.5 of its ideal, and never less than the time in which one slot becomes free, else small pools stay idle.

The new tests fail without the hold of lower classes, without the end of waits, when begun jobs are shed, without the margin and without the floor (each tried).

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -239,7 +239,7 @@
 		}
 		if !local {
 			local = true
-			c.home.ObserveLoad(c.now, c.cfg.Self, c.exec.Load())
+			c.home.ObserveLoad(c.now, c.cfg.Self, c.exec.Load(c.now))
 		}
 		c.toHome(c.cfg.Self, &r.Message)
 	}
@@ -283,7 +283,7 @@
 	c.exec.Announce(c.now, executor.Announcement{
 		Name: e.Name, Slots: e.Slots, Connections: e.Connections, Labels: e.Labels, TTL: e.TTL,
 	}, &c.execOut)
-	c.home.ObserveLoad(c.now, c.cfg.Self, c.exec.Load())
+	c.home.ObserveLoad(c.now, c.cfg.Self, c.exec.Load(c.now))
 	c.home.Place(c.now, &c.homeOut)
 }
 
@@ -331,7 +331,7 @@
 
 // Load returns the agent's report of itself.
 func (c *Core) Load() message.Load {
-	l := c.exec.Load()
+	l := c.exec.Load(c.now)
 	l.Failing = c.exec.Failing(c.now)
 	l.Draining = l.Draining || c.drain.begun
 	return l
--- a/core/agent/membership.go
+++ b/core/agent/membership.go
@@ -182,7 +182,7 @@
 		list = append(list, home.Executor{Ref: p.member.Ref, Domain: p.member.Domain})
 	}
 	c.home.SetExecutors(list)
-	c.home.ObserveLoad(c.now, c.cfg.Self, c.exec.Load())
+	c.home.ObserveLoad(c.now, c.cfg.Self, c.exec.Load(c.now))
 }
 
 // peerDead takes proof that a run has ended.
--- a/core/executor/dispatch.go
+++ b/core/executor/dispatch.go
@@ -56,6 +56,7 @@
 // has not started and is refused.
 func (c *Core) enqueue(now clock.Now, e *entry) {
 	wait := c.expectedWait(now, e.start.Class)
+	c.admission.SetFloor(c.service.Mean() / time.Duration(max(1, c.upstreams.slots())))
 	decision := c.admission.Admit(now.Mono, admission.Request{
 		Class: e.start.Class, Timeout: e.deadline - now.Mono, Wait: wait, Service: c.service.Low(),
 	})
--- a/core/executor/executor.go
+++ b/core/executor/executor.go
@@ -248,14 +248,15 @@
 // Idle reports whether no task is running or waiting.
 func (c *Core) Idle() bool { return len(c.running) == 0 && c.queue.Len() == 0 }
 
-// Load returns the executor's report of itself.
-func (c *Core) Load() message.Load {
+// Load returns the executor's report of itself at now.
+func (c *Core) Load(now clock.Now) message.Load {
 	return message.Load{
 		Slots:        c.upstreams.slots(),
 		Busy:         len(c.running),
 		Queued:       c.queue.Len(),
 		QueuedUrgent: c.queue.LenClass(job.Urgent),
 		Service:      c.service.Mean().Round(time.Millisecond),
+		Overloaded:   c.admission.Over(now.Mono, job.Urgent),
 		Draining:     c.draining,
 	}
 }
--- a/core/executor/withdraw_test.go
+++ b/core/executor/withdraw_test.go
@@ -40,7 +40,7 @@
 			if len(b.out.Commands) != 0 {
 				t.Error("a task that waited started")
 			}
-			if load := b.core.Load(); load.Slots != 0 || load.Queued != 0 {
+			if load := b.core.Load(b.now); load.Slots != 0 || load.Queued != 0 {
 				t.Errorf("load after leaving: %+v", load)
 			}
 		})
--- a/core/home/attempt_test.go
+++ b/core/home/attempt_test.go
@@ -47,6 +47,7 @@
 	site *testSite
 	now  clock.Now
 	out  Output
+	seq  uint64
 }
 
 func newTestHome(t *testing.T) *testHome {
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -11,6 +11,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/admission"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/placement"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/quarantine"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/retry"
@@ -107,6 +108,8 @@
 	faults         *quarantine.Detector
 	budget         *retry.Budget
 	backoff        *retry.Backoff
+	// overload watches how long jobs wait for an executor.
+	overload *admission.Controller
 	// opensAt is the earliest time at which an executor that has refused takes
 	// tasks again, as found by the placement under way; placeAt is when the next
 	// placement for that reason is due.
@@ -120,10 +123,12 @@
 
 // Stats counts what the home has done.
 type Stats struct {
-	Records   int
-	Waiting   int
-	Placed    uint64
-	Refused   uint64
+	Records int
+	Waiting int
+	Placed  uint64
+	Refused uint64
+	// Shed counts the jobs that were refused for overload.
+	Shed      uint64
 	Completed uint64
 	Failed    uint64
 }
@@ -137,6 +142,8 @@
 		faults:  cfg.Faults,
 		budget:  retry.NewBudget(),
 		backoff: retry.NewBackoff(cfg.Seed),
+
+		overload: admission.NewForJobs(),
 	}
 }
 
@@ -144,7 +151,7 @@
 func (c *Core) Stats() Stats {
 	s := c.stats
 	s.Records = c.records.len()
-	s.Waiting = c.waiting.tasks
+	s.Waiting = c.waiting.len()
 	return s
 }
 
@@ -193,13 +200,22 @@
 		c.finishRefused(r)
 		return
 	}
-	if c.waiting.tasks+len(r.tasks) > c.cfg.MaxWaiting {
+	if c.waiting.len()+len(r.tasks) > c.cfg.MaxWaiting {
 		r.failing = errkind.NotRun
 		r.detail = "too many tasks are waiting"
 		r.retryAfter = c.retryAfter()
 		c.finishRefused(r)
 		return
 	}
+	if d := c.admit(r); !d.OK {
+		c.stats.Shed++
+		r.failing = errkind.NotRun
+		r.detail = overloadDetails[d.Reason]
+		r.retryAfter = c.backoff.Spread(max(d.RetryAfter, c.pause(r, d.Reason)))
+		c.finishRefused(r)
+		return
+	}
+	r.openedAt = c.now.Mono
 	c.timers.Add(r.deadline, timer{kind: timerDeadline, id: r.id, attempt: r.attempt})
 	c.waiting.add(r)
 	c.place()
--- a/core/home/outcome.go
+++ b/core/home/outcome.go
@@ -77,12 +77,13 @@
 	t.retryAfter = m.RetryAfter
 	t.exhausted = !t.excluded.Add(from)
 	r.next = min(r.next, t.index)
-	c.waiting.tasks++
+	c.waiting.count(r, 1)
 	c.waiting.enter(r)
 	if m.Reason == message.RefusedDeadline {
 		c.fail(r, errkind.NotRun, "the deadline is too near for a task to run")
 		return
 	}
+	c.shedRefused(r)
 }
 
 // Started handles word that a task has started, or waits at its executor.
@@ -146,7 +147,7 @@
 		t := &r.tasks[i]
 		switch t.state {
 		case taskWaiting:
-			c.waiting.tasks--
+			c.waiting.count(r, -1)
 			c.resolve(t, taskNotRun)
 		case taskSent:
 			c.reply(t.link.ref, message.Message{Abort: &message.Abort{Seq: t.seq, Floor: t.link.floor}})
--- a/core/home/place.go
+++ b/core/home/place.go
@@ -141,7 +141,11 @@
 			c.opensAt = min(c.opensAt, until)
 			continue
 		}
-		c.cands = append(c.cands, c.candidate(l, t.record.job.Class))
+		cand := c.candidate(l, t.record.job.Class)
+		if !c.offers(l, &cand) {
+			continue
+		}
+		c.cands = append(c.cands, cand)
 		c.candLinks = append(c.candLinks, l)
 	}
 }
@@ -179,7 +183,10 @@
 	c.cfg.Invariants.Check(t.state == taskWaiting && r.final == nil, invariant.DuplicateStart,
 		"task %s/%d is placed while in state %d", r.id, t.index, t.state)
 	l.assign(t, c.now.Mono)
-	c.waiting.tasks--
+	c.waiting.count(r, -1)
+	if wait := c.now.Mono - r.openedAt; wait > 0 {
+		c.overload.Observe(c.now.Mono, r.job.Class, wait)
+	}
 	c.stats.Placed++
 	c.observeSent(l)
 	c.timers.Add(c.now.Mono+firstResend, timer{kind: timerResend, link: l, seq: t.seq})
--- a/core/home/record.go
+++ b/core/home/record.go
@@ -62,6 +62,8 @@
 	created  int64
 	digest   uint64
 	deadline time.Duration
+	// openedAt is when the tasks of the attempt began to wait.
+	openedAt time.Duration
 	// job, tasks, trace and subscribers are dropped once the record is final.
 	job         *job.Job
 	tasks       []task
--- a/core/home/waitlist.go
+++ b/core/home/waitlist.go
@@ -13,7 +13,23 @@
 // waitlist holds the records with waiting tasks, by class, in turn order.
 type waitlist struct {
 	classes [3][]*record
-	tasks   int
+	// tasks counts the waiting tasks of each class.
+	tasks [3]int
+}
+
+// count adds n to the waiting tasks of the class of r.
+func (w *waitlist) count(r *record, n int) { w.tasks[classIndex(r.job.Class)] += n }
+
+// len returns the number of waiting tasks.
+func (w *waitlist) len() int { return w.ahead(len(w.tasks) - 1) }
+
+// ahead returns the number of waiting tasks of a class and those above it.
+func (w *waitlist) ahead(class int) int {
+	n := 0
+	for _, tasks := range w.tasks[:class+1] {
+		n += tasks
+	}
+	return n
 }
 
 func classIndex(c job.Class) int {
@@ -28,7 +44,7 @@
 }
 
 func (w *waitlist) add(r *record) {
-	w.tasks += len(r.tasks)
+	w.count(r, len(r.tasks))
 	w.enter(r)
 }
 
@@ -47,6 +63,10 @@
 func (c *Core) place() {
 	c.opensAt = never
 	for i := range c.waiting.classes {
+		if c.held(i) {
+			c.shedClass(i)
+			continue
+		}
 		c.placeClass(i)
 	}
 	if c.opensAt != never && (c.placeAt <= c.now.Mono || c.opensAt < c.placeAt) {
@@ -67,7 +87,7 @@
 	batch := slices.Clone(list[:n])
 	var again []*record
 	for _, r := range batch {
-		if c.placeRecord(r) {
+		if c.placeRecord(r) && !c.shedWaiting(r) {
 			again = append(again, r)
 			continue
 		}
@@ -88,5 +108,5 @@
 	if slots == 0 {
 		return noMatchRetry
 	}
-	return service * time.Duration(1+c.waiting.tasks/slots)
+	return service * time.Duration(1+c.waiting.len()/slots)
 }
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -198,6 +198,8 @@
 	Service time.Duration `json:"service,omitempty"`
 	// Failing is true while most recent tasks have failed.
 	Failing bool `json:"failing,omitempty"`
+	// Overloaded says that urgent tasks wait for too long: others are shed.
+	Overloaded bool `json:"over,omitempty"`
 	// Draining is true once the process takes no new work.
 	Draining bool `json:"draining,omitempty"`
 }
--- a/core/policy/admission/admission.go
+++ b/core/policy/admission/admission.go
@@ -17,7 +17,7 @@
 
 // The queue delay that each class may have under lasting load.
 const (
-	UrgentTarget = 50 * time.Millisecond
+	UrgentTarget = 20 * time.Millisecond
 	NormalTarget = 500 * time.Millisecond
 	BatchTarget  = 2 * time.Second
 )
@@ -26,9 +26,9 @@
 // target before the class counts as over it.
 const interval = 100 * time.Millisecond
 
-// recovery is the time without pressure after which a class is no longer over
+// Recovery is the time without pressure after which a class is no longer over
 // its target.
-const recovery = time.Second
+const Recovery = time.Second
 
 // minRetryAfter is the least time given to a refused task.
 const minRetryAfter = interval
@@ -36,18 +36,30 @@
 // classes is the number of classes.
 const classes = 3
 
-// targets is indexed by rank.
-var targets = [classes]time.Duration{UrgentTarget, NormalTarget, BatchTarget}
+// targets are queue delays, indexed by rank.
+type targets [classes]time.Duration
 
-// Request describes a task that asks to be queued.
+var taskTargets = targets{UrgentTarget, NormalTarget, BatchTarget}
+
+// unbounded is a target that no delay exceeds.
+const unbounded = time.Duration(1<<63 - 1)
+
+// jobTargets bound the delay at a home. Large jobs of the lower classes wait for
+// their own tasks, so that only a deadline bounds them.
+var jobTargets = targets{UrgentTarget, unbounded, unbounded}
+
+// Request describes a task or a job that asks to be queued.
 type Request struct {
 	Class job.Class
 	// Timeout is the time that remains until the deadline.
 	Timeout time.Duration
 	// Wait is the expected time until a slot is free for the class, and Service
-	// the least time to allow for the task itself; see package estimate.
+	// the least time to allow for the work itself; see package estimate.
 	Wait    time.Duration
 	Service time.Duration
+	// Margin is the part of Wait that may not come. It does not count against
+	// the deadline.
+	Margin time.Duration
 }
 
 // Reason says why a task was refused.
@@ -76,15 +88,31 @@
 
 // Controller watches the queue delay of each class. It is not safe for
 // concurrent use.
-type Controller struct{ state [classes]delayState }
+type Controller struct {
+	targets targets
+	state   [classes]delayState
+	floor   time.Duration
+}
+
+// SetFloor sets the least target of every class: the time in which one slot is
+// expected to become free. Below it, slots would stay idle for want of a task.
+func (c *Controller) SetFloor(d time.Duration) { c.floor = d }
+
+// Target returns the queue delay that class may have under lasting load.
+func (c *Controller) Target(class job.Class) time.Duration { return c.target(rank(class)) }
+
+func (c *Controller) target(rank int) time.Duration { return max(c.targets[rank], c.floor) }
+
+// New returns a controller for the tasks of an executor that has seen no delay.
+func New() *Controller { return &Controller{targets: taskTargets} }
 
-// New returns a controller that has seen no delay.
-func New() *Controller { return &Controller{} }
+// NewForJobs returns a controller for the jobs of a home that has seen no delay.
+func NewForJobs() *Controller { return &Controller{targets: jobTargets} }
 
 // Observe records the queue delay of a task that left the queue at now.
 func (c *Controller) Observe(now time.Duration, class job.Class, delay time.Duration) {
 	r := rank(class)
-	c.state[r].observe(now, delay > targets[r])
+	c.state[r].observe(now, delay > c.target(r))
 }
 
 // Over reports whether class is over its target at now.
@@ -96,14 +124,14 @@
 // for its class is refused only when its deadline has passed.
 func (c *Controller) Admit(now time.Duration, r Request) Decision {
 	own := rank(r.Class)
-	c.state[own].observe(now, r.Wait > targets[own])
+	c.state[own].observe(now, r.Wait > c.target(own))
 	if r.Timeout <= 0 {
 		return refuse(Late, 0)
 	}
 	if r.Wait <= 0 {
 		return Decision{OK: true}
 	}
-	if late := r.Wait + r.Service - r.Timeout; late > 0 {
+	if late := r.Wait - r.Margin + r.Service - r.Timeout; late > 0 {
 		return refuse(Late, late)
 	}
 	for higher := range own {
@@ -111,8 +139,8 @@
 			return refuse(Shed, r.Wait)
 		}
 	}
-	if r.Wait > targets[own] && c.state[own].press(now) {
-		return refuse(Overload, r.Wait-targets[own])
+	if r.Wait > c.target(own) && c.state[own].press(now) {
+		return refuse(Overload, r.Wait-c.target(own))
 	}
 	return Decision{OK: true}
 }
--- a/core/policy/admission/admission_test.go
+++ b/core/policy/admission/admission_test.go
@@ -24,6 +24,14 @@
 	return c
 }
 
+// withFloor returns a controller with a floor whose urgent class is over its
+// target at one second.
+func withFloor(d time.Duration) *Controller {
+	c := overloaded(job.Urgent)
+	c.SetFloor(d)
+	return c
+}
+
 func TestAdmit(t *testing.T) {
 	request := func(class job.Class, wait time.Duration) Request {
 		return Request{Class: class, Timeout: 10 * time.Second, Wait: wait, Service: 100 * ms}
@@ -36,6 +44,7 @@
 	}{
 		{"no delay seen", New(), request(job.Batch, time.Second), Admitted},
 		{"cannot end in time", New(), request(job.Urgent, 9950*ms), Late},
+		{"may end in time", New(), Request{Class: job.Urgent, Timeout: time.Second, Wait: 5 * time.Second, Margin: 4500 * ms}, Admitted},
 		{"deadline passed", New(), Request{Class: job.Urgent}, Late},
 		{"free slot with a short deadline", New(), Request{Timeout: ms, Service: time.Second}, Admitted},
 		{"batch over: batch is bounded", overloaded(job.Batch), request(job.Batch, 3*time.Second), Overload},
@@ -47,6 +56,9 @@
 		{"urgent over: batch is shed", overloaded(job.Urgent), request(job.Batch, ms), Shed},
 		{"urgent over: normal is shed", overloaded(job.Urgent), request(job.Normal, ms), Shed},
 		{"urgent over: urgent is bounded", overloaded(job.Urgent), request(job.Urgent, 51*ms), Overload},
+		{"urgent over: a slow pool keeps one waiting", withFloor(60 * ms), request(job.Urgent, 60*ms), Admitted},
+		{"urgent over: a slow pool keeps no more", withFloor(60 * ms), request(job.Urgent, 61*ms), Overload},
+		{"urgent over: urgent is bounded to its target", overloaded(job.Urgent), request(job.Urgent, 21*ms), Overload},
 		{"urgent over: a free slot is used", overloaded(job.Urgent), request(job.Batch, 0), Admitted},
 	}
 	for _, tt := range tests {
@@ -83,15 +95,15 @@
 
 func TestRecovery(t *testing.T) {
 	c := overloaded(job.Urgent)
-	if !c.Over(time.Second+recovery, job.Urgent) {
+	if !c.Over(time.Second+Recovery, job.Urgent) {
 		t.Error("recovered too early")
 	}
-	if c.Over(time.Second+recovery+1, job.Urgent) {
+	if c.Over(time.Second+Recovery+1, job.Urgent) {
 		t.Error("still over without pressure")
 	}
 	r := Request{Class: job.Urgent, Timeout: time.Minute, Wait: time.Second}
-	c.Admit(time.Second+recovery, r)
-	if !c.Over(time.Second+2*recovery, job.Urgent) {
+	c.Admit(time.Second+Recovery, r)
+	if !c.Over(time.Second+2*Recovery, job.Urgent) {
 		t.Error("recovered while requests were refused")
 	}
 }
--- a/core/policy/admission/state.go
+++ b/core/policy/admission/state.go
@@ -17,7 +17,7 @@
 
 // observe records a delay that was above target or not.
 func (s *delayState) observe(now time.Duration, above bool) {
-	stale := now-s.seen > recovery
+	stale := now-s.seen > Recovery
 	s.seen = now
 	if !above {
 		s.above = false
@@ -37,7 +37,7 @@
 
 // over reports whether the class is over its target.
 func (s *delayState) over(now time.Duration) bool {
-	return s.bounded && now-s.pressure <= recovery
+	return s.bounded && now-s.pressure <= Recovery
 }
 
 // press records pressure on a class that is over its target, and reports
