quota: equal parts; the unused split by demand is taken out

Cause: the parts by reported demand (Demand, SetDemand, Fraction) were never called. Wired up, they add up to the rate only while all entries use the same reports; after a lost or late report two entries hold the same part.

Change: the code is removed, no behaviour changes.

--- a/core/policy/quota/quota.go
+++ b/core/policy/quota/quota.go
@@ -1,9 +1,8 @@
 // Package quota limits the task rate of each team at one entry, without a
 // counter shared among entries.
 //
-// Each entry holds a part of the rate of a team. The parts add up to the rate:
-// a fixed fraction is split evenly among the live entries and the rest in
-// proportion to the demand that the entries report to each other.
+// Each entry holds an equal part of the rate of a team, so that the parts add up
+// to the rate without any message between entries.
 package quota
 
 import (
@@ -34,14 +33,11 @@
 
 // bucket is the token bucket of one team at this entry.
 type bucket struct {
-	rate   float64
-	shares int
-	// fraction is the part of rate that this entry holds.
-	fraction float64
-	tokens   float64
-	started  bool
-	last     time.Duration
-	demand   demand
+	rate    float64
+	shares  int
+	tokens  float64
+	started bool
+	last    time.Duration
 }
 
 // New returns a limiter without teams. The seed spreads retry times.
@@ -54,44 +50,21 @@
 
 // SetShare sets the rate of a team in tasks a second and the number of live
 // entries among which it is split. A rate of zero or less removes the limit.
-// It resets the split to even parts when the number of entries changes.
 func (l *Limiter) SetShare(team string, ratePerSecond float64, shares int) {
 	if ratePerSecond <= 0 {
 		delete(l.teams, team)
 		return
 	}
-	shares = max(shares, 1)
 	b := l.teams[team]
 	if b == nil {
 		b = &bucket{}
 		l.teams[team] = b
 	}
-	if b.shares != shares {
-		b.shares = shares
-		b.fraction = 1 / float64(shares)
-	}
+	b.shares = max(shares, 1)
 	b.rate = ratePerSecond
 	b.tokens = min(b.tokens, b.limit())
 }
 
-// SetDemand splits the rate of a team by demand: own is the demand of this
-// entry and total that of all live entries, in tasks a second; see Demand.
-func (l *Limiter) SetDemand(team string, own, total float64) {
-	if b := l.teams[team]; b != nil {
-		b.fraction = Fraction(own, total, b.shares)
-	}
-}
-
-// Demand returns the demand of a team at this entry in tasks a second,
-// refused tasks included.
-func (l *Limiter) Demand(now time.Duration, team string) float64 {
-	b := l.teams[team]
-	if b == nil {
-		return 0
-	}
-	return b.demand.rate(now)
-}
-
 // Allow takes tasks tokens of team at the monotonic time now. A job may take
 // more tokens than there are and leave a debt, so that a job larger than the
 // burst is admitted and the team then waits longer. When Allow reports false,
@@ -101,7 +74,6 @@
 	if b == nil {
 		return true, 0
 	}
-	b.demand.add(now, tasks)
 	b.refill(now)
 	need := min(float64(tasks), b.limit())
 	if b.tokens >= need {
@@ -119,7 +91,7 @@
 }
 
 // perSecond returns the part of the rate that this entry holds.
-func (b *bucket) perSecond() float64 { return b.rate * b.fraction }
+func (b *bucket) perSecond() float64 { return b.rate / float64(b.shares) }
 
 // limit returns the number of tokens that the bucket holds when full.
 func (b *bucket) limit() float64 {
