status: the lease of a lone agent has no end

Cause: an agent that is more than half of all agents by itself holds a lease without end, which the table showed as 1281023h53m30.426s, found by running the commands of the README. Change: 'no end', and 'ended' for one that has. TestStatusOfLargeFleet fails without either.

--- a/internal/command/status_test.go
+++ b/internal/command/status_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
+	"github.com/dogwoodgauge/dogwoodgauge/core/freshness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/entryd"
@@ -43,6 +44,7 @@
 	}
 	for _, want := range []string{
 		"entries 1: e1\n",
+		"lapsed       7       ended  0\n",
 		"agents 920: 1 dead, 1 silent, 1 leaving, 1 unread, 1 lapsed, 1 quarantined, 1 behind, 913 up\n",
 		"slots 7352 busy 0 queued 919 jobs held 1836\n", "did not answer: a010\n",
 		"quarantine of a500: by 1 agents, probation in 1s\n",
@@ -55,6 +57,9 @@
 	if n := strings.Count(out.String(), "\n"); n != 6+1+8+1 {
 		t.Errorf("%d lines:\n%s", n, out.String())
 	}
+	if text := leaseText(&message.Report{LeaseLeft: freshness.Forever - time.Hour}); text != "no end" {
+		t.Errorf("a lease without end is %s", text)
+	}
 	out.Reset()
 	if err := printStatus(&out, s, true); err != nil || strings.Count(out.String(), "\n") < 920 {
 		t.Errorf("error %v, --all lists %d lines", err, strings.Count(out.String(), "\n"))
--- a/internal/command/statustable.go
+++ b/internal/command/statustable.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/entry"
+	"github.com/dogwoodgauge/dogwoodgauge/core/freshness"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/entryd"
 )
@@ -198,11 +200,22 @@
 	return nil
 }
 
-func printAgent(w io.Writer, a *entry.AgentStatus, state agentState) {
-	lease := "-"
-	if a.Report != nil {
-		lease = a.Report.LeaseLeft.Round(time.Millisecond).String()
+// leaseText returns what is left of a lease. That of an agent which is more than
+// half of all agents by itself has no end.
+func leaseText(r *message.Report) string {
+	switch {
+	case r == nil:
+		return "-"
+	case r.LeaseLeft <= 0:
+		return "ended"
+	case r.LeaseLeft > freshness.Forever/2:
+		return "no end"
+	default:
+		return r.LeaseLeft.Round(time.Millisecond).String()
 	}
+}
+
+func printAgent(w io.Writer, a *entry.AgentStatus, state agentState) {
 	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\t%d\t%s\t%d\n", a.Ref.ID, a.Addr, a.Domain, a.Worker,
-		a.Load.Slots, a.Load.Busy, a.Load.Queued, a.Age.Round(time.Millisecond), state, a.Offset, lease, len(a.Upstreams))
+		a.Load.Slots, a.Load.Busy, a.Load.Queued, a.Age.Round(time.Millisecond), state, a.Offset, leaseText(a.Report), len(a.Upstreams))
 }
