entry: TLS for the callers' interface

Cause: the callers' interface was plain HTTP only; a site without a balancer that ends TLS could not protect it.

Change: certificate and key in the section tls, off by default, checked together, read again when the files change; the commands take --ca (or DOGWOODGAUGE_CA). The metrics address stays plain. TLS between processes was weighed and is not built.

--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -18,17 +21,46 @@
 // request itself asks for.
 const answerMargin = 5 * time.Second
 
-// client calls the HTTP interface of an entry.
-type client struct{ addr string }
+// client calls the HTTP interface of a process.
+type client struct {
+	addr string
+	// ca is a file with the certificates that an entry's may be signed by, PEM.
+	// Calls go over TLS when it is set.
+	ca string
+}
 
 // entryFlag adds the flag that names the entry to call.
 func entryFlag(cmd *kingpin.CmdClause) *client {
 	c := &client{}
 	cmd.Flag("entry", "HTTP IP:port of an entry.").Default("127.0.0.1:8080").
 		Envar("DOGWOODGAUGE_ENTRY").StringVar(&c.addr)
+	caFlag(cmd, &c.ca)
 	return c
 }
 
+// caFlag adds the flag for entries that speak TLS.
+func caFlag(cmd *kingpin.CmdClause, file *string) {
+	cmd.Flag("ca", "File with the certificates, PEM, that entries' are signed by; calls go over TLS then.").
+		Envar("DOGWOODGAUGE_CA").StringVar(file)
+}
+
+// connect returns what sends requests, and the start of their URLs.
+func (c *client) connect() (*http.Client, string, error) {
+	if c.ca == "" {
+		return http.DefaultClient, "http://" + c.addr, nil
+	}
+	text, err := os.ReadFile(c.ca)
+	if err != nil {
+		return nil, "", withCode(CodeUsage, errors.Wrap(err, "read certificates"))
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(text) {
+		return nil, "", withCode(CodeUsage, errors.Errorf("%s holds no certificate", c.ca))
+	}
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}, DisableKeepAlives: true}
+	return &http.Client{Transport: transport}, "https://" + c.addr, nil
+}
+
 // answer is the status and the body of an HTTP answer.
 type answer struct {
 	status int
@@ -38,7 +70,11 @@
 // call sends one request and reads the whole answer. The request is never
 // repeated. Body may be nil.
 func (c *client) call(ctx context.Context, method, path string, header http.Header, body []byte) (answer, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.addr+path, bytes.NewReader(body))
+	sender, base, err := c.connect()
+	if err != nil {
+		return answer{}, err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, base+path, bytes.NewReader(body))
 	if err != nil {
 		return answer{}, withCode(CodeUsage, err)
 	}
@@ -46,7 +82,7 @@
 		req.Header[name] = values
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := sender.Do(req)
 	if err != nil {
 		return answer{}, withCode(CodeNoAnswer, err)
 	}
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -35,6 +35,8 @@
 	logAddr string
 	stream  string
 	entries []string
+	// ca is as in client.
+	ca string
 	// keyFile holds the key of handovers. It may be empty.
 	keyFile string
 	author  string
@@ -60,6 +62,7 @@
 	o := logFlags(cmd, std)
 	cmd.Flag("entry", "HTTP IP:port of an entry that tells what is in force; may be repeated.").
 		Default("127.0.0.1:8080").Envar("DOGWOODGAUGE_ENTRY").StringsVar(&o.entries)
+	caFlag(cmd, &o.ca)
 	cmd.Flag("key-file", "File with the key that changes are handed over to entries with; without it they read the log only.").
 		Envar("DOGWOODGAUGE_KEY_FILE").StringVar(&o.keyFile)
 	cmd.Flag("author", "Name of the operator.").Default(os.Getenv("USER")).StringVar(&o.author)
@@ -178,7 +181,7 @@
 	}
 	header := http.Header{handover.Header: {key.Sign(o.stream, body)}}
 	for _, addr := range o.entries {
-		s, err := entryStatus(ctx, addr)
+		s, err := entryStatus(ctx, &client{addr: addr, ca: o.ca})
 		if err != nil {
 			continue
 		}
@@ -214,7 +217,7 @@
 // listen tells the rollout what the entries know.
 func (o *operator) listen(ctx context.Context, rollout *control.Rollout, start time.Time) {
 	for _, addr := range o.entries {
-		s, err := entryStatus(ctx, addr)
+		s, err := entryStatus(ctx, &client{addr: addr, ca: o.ca})
 		if err != nil {
 			continue
 		}
@@ -226,10 +229,9 @@
 	}
 }
 
-func entryStatus(ctx context.Context, addr string) (entryd.Status, error) {
+func entryStatus(ctx context.Context, c *client) (entryd.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTime)
 	defer cancel()
-	c := &client{addr: addr}
 	a, err := c.call(ctx, http.MethodGet, "/v1/status", nil, nil)
 	if err != nil {
 		return entryd.Status{}, err
--- a/internal/command/reset.go
+++ b/internal/command/reset.go
@@ -28,6 +28,7 @@
 	o := logFlags(cmd, std)
 	author := cmd.Flag("author", "Name of the operator.").Default(os.Getenv("USER")).String()
 	entries := cmd.Flag("entry", "HTTP IP:port of an entry; repeat it for all.").Required().Strings()
+	caFlag(cmd, &o.ca)
 	agents := cmd.Flag("agent", "Upstream IP:port of an agent; repeat it for all.").Required().Strings()
 	confirm := cmd.Flag("confirm", "Do it. All that is taken out comes back, and quotas and routes are gone, until they are published.").Bool()
 	cmd.Action(action(func() error {
@@ -42,7 +43,7 @@
 func (o *operator) reset(author string, entries, agents []string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), o.timeout)
 	defer cancel()
-	if err := lackState(ctx, entries, agents); err != nil {
+	if err := lackState(ctx, entries, o.ca, agents); err != nil {
 		return errors.Wrap(err, "nothing was reset")
 	}
 	offset, err := o.client().Reset(ctx, author)
@@ -59,9 +60,9 @@
 }
 
 // lackState returns nil when no entry and no agent has the state of the stream.
-func lackState(ctx context.Context, entries, agents []string) error {
+func lackState(ctx context.Context, entries []string, ca string, agents []string) error {
 	for _, addr := range entries {
-		if err := entryLacksState(ctx, addr); err != nil {
+		if err := entryLacksState(ctx, &client{addr: addr, ca: ca}); err != nil {
 			return err
 		}
 	}
@@ -75,9 +76,9 @@
 
 // entryLacksState returns nil when an entry does not run, or it and the agents
 // that it knows lack the state of the stream.
-func entryLacksState(ctx context.Context, addr string) error {
+func entryLacksState(ctx context.Context, c *client) error {
 	var s entryd.Status
-	if running, err := askState(ctx, addr, &s); !running || err != nil {
+	if running, err := askState(ctx, c, &s); !running || err != nil {
 		return err
 	}
 	if s.Synced && s.Offset > 0 {
@@ -95,7 +96,7 @@
 // the stream.
 func agentLacksState(ctx context.Context, addr string) error {
 	var s agentd.Status
-	if running, err := askState(ctx, addr, &s); !running || err != nil {
+	if running, err := askState(ctx, &client{addr: addr}, &s); !running || err != nil {
 		return err
 	}
 	if s.Synced && s.Offset > 0 {
@@ -110,19 +111,18 @@
 
 // askState reads the status of a process. It reports false when the process does
 // not run. One that does not answer may have the state.
-func askState(ctx context.Context, addr string, status any) (bool, error) {
+func askState(ctx context.Context, c *client, status any) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTime)
 	defer cancel()
-	c := &client{addr: addr}
 	a, err := c.call(ctx, http.MethodGet, statusPath, nil, nil)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return false, nil
 	}
 	if err != nil {
-		return false, errors.Errorf("%s does not answer and may have the configuration: %v", addr, err)
+		return false, errors.Errorf("%s does not answer and may have the configuration: %v", c.addr, err)
 	}
 	if err := a.decode(status); err != nil {
-		return false, errors.Errorf("%s: %v", addr, err)
+		return false, errors.Errorf("%s: %v", c.addr, err)
 	}
 	return true, nil
 }
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -114,7 +114,15 @@
 	if err != nil {
 		return err
 	}
+	var certificate *httpserver.Certificate
+	if s.TLS.Certificate != "" {
+		certificate, err = httpserver.LoadCertificate(string(s.TLS.Certificate), string(s.TLS.Key))
+		if err != nil {
+			return err
+		}
+	}
 	d.api, err = httpserver.Listen(httpserver.Config{
+		Certificate:    certificate,
 		Listen:         s.Listen.HTTP.String(),
 		Handler:        d.apiHandler(),
 		MaxConnections: s.Limits.Connections,
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -37,6 +38,8 @@
 	MaxConnections int
 	// HeaderTime is the longest time for a client to send its header.
 	HeaderTime time.Duration
+	// Certificate makes the server speak TLS only. It may be nil.
+	Certificate *Certificate
 }
 
 // Server serves one listening socket. Its methods are safe for concurrent use.
@@ -59,9 +62,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for HTTP")
 	}
+	listener = netutil.LimitListener(listener, cfg.MaxConnections)
+	if cfg.Certificate != nil {
+		listener = tls.NewListener(listener, cfg.Certificate.config())
+	}
 	return &Server{
 		closed:   make(chan struct{}),
-		listener: netutil.LimitListener(listener, cfg.MaxConnections),
+		listener: listener,
 		server: &http.Server{
 			Handler:           cfg.Handler,
 			ReadHeaderTimeout: cfg.HeaderTime,
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -27,6 +27,7 @@
 	c.role(e.Node, RoleEntry)
 	c.timing(&e.Timing.Timing)
 	c.readinessDelay(&e.Timing)
+	c.require((e.TLS.Certificate == "") == (e.TLS.Key == ""), "tls", "certificate", "certificate and key are needed together")
 	c.log(&e.Log)
 	c.peers(&e.Peers)
 	c.trace(&e.Trace)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -228,6 +228,7 @@
 		{"outage limit that is no duration", validAgent + "[timing]\noutage_limit = never", "13: outage_limit = never: want none or a positive duration with its unit such as 30s, 10m or 2h"},
 		{"outage limit of an entry", validEntry + "[timing]\noutage_limit = 1h", "12: unknown key outage_limit in section timing"},
 		{"readiness delay without time for the last calls", validEntry + "[timing]\nreadiness_delay = 15.5s", "12: readiness_delay 15.5s and max_timeout 1m0s together are longer than grace 1m15s"},
+		{"certificate without a key", validEntry + "[tls]\ncertificate = /c.pem", "12: certificate and key are needed together"},
 		{"negative readiness delay", validEntry + "[timing]\nreadiness_delay = -1s", "12: readiness_delay = -1s: want a duration that is not negative with its unit such as 0s, 500ms or 2s"},
 		{"readiness delay of an agent", validAgent + "[timing]\nreadiness_delay = 1s", "13: unknown key readiness_delay in section timing"},
 		{"section twice", validAgent + "[log]\n", "12: the section log is given twice"},
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -35,6 +35,7 @@
 	Log    Log         `ini:"log"`
 	Peers  Peers       `ini:"peers"`
 	Access Access      `ini:"access"`
+	TLS    TLS         `ini:"tls"`
 	Limits EntryLimits `ini:"limits"`
 	Timing EntryTiming `ini:"timing"`
 	Policy Policy      `ini:"policy"`
@@ -109,6 +110,13 @@
 	KeyFile Path `ini:"key_file"`
 }
 
+// TLS makes the callers' interface speak TLS only. Both files are PEM and read
+// again when they change.
+type TLS struct {
+	Certificate Path `ini:"certificate"`
+	Key         Path `ini:"key"`
+}
+
 // EntryLimits bounds what callers may send.
 type EntryLimits struct {
 	// Body is the largest request body.
