home: a long backlog is not looked through at every event

Cause: after each result and each refusal the home gathered the executors of every waiting task of up to 64 jobs again, so that a start cost the more, the longer the backlog.

Change: a task keeps its group, and is skipped when another task of the same class and the same executors has found no room in this round.

Not mended: 3,200 waiting tasks at one home on one core (CAPACITY.md).

--- a/core/home/home.go
+++ b/core/home/home.go
@@ -119,6 +119,9 @@
 	cands     []placement.Candidate
 	candLinks []*link
 	full      []*group
+	// fullLinks are the executors among which the last task of this class found
+	// no room.
+	fullLinks []*link
 }
 
 // Stats counts what the home has done.
--- a/core/home/place.go
+++ b/core/home/place.go
@@ -38,6 +38,10 @@
 			}
 			continue
 		}
+		if c.knownFull(t) {
+			waits = true
+			continue
+		}
 		if !c.placeTask(t) {
 			waits = true
 		}
@@ -48,10 +52,28 @@
 	return waits
 }
 
+// knownFull reports whether an earlier task of this round has found no room among
+// the executors that t would look at, so that a long backlog costs little. A task
+// that was refused looks at fewer, but may have to ask for its next round first.
+func (c *Core) knownFull(t *task) bool {
+	g := t.group
+	if g == nil || g.version != c.eligibleVersion() || t.excluded.Len() > 0 && !t.readmitting {
+		return false
+	}
+	if slices.Contains(c.full, g) {
+		return true
+	}
+	if len(c.fullLinks) == 0 || !slices.Equal(c.fullLinks, g.links) {
+		return false
+	}
+	c.full = append(c.full, g)
+	return true
+}
+
 // placeTask sends t to an executor with room. It reports false when t waits.
 func (c *Core) placeTask(t *task) bool {
 	g := c.group(t)
-	if t.excluded.Len() == 0 && slices.Contains(c.full, g) {
+	if c.knownFull(t) {
 		return false
 	}
 	if len(g.links) == 0 {
@@ -71,6 +93,7 @@
 	if i < 0 {
 		if t.excluded.Len() == 0 {
 			c.full = append(c.full, g)
+			c.fullLinks = append(c.fullLinks[:0], g.links...)
 		}
 		return false
 	}
@@ -98,8 +121,10 @@
 // group returns the group of t with its executors up to date.
 func (c *Core) group(t *task) *group {
 	r := t.record
-	labels := r.job.Tasks[t.index].Labels
-	g := r.group(labels)
+	if t.group == nil {
+		t.group = r.group(r.job.Tasks[t.index].Labels)
+	}
+	g := t.group
 	version := c.eligibleVersion()
 	if g.version == version {
 		return g
--- a/core/home/record.go
+++ b/core/home/record.go
@@ -38,6 +38,8 @@
 type task struct {
 	record *record
 	index  int
+	// group is nil until the task is first looked at.
+	group  *group
 	state  taskState
 	link   *link
 	seq    uint64
--- a/core/home/waitlist.go
+++ b/core/home/waitlist.go
@@ -84,6 +84,7 @@
 	if n == 0 {
 		return
 	}
+	c.fullLinks = c.fullLinks[:0]
 	batch := slices.Clone(list[:n])
 	var again []*record
 	for _, r := range batch {
