job: one rank of a class

Cause: home, queue and admission each mapped a class to its place, with the same switch. Change: job.Class.Rank and job.NumClasses; 35 lines added, 54 removed.

--- a/core/home/link.go
+++ b/core/home/link.go
@@ -33,7 +33,7 @@
 	loadAt time.Duration
 	// closedUntil holds, by class, until when the executor has asked not to be
 	// sent further tasks.
-	closedUntil [3]time.Duration
+	closedUntil [job.NumClasses]time.Duration
 	// refusals counts the refusals in a row without a load report that shows a
 	// free slot.
 	refusals int
@@ -87,7 +87,7 @@
 
 // close notes that the executor has no room for a class, nor for lower ones.
 func (l *link) close(class job.Class, until time.Duration) {
-	for i := classIndex(class); i < len(l.closedUntil); i++ {
+	for i := class.Rank(); i < len(l.closedUntil); i++ {
 		l.closedUntil[i] = max(l.closedUntil[i], until)
 	}
 }
@@ -95,7 +95,7 @@
 // reopen takes the executor back into use when it reports free slots.
 func (l *link) reopen() {
 	if placement.Free(placement.Candidate{Load: l.load, Class: job.Batch}) > 0 {
-		l.closedUntil = [3]time.Duration{}
+		l.closedUntil = [job.NumClasses]time.Duration{}
 		l.refusals = 0
 	}
 }
--- a/core/home/overload.go
+++ b/core/home/overload.go
@@ -24,7 +24,7 @@
 // refuses at once what cannot end before its deadline, and under lasting load
 // what would have to wait.
 func (c *Core) admit(r *record) admission.Decision {
-	class := classIndex(r.job.Class)
+	class := r.job.Class.Rank()
 	q := c.capacity(r)
 	if q.slots == 0 {
 		return admission.Decision{OK: true}
--- a/core/home/place.go
+++ b/core/home/place.go
@@ -157,7 +157,7 @@
 func (c *Core) gather(t *task, g *group) {
 	c.cands = c.cands[:0]
 	c.candLinks = c.candLinks[:0]
-	class := classIndex(t.record.job.Class)
+	class := t.record.job.Class.Rank()
 	for _, l := range g.links {
 		if l.suspect || l.load.Draining || t.excluded.Has(l.ref) || c.faults.Quarantined(c.now.Mono, l.ref.ID) {
 			continue
--- a/core/home/waitlist.go
+++ b/core/home/waitlist.go
@@ -12,13 +12,13 @@
 
 // waitlist holds the records with waiting tasks, by class, in turn order.
 type waitlist struct {
-	classes [3][]*record
+	classes [job.NumClasses][]*record
 	// tasks counts the waiting tasks of each class.
-	tasks [3]int
+	tasks [job.NumClasses]int
 }
 
 // count adds n to the waiting tasks of the class of r.
-func (w *waitlist) count(r *record, n int) { w.tasks[classIndex(r.job.Class)] += n }
+func (w *waitlist) count(r *record, n int) { w.tasks[r.job.Class.Rank()] += n }
 
 // len returns the number of waiting tasks.
 func (w *waitlist) len() int { return w.ahead(len(w.tasks) - 1) }
@@ -32,17 +32,6 @@
 	return n
 }
 
-func classIndex(c job.Class) int {
-	switch c {
-	case job.Urgent:
-		return 0
-	case job.Batch:
-		return 2
-	default:
-		return 1
-	}
-}
-
 func (w *waitlist) add(r *record) {
 	w.count(r, len(r.tasks))
 	w.enter(r)
@@ -54,7 +43,7 @@
 		return
 	}
 	r.inWaitlist = true
-	list := &w.classes[classIndex(r.job.Class)]
+	list := &w.classes[r.job.Class.Rank()]
 	*list = append(*list, r)
 }
 
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -32,6 +32,22 @@
 // Classes lists the classes, most urgent first.
 var Classes = []Class{Urgent, Normal, Batch}
 
+// NumClasses is the number of classes.
+const NumClasses = 3
+
+// Rank returns the place of the class in Classes. An unknown or empty class has
+// the rank of Normal.
+func (c Class) Rank() int {
+	switch c {
+	case Urgent:
+		return 0
+	case Batch:
+		return 2
+	default:
+		return 1
+	}
+}
+
 // Task is one unit of work. Payload is opaque.
 type Task struct {
 	Labels  label.Set `json:"labels,omitempty"`
--- a/core/policy/admission/admission.go
+++ b/core/policy/admission/admission.go
@@ -99,7 +99,7 @@
 func (c *Controller) SetFloor(d time.Duration) { c.floor = d }
 
 // Target returns the queue delay that class may have under lasting load.
-func (c *Controller) Target(class job.Class) time.Duration { return c.target(rank(class)) }
+func (c *Controller) Target(class job.Class) time.Duration { return c.target(class.Rank()) }
 
 func (c *Controller) target(rank int) time.Duration { return max(c.targets[rank], c.floor) }
 
@@ -111,19 +111,19 @@
 
 // Observe records the queue delay of a task that left the queue at now.
 func (c *Controller) Observe(now time.Duration, class job.Class, delay time.Duration) {
-	r := rank(class)
+	r := class.Rank()
 	c.state[r].observe(now, delay > c.target(r))
 }
 
 // Over reports whether class is over its target at now.
 func (c *Controller) Over(now time.Duration, class job.Class) bool {
-	return c.state[rank(class)].over(now)
+	return c.state[class.Rank()].over(now)
 }
 
 // Admit decides on r at the monotonic time now. A task that finds a slot free
 // for its class is refused only when its deadline has passed.
 func (c *Controller) Admit(now time.Duration, r Request) Decision {
-	own := rank(r.Class)
+	own := r.Class.Rank()
 	c.state[own].observe(now, r.Wait > c.target(own))
 	if r.Timeout <= 0 {
 		return refuse(Late, 0)
@@ -148,15 +148,3 @@
 func refuse(reason Reason, after time.Duration) Decision {
 	return Decision{Reason: reason, RetryAfter: max(after, minRetryAfter)}
 }
-
-// rank orders the classes from the most urgent. An empty class is normal.
-func rank(class job.Class) int {
-	switch class {
-	case job.Urgent:
-		return 0
-	case job.Batch:
-		return 2
-	default:
-		return 1
-	}
-}
--- a/core/policy/queue/queue.go
+++ b/core/policy/queue/queue.go
@@ -65,7 +65,7 @@
 // Push queues v. Deadline is a monotonic instant. A full queue evicts the
 // latest deadline of the lowest class below class, or refuses v.
 func (q *Queue[T]) Push(v T, class job.Class, deadline time.Duration) Pushed[T] {
-	lvl := levelOf(class)
+	lvl := class.Rank()
 	var evicted []T
 	if len(q.byID) >= q.limit {
 		victim := q.victim(lvl)
@@ -124,7 +124,7 @@
 // Peek returns the first item of class without removing it. It reports false
 // when there is none.
 func (q *Queue[T]) Peek(class job.Class) (T, bool) {
-	list := q.levels[levelOf(class)].items
+	list := q.levels[class.Rank()].items
 	if len(list) == 0 {
 		var zero T
 		return zero, false
@@ -146,7 +146,7 @@
 // allows, because admit kept it back. A caller that reserves slots should then
 // admit it once.
 func (q *Queue[T]) Owed(class job.Class) bool {
-	l := levelOf(class)
+	l := class.Rank()
 	lv := &q.levels[l]
 	return turns[l] > 0 && len(lv.items) > 0 && lv.passed >= owedFactor*turns[l]
 }
@@ -208,14 +208,14 @@
 
 // LenClass returns the number of queued items of class.
 func (q *Queue[T]) LenClass(class job.Class) int {
-	return len(q.levels[levelOf(class)].items)
+	return len(q.levels[class.Rank()].items)
 }
 
 // Ahead returns the number of queued items that a new item of class would wait
 // for, the guaranteed turns of lower classes left out.
 func (q *Queue[T]) Ahead(class job.Class) int {
 	n := 0
-	for l := 0; l <= levelOf(class); l++ {
+	for l := 0; l <= class.Rank(); l++ {
 		n += len(q.levels[l].items)
 	}
 	return n
@@ -231,15 +231,3 @@
 	}
 	return e.value
 }
-
-// levelOf maps a class to its level. An unknown or empty class is normal.
-func levelOf(class job.Class) int {
-	switch class {
-	case job.Urgent:
-		return 0
-	case job.Batch:
-		return 2
-	default:
-		return 1
-	}
-}
--- a/core/policy/queue/queue_test.go
+++ b/core/policy/queue/queue_test.go
@@ -143,7 +143,7 @@
 				x.deadline = time.Duration(rapid.IntRange(0, 20).Draw(t, "deadline"))
 				p := q.Push(x.v, x.class, x.deadline)
 				for _, v := range p.Evicted {
-					if old := forget(v); levelOf(old.class) <= levelOf(x.class) {
+					if old := forget(v); old.class.Rank() <= x.class.Rank() {
 						t.Fatalf("%s evicted %s", x.class, old.class)
 					}
 				}
