--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -38,6 +38,14 @@
 	"caller_gone":                "the caller closed its connection",
 	"cancelled":                  "the caller cancelled the job",
 	"process_was_paused":         "the dispatcher did not run for so long that its leases were about to lapse",
+	"no_configuration":           "the dispatcher had no configuration yet; see its site_state_taken and store_lost lines",
+	"no_route":                   "no route of the revision in force has the host and a prefix of the path; see site_state_taken",
+	"malformed_id":               "the path does not end in the ID of a job",
+	"unreadable_body":            "the body did not arrive whole, or is too large",
+	"malformed_body":             "the body can't be decoded",
+	"malformed_steps":            "the numbers of tasks or the order of the steps are out of bounds",
+	"unsupported_kind_of_job":    "the job asks for what the product does not do yet: stored, timed or lasting jobs, gangs, copies",
+	"stopped":                    "the dispatcher had stopped",
 	"submitted_again_elsewhere":  "the caller sent the job again, and it goes on there",
 }
 
--- a/internal/dispatchd/service.go
+++ b/internal/dispatchd/service.go
@@ -25,6 +25,9 @@
 	Cancel(ctx context.Context, id string) bool
 	// Waiting returns the number of jobs of a route of which nothing has started.
 	Waiting(ctx context.Context, route string) int
+	// NotTaken records that a request was answered without becoming a job, and why.
+	// ID is that of the job, as far as it is known.
+	NotTaken(id, reason string, fields ...any)
 	// Leaving reports whether a planned stop has begun: connections are to be
 	// closed after their next answer.
 	Leaving() bool
@@ -48,7 +51,8 @@
 	call, answer := d.calls.Begin()
 	defer d.calls.Forget(call)
 	if !d.loop.Post(dispatch.Submit{Call: call, Job: j}) {
-		return dispatch.Answer{Outcome: dispatch.Refused, Reason: "stopped"}
+		d.NotTaken(j.ID, reasonStopped)
+		return dispatch.Answer{Outcome: dispatch.Refused, Reason: reasonStopped}
 	}
 	select {
 	case a := <-answer:
@@ -84,6 +88,15 @@
 	return n
 }
 
+// reasonStopped is why a job that comes after the end of the core is refused.
+const reasonStopped = "stopped"
+
+// NotTaken implements Service.
+func (d *Daemon) NotTaken(id, reason string, fields ...any) {
+	d.metrics.JobAnswers(reason).Inc()
+	d.logs.Decide("job_refused", id, append([]any{"reason", reason, "revision", d.Site().Revision}, fields...))
+}
+
 // Leaving implements Service.
 func (d *Daemon) Leaving() bool { return d.draining.Load() }
 
