soak: the real programs as processes, under faults from outside

dogwoodgauge soak runs dispatchers and agents as separate processes with the stand-ins of store, upstreams and callers, and injects faults drawn from a seed: signals, links through loopback proxies, the store, upstreams, configurations, domains taken out. It checks what callers and upstreams see: two runs of a task, partial answers, refusals that have run, starts after a domain is out or an upstream leaves, requests cut off, configurations that are late or revert, recovery, memory and descriptors.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -75,6 +75,7 @@
 	addDispatcher(app)
 	addDemo(app, std)
 	addExperiment(app, std)
+	addSoak(app, std)
 	addJob(app, std)
 	addIDs(app, std)
 	addConfig(app, std)
