--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -36,8 +36,6 @@
 	done                  map[string]bool
 	// failures counts the ends of each task as failed.
 	failures map[string]int
-	// acknowledged is set with the first answer that is no refusal.
-	acknowledged bool
 }
 
 // upstreamLife is one life of an upstream.
