lessee, lesseed: a restarted agent takes up its upstream from a note in the store

Cause: a new run of an agent waited for the next announcement of its upstream, up to 1.5 s, with the upstream idle. After a loss of all processes no task starts until then.

Change: an agent notes each life of its upstream in a topic of its own; a new run reads the note and offers room once a look has shown the same life with nothing running. core/leasemodel restarts agents either way; 100 runs of its test pass.

--- a/core/leasemodel/upstream_test.go
+++ b/core/leasemodel/upstream_test.go
@@ -72,10 +72,14 @@
 		return
 	}
 	u.seq++
-	u.w.post(u.agent, lessee.Announced{Announcement: lessee.Announcement{
+	u.w.post(u.agent, lessee.Announced{Announcement: u.announcement()})
+}
+
+func (u *upstream) announcement() lessee.Announcement {
+	return lessee.Announcement{
 		ID: fmt.Sprintf("u%d", u.index), Born: int64(u.life), Seq: u.seq, Clock: u.clock(), Service: "s",
 		Domain: fmt.Sprintf("z%d", u.index), Capacity: message.Demand{MilliCPU: upstreamCapacity, MemoryMB: 1000},
-	}})
+	}
 }
 
 func (u *upstream) startRun(a lessee.StartRun) lessee.CallResult {
--- a/core/leasemodel/world_test.go
+++ b/core/leasemodel/world_test.go
@@ -138,7 +138,11 @@
 	p.upstream = u
 	u.agent = p
 	w.post(p, lessee.SiteChanged{State: w.site})
-	u.announce()
+	if w.rnd.IntN(2) == 0 {
+		u.announce()
+	} else {
+		w.post(p, lessee.Remembered{Announcement: u.announcement()})
+	}
 	for _, d := range w.dispatchers() {
 		w.connect(d, p)
 	}
--- a/core/lessee/api.go
+++ b/core/lessee/api.go
@@ -33,6 +33,11 @@
 // Announced delivers an announcement.
 type Announced struct{ Announcement Announcement }
 
+// Remembered delivers the last announcement of the upstream that an earlier run of the
+// agent has noted, so that a new run need not wait for the next one. Its clock, its
+// sequence number and whether it drains are not known.
+type Remembered struct{ Announcement Announcement }
+
 // Withdrawn says that the upstream has left.
 type Withdrawn struct{ ID string }
 
@@ -126,6 +131,9 @@
 // IsEvent implements step.Event.
 func (Announced) IsEvent() {}
 
+// IsEvent implements step.Event.
+func (Remembered) IsEvent() {}
+
 // IsEvent implements step.Event.
 func (Withdrawn) IsEvent() {}
 
@@ -184,6 +192,12 @@
 // IsAction implements step.Action.
 func (Look) IsAction() {}
 
+// Remember asks to note an announcement for a later run of the agent.
+type Remember struct{ Announcement Announcement }
+
+// IsAction implements step.Action.
+func (Remember) IsAction() {}
+
 // callResults holds the names of the results, in their order.
 var callResults = []string{
 	"ok", "unknown", "fenced", "old_run", "late", "no_room", "unhealthy", "other_life", "rejected", "no_listener",
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -43,6 +43,8 @@
 	asking site.Asking
 	relay  site.Relay
 	life   life
+	// noted is what a later run of the agent has been left.
+	noted  note
 	owners map[node.Ref]*owner
 	// order lists the owners in the order in which they came.
 	order []*owner
@@ -85,6 +87,8 @@
 		c.receive(e.Envelope)
 	case Announced:
 		c.announced(e.Announcement)
+	case Remembered:
+		c.remembered(e.Announcement)
 	case Withdrawn:
 		c.withdrawn(e.ID)
 	case SiteChanged:
--- a/core/lessee/life.go
+++ b/core/lessee/life.go
@@ -83,6 +83,34 @@
 		c.begin(a)
 	}
 	c.update(a)
+	if n := noteOf(a); !a.Draining && n != c.noted {
+		c.noted = n
+		c.out = append(c.out, Remember{Announcement: a})
+	}
+}
+
+// note is what of an announcement is worth noting anew when it changes.
+type note struct {
+	id       string
+	born     int64
+	service  string
+	domain   string
+	capacity message.Demand
+}
+
+func noteOf(a Announcement) note { return note{a.ID, a.Born, a.Service, a.Domain, a.Capacity} }
+
+// remembered takes up the upstream of an earlier run, unless one is known already. The
+// first look shows whether it lives and is still in the same life.
+func (c *Core) remembered(a Announcement) {
+	if c.life.phase != absent || c.life.id != "" {
+		return
+	}
+	a.Seq, a.Clock = 0, 0
+	c.noted = noteOf(a)
+	c.begin(a)
+	c.update(a)
+	c.decide("upstream_remembered", "", "upstream", a.ID, "born", a.Born)
 }
 
 // begin takes up a life whose runs, if any, are not known yet; they are to lapse.
--- a/internal/command/leased.go
+++ b/internal/command/leased.go
@@ -52,8 +52,8 @@
 		store := platform.NewStore(s.Store.Address)
 		return withLines(func() error {
 			d, err := lesseed.New(lesseed.Config{Settings: s, Platform: lesseed.Platform{
-				Operators: store.Operators(), Agents: store.Agents(), DecodeSite: platform.DecodeSite,
-				Upstream: platform.NewUpstream(s.Upstream.Address), Announcements: platform.Announcements,
+				Operators: store.Operators(), Agents: store.Agents(), Upstreams: store.Upstreams(),
+				DecodeSite: platform.DecodeSite, Upstream: platform.NewUpstream(s.Upstream.Address), Announcements: platform.Announcements,
 			}})
 			if err != nil {
 				return err
--- a/internal/lesseed/calls.go
+++ b/internal/lesseed/calls.go
@@ -32,6 +32,8 @@
 		go d.stop(a)
 	case lessee.Look:
 		go d.look(a, d.loop.Mono())
+	case lessee.Remember:
+		d.note(a.Announcement)
 	case step.Decision:
 		d.logs.Decide(a.Event, a.Job, a.Fields)
 	case step.SetTimer:
--- a/internal/lesseed/daemon.go
+++ b/internal/lesseed/daemon.go
@@ -55,8 +55,9 @@
 
 // Platform is what an agent needs of the platform it runs on.
 type Platform struct {
-	// Operators holds the operators' records, and Agents the agents' addresses.
-	Operators, Agents sitestore.Topic
+	// Operators holds the operators' records, Agents the agents' addresses, and
+	// Upstreams what agents have noted of their upstreams.
+	Operators, Agents, Upstreams sitestore.Topic
 	// DecodeSite returns the published state in the operators' records.
 	DecodeSite sitestore.Decode
 	// Upstream calls the upstream.
@@ -91,6 +92,8 @@
 	timing    atomic.Pointer[settings.LeasedTiming]
 	drained   *lifecycle.Signal
 	killed    *lifecycle.Signal
+	// notes holds the newest announcement that is to be noted.
+	notes chan lessee.Announcement
 }
 
 // New opens the sockets of an agent. Run must be called next, or Kill.
@@ -102,6 +105,7 @@
 		metrics: telemetry.NewMetrics(),
 		drained: lifecycle.NewSignal(),
 		killed:  lifecycle.NewSignal(),
+		notes:   make(chan lessee.Announcement, 1),
 	}
 	d.Apply(cfg.Settings)
 	d.core = lessee.New(lessee.Config{Token: time.Now().UnixMilli()})
@@ -177,7 +181,7 @@
 	calls, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	d.calls = calls
-	actors := []func(context.Context) error{d.loop.Run, d.transport.Run, d.followSite().Run, d.register}
+	actors := []func(context.Context) error{d.loop.Run, d.transport.Run, d.followSite().Run, d.register, d.remember}
 	err := lifecycle.Serve(func() error { return d.leave(ctx) }, d.Kill, actors, d.announced, d.monitor)
 	d.logs.Info("stopped", "id", d.self.String(), "err", err)
 	return err
@@ -187,7 +191,7 @@
 func (d *Daemon) register(ctx context.Context) error {
 	s := d.cfg.Settings
 	record := sitestore.Agent{ID: s.Node.ID, Addr: netip.MustParseAddrPort(d.transport.Addr()), Domain: s.Node.Domain}
-	if err := sitestore.Register(ctx, d.cfg.Platform.Agents, string(s.Node.ID), record.Encode(), d.logs); err != nil {
+	if err := sitestore.Keep(ctx, d.cfg.Platform.Agents, "address", string(s.Node.ID), record.Encode(), d.logs); err != nil {
 		return err
 	}
 	<-ctx.Done()
--- a/internal/sitestore/sitestore.go
+++ b/internal/sitestore/sitestore.go
@@ -34,6 +34,8 @@
 	// Read returns the records from an offset on, and the end. At the end of the
 	// log it waits up to wait for a record. Its error may be ErrTrimmed.
 	Read(ctx context.Context, from int64, wait time.Duration) (records []Record, end int64, err error)
+	// Get returns the newest value of a key. Without one the value is empty.
+	Get(ctx context.Context, key string) ([]byte, error)
 	// Put appends a record. After an error it may have been appended.
 	Put(ctx context.Context, key string, value []byte) error
 }
@@ -149,16 +151,16 @@
 // pause waits for d, spread by half, or for the end of ctx.
 func pause(ctx context.Context, d time.Duration) { lifecycle.Wait(d/2+rand.N(d), ctx.Done()) }
 
-// Register puts a record until that has succeeded or ctx ends.
-func Register(ctx context.Context, t Topic, key string, value []byte, logs *telemetry.Logger) error {
+// Keep puts a record until that has succeeded or ctx ends. What names it in the log.
+func Keep(ctx context.Context, t Topic, what, key string, value []byte, logs *telemetry.Logger) error {
 	retry := minRetry
 	for ctx.Err() == nil {
 		err := t.Put(ctx, key, value)
 		if err == nil {
-			logs.Decide("address_published", "", []any{"key", key})
+			logs.Decide(what+"_published", "", []any{"key", key})
 			return nil
 		}
-		logs.Decide("address_not_published", "", []any{"key", key, "err", err})
+		logs.Decide(what+"_not_published", "", []any{"key", key, "err", err})
 		pause(ctx, retry)
 		retry = min(2*retry, maxRetry)
 	}
--- a/internal/sitestore/sitestore_test.go
+++ b/internal/sitestore/sitestore_test.go
@@ -51,6 +51,11 @@
 	return err
 }
 
+func (s *script) Get(context.Context, string) ([]byte, error) {
+	_, _, err := s.next("get")
+	return nil, err
+}
+
 type taken struct {
 	records map[string][]byte
 	end     int64
