--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -34,6 +34,9 @@
 	ref    node.Ref
 	domain string
 	room   message.Room
+	// kind is what the upstream is, as of kindVersion.
+	kind        message.UpstreamKind
+	kindVersion uint64
 	// stamp is the last stamp of the agent and heardAt the time at which it came.
 	stamp   time.Duration
 	heardAt time.Duration
@@ -94,6 +97,7 @@
 	a.beatAt = c.now.Mono
 	b := &message.Beat{
 		Stamp: c.now.Mono, Echo: a.stamp, Revision: c.site.Revision, Waiting: len(c.waiting) > 0, WantSite: want,
+		KnownKind: a.kindVersion,
 	}
 	if give {
 		b.Site = c.site
@@ -156,8 +160,13 @@
 	if r.Version < a.room.Version {
 		return
 	}
-	if r.Ready != a.room.Ready || r.Capacity != a.room.Capacity {
-		c.decide("agent_room", "", "agent", a.ref.String(), "ready", r.Ready, "capacity_mcpu", r.Capacity.MilliCPU,
+	news := r.Ready != a.room.Ready
+	if r.Kind != nil {
+		news = news || r.KindVersion != a.kindVersion
+		a.kind, a.kindVersion = *r.Kind, r.KindVersion
+	}
+	if news {
+		c.decide("agent_room", "", "agent", a.ref.String(), "ready", r.Ready, "capacity_mcpu", a.kind.Capacity.MilliCPU,
 			"used_mcpu", r.Used.MilliCPU, "version", r.Version)
 	}
 	a.room = *r
@@ -184,11 +193,12 @@
 }
 
 // free returns the room that is left at a, as far as is known.
-func (a *agent) free() message.Demand { return a.room.Capacity.Sub(a.room.Used).Sub(a.extraSum) }
+func (a *agent) free() message.Demand { return a.kind.Capacity.Sub(a.room.Used).Sub(a.extraSum) }
 
 // usable reports whether a may get new work.
 func (c *Core) usable(a *agent) bool {
-	return a.room.Ready && !a.dead && c.now.Mono-a.heardAt <= suspectAfter && !c.site.Out(a.room.Domain)
+	return a.room.Ready && a.room.KindVersion == a.kindVersion && !a.dead &&
+		c.now.Mono-a.heardAt <= suspectAfter && !c.site.Out(a.kind.Domain)
 }
 
 // recall asks for the end of an offer whose result is no longer wanted.
--- a/core/dispatch/api.go
+++ b/core/dispatch/api.go
@@ -123,6 +123,10 @@
 // to be opened anew.
 type Silent struct{ Agent node.Ref }
 
+// Overloaded says that the process has begun to fall behind its work, or has caught up
+// for a while. Meanwhile callers should be sent to other dispatchers.
+type Overloaded struct{ Now bool }
+
 // Published is the newest published state, after a change.
 type Published struct{ State *site.State }
 
@@ -135,5 +139,8 @@
 // IsAction implements step.Action.
 func (Silent) IsAction() {}
 
+// IsAction implements step.Action.
+func (Overloaded) IsAction() {}
+
 // IsAction implements step.Action.
 func (Published) IsAction() {}
--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -48,8 +48,10 @@
 	for i := range agents {
 		l.step(step.Received{Envelope: message.Envelope{From: ref(i), Messages: []message.Message{{Beat: &message.Beat{
 			Stamp: l.now, Revision: 1, Room: &message.Room{
-				Version: uint64(l.now), Ready: true, Service: "s", Domain: fmt.Sprintf("z%d", i%4), Seen: l.core.seq,
-				Capacity: message.Demand{MilliCPU: 8 * core1}, Used: message.Demand{MilliCPU: (8 - cores) * core1},
+				Version: uint64(l.now), Ready: true, Seen: l.core.seq, Used: message.Demand{MilliCPU: (8 - cores) * core1},
+				KindVersion: 1, Kind: &message.UpstreamKind{
+					Service: "s", Domain: fmt.Sprintf("z%d", i%4), Capacity: message.Demand{MilliCPU: 8 * core1},
+				},
 			},
 		}}}}})
 	}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -76,7 +76,9 @@
 	resumedAt time.Duration
 	// pressure watches how long submissions wait for this process.
 	pressure pressure.Gauge
-	stats    Stats
+	// pressed is what was told of it last.
+	pressed bool
+	stats   Stats
 }
 
 // Stats counts what the dispatcher has done.
@@ -126,6 +128,7 @@
 	c.place()
 	c.refuseHopeless()
 	c.askForRoom()
+	c.tellPressure()
 	if c.draining && len(c.jobs) == 0 {
 		c.out = append(c.out, step.Drained{})
 	}
@@ -133,6 +136,17 @@
 	return c.out
 }
 
+// tellPressure says when the process begins to fall behind, and when it has caught up.
+func (c *Core) tellPressure() {
+	now := c.pressure.Recovering(c.now.Mono)
+	if now == c.pressed {
+		return
+	}
+	c.pressed = now
+	c.decide("overload", "", "now", now, "open_jobs", len(c.jobs), "waiting", len(c.waiting))
+	c.out = append(c.out, Overloaded{Now: now})
+}
+
 // begin notes the time, and gives up the open jobs when the process has not run for
 // too long.
 func (c *Core) begin(now clock.Now) {
@@ -174,7 +188,7 @@
 // Stats returns the counters.
 func (c *Core) Stats() Stats {
 	s := c.stats
-	s.Overloaded = c.pressure.Recovering(c.now.Mono)
+	s.Overloaded = c.pressed
 	s.Open, s.Waiting, s.Agents, s.Revision = len(c.jobs), len(c.waiting), len(c.agents), c.site.Revision
 	for _, a := range c.order {
 		if c.usable(a) {
--- a/core/dispatch/harness_test.go
+++ b/core/dispatch/harness_test.go
@@ -23,6 +23,8 @@
 	to      map[uint64]node.ID
 	recalls []uint64
 	beats   map[node.ID]message.Beat
+	// overloaded is what was said last.
+	overloaded bool
 }
 
 const core1 = 1000 // one core, in thousandths
@@ -38,6 +40,8 @@
 		switch a := action.(type) {
 		case Answer:
 			b.answers[a.Call] = a
+		case Overloaded:
+			b.overloaded = a.Now
 		case step.Send:
 			b.sent(a)
 		}
@@ -70,8 +74,9 @@
 func (b *bench) beat(n, cores int) {
 	for i := range n {
 		b.receive(i, message.Message{Beat: &message.Beat{Stamp: b.now, Revision: 1, Room: &message.Room{
-			Version: uint64(b.now), Ready: true, Service: "s", Domain: fmt.Sprintf("z%d", i),
-			Capacity: message.Demand{MilliCPU: cores * core1},
+			Version: uint64(b.now), Ready: true, KindVersion: 1, Kind: &message.UpstreamKind{
+				Service: "s", Domain: fmt.Sprintf("z%d", i), Capacity: message.Demand{MilliCPU: cores * core1},
+			},
 		}}})
 	}
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -214,11 +214,11 @@
 // run a task of this kind if it were idle.
 func (c *Core) couldRun(service string, kind *Step) (known, fits bool) {
 	for _, a := range c.order {
-		if a.room.Service != service || !c.usable(a) {
+		if a.kind.Service != service || !c.usable(a) {
 			continue
 		}
 		known = true
-		if kind.Demand.Fits(a.room.Capacity) && hasLabel(a, kind.Requires) {
+		if kind.Demand.Fits(a.kind.Capacity) && hasLabel(a, kind.Requires) {
 			return true, true
 		}
 	}
@@ -226,7 +226,7 @@
 }
 
 func hasLabel(a *agent, label string) bool {
-	return label == "" || slices.Contains(a.room.Labels, label)
+	return label == "" || slices.Contains(a.kind.Labels, label)
 }
 
 // unblock makes the tasks placeable whose earlier steps are done.
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/pressure"
 	"github.com/dogwoodgauge/dogwoodgauge/core/site"
 	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 )
@@ -87,8 +88,8 @@
 	}
 	b.take()
 	b.receive(0, message.Message{Beat: &message.Beat{Stamp: b.now, Revision: 1, Room: &message.Room{
-		Version: uint64(b.now), Ready: true, Service: "s", Domain: "z0", Capacity: message.Demand{MilliCPU: 2 * core1},
-		Used: message.Demand{MilliCPU: core1}, Seen: 1,
+		Version: uint64(b.now), Ready: true, Used: message.Demand{MilliCPU: core1}, Seen: 1, KindVersion: 2,
+		Kind: &message.UpstreamKind{Service: "s", Domain: "z0", Capacity: message.Demand{MilliCPU: 2 * core1}},
 	}}})
 	if got := jobs(b.take()); !slices.Equal(got, []string{"waits"}) {
 		t.Errorf("offered %v", got)
@@ -263,10 +264,14 @@
 	if a := send("urgent-late", 0, 150*time.Millisecond); a.Reason != reasonOverloaded {
 		t.Errorf("an urgent job that has waited for long: %+v", a)
 	}
-	if !b.core.Stats().Overloaded {
+	if !b.core.Stats().Overloaded || !b.overloaded {
 		t.Error("not said to be overloaded")
 	}
 	if a := send("after", 1, time.Millisecond); a.Outcome != "" {
 		t.Errorf("a job after the backlog: %+v", a)
 	}
+	b.pass(pressure.Recovery + 100*time.Millisecond)
+	if b.core.Stats().Overloaded || b.overloaded {
+		t.Error("not said to have recovered")
+	}
 }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -123,7 +123,7 @@
 // eligible reports whether an agent that takes work may run t, whatever its room.
 func eligible(t *task, a *agent) bool {
 	kind := t.kind()
-	return a.room.Service == t.job.spec.Route.Service && hasLabel(a, kind.Requires) &&
+	return a.kind.Service == t.job.spec.Route.Service && hasLabel(a, kind.Requires) &&
 		(kind.MaxPerUpstream == 0 || t.onAgent(a) < kind.MaxPerUpstream)
 }
 
@@ -141,8 +141,8 @@
 // score ranks the agents that have room: the freest one first, near ones before
 // others.
 func (c *Core) score(t *task, a *agent, free message.Demand) float64 {
-	score := float64(free.MilliCPU) / float64(max(a.room.Capacity.MilliCPU, 1))
-	if a.room.Domain == c.cfg.Domain {
+	score := float64(free.MilliCPU) / float64(max(a.kind.Capacity.MilliCPU, 1))
+	if a.kind.Domain == c.cfg.Domain {
 		score += nearBonus
 	}
 	if near := t.kind().Near; near != "" && hasLabel(a, near) {
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -56,10 +56,11 @@
 	handles uint64
 	used    message.Demand
 	token   int64
-	// roomVersion counts the changes of the room.
-	roomVersion uint64
-	draining    bool
-	nextBeat    time.Duration
+	// roomVersion counts the changes of the room, kindVersion those of what the upstream
+	// is.
+	roomVersion, kindVersion uint64
+	draining                 bool
+	nextBeat                 time.Duration
 }
 
 // New returns a lessee without an upstream.
@@ -165,16 +166,15 @@
 func (c *Core) changed() { c.roomVersion++ }
 
 func (c *Core) room(o *owner) *message.Room {
-	return &message.Room{
-		Version:  c.roomVersion,
-		Ready:    c.Ready(),
-		Service:  c.life.service,
-		Domain:   c.life.domain,
-		Labels:   c.life.labels,
-		Capacity: c.life.capacity,
-		Used:     c.used,
-		Seen:     o.seen,
+	r := &message.Room{
+		Version: c.roomVersion, Ready: c.Ready(), Used: c.used, Seen: o.seen, KindVersion: c.kindVersion,
 	}
+	if o.knownKind != c.kindVersion {
+		r.Kind = &message.UpstreamKind{
+			Service: c.life.service, Domain: c.life.domain, Labels: c.life.labels, Capacity: c.life.capacity,
+		}
+	}
+	return r
 }
 
 func (c *Core) send(to node.Ref, m message.Message) {
--- a/core/lessee/life.go
+++ b/core/lessee/life.go
@@ -1,6 +1,7 @@
 package lessee
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
@@ -133,7 +134,11 @@
 	if a.Draining != l.draining {
 		c.decide("upstream_draining", "", "upstream", a.ID, "draining", a.Draining)
 	}
-	if l.service != a.Service || l.capacity != a.Capacity || l.draining != a.Draining {
+	if l.service != a.Service || l.capacity != a.Capacity || l.domain != a.Domain || !slices.Equal(l.labels, a.Labels) {
+		c.kindVersion++
+		c.changed()
+	}
+	if l.draining != a.Draining {
 		c.changed()
 	}
 	l.seq, l.service, l.domain, l.labels = a.Seq, a.Service, a.Domain, a.Labels
--- a/core/lessee/owner.go
+++ b/core/lessee/owner.go
@@ -37,6 +37,8 @@
 	stamp time.Duration
 	// heardAt is when its last message came.
 	heardAt time.Duration
+	// knownKind is the version of the upstream's kind that it last said to know.
+	knownKind uint64
 	// seen is the highest sequence number that has been taken into account.
 	seen uint64
 	// waitingUntil is until when it is told of freed room at once, and pushedAt when
@@ -82,6 +84,7 @@
 func (c *Core) heardBeat(o *owner, b *message.Beat) {
 	first := o.stamp == 0
 	o.stamp = b.Stamp
+	o.knownKind = b.KnownKind
 	o.waitingUntil = 0
 	if b.Waiting {
 		o.waitingUntil = c.now.Mono + waitingLife
@@ -145,7 +148,7 @@
 	if give {
 		b.Site = c.site
 	}
-	if o.told != c.roomVersion || o.toldSeen != o.seen || o.stamp == 0 {
+	if o.told != c.roomVersion || o.toldSeen != o.seen || o.stamp == 0 || o.knownKind != c.kindVersion {
 		b.Room = c.room(o)
 		o.told, o.toldSeen = c.roomVersion, o.seen
 	}
--- a/core/message/lease.go
+++ b/core/message/lease.go
@@ -122,22 +122,32 @@
 	Site *site.State `json:"site,omitempty"`
 	// Room is the state of the upstream, given by an agent.
 	Room *Room `json:"room,omitempty"`
+	// KnownKind, from a dispatcher, is the version of the upstream's kind that it knows.
+	KnownKind uint64 `json:"kk,omitempty"`
 	// Waiting, from a dispatcher, says that it has tasks that find no room.
 	Waiting bool `json:"wait,omitempty"`
 }
 
-// Room describes the upstream beside an agent and what is in use of it.
+// Room describes what of the upstream beside an agent is in use.
 type Room struct {
 	// Version rises with each change within one run of the agent.
 	Version uint64 `json:"v"`
 	// Ready is false while the upstream takes no new work.
-	Ready    bool     `json:"ready,omitempty"`
-	Service  string   `json:"svc,omitempty"`
-	Domain   string   `json:"dom,omitempty"`
-	Labels   []string `json:"labels,omitempty"`
-	Capacity Demand   `json:"cap"`
-	Used     Demand   `json:"used"`
+	Ready bool   `json:"ready,omitempty"`
+	Used  Demand `json:"used"`
+	// KindVersion is that of the upstream's kind. Kind is given until the receiver says
+	// that it knows this version.
+	KindVersion uint64        `json:"kv,omitempty"`
+	Kind        *UpstreamKind `json:"kind,omitempty"`
 	// Seen is the highest Seq of the receiver's offers that Used takes into
 	// account.
 	Seen uint64 `json:"seen,omitempty"`
 }
+
+// UpstreamKind is what of an upstream changes rarely.
+type UpstreamKind struct {
+	Service  string   `json:"svc"`
+	Domain   string   `json:"dom"`
+	Labels   []string `json:"labels,omitempty"`
+	Capacity Demand   `json:"cap"`
+}
--- a/internal/dispatchd/daemon.go
+++ b/internal/dispatchd/daemon.go
@@ -73,9 +73,11 @@
 	cancels   process.Calls[bool]
 	site      atomic.Pointer[site.State]
 	draining  atomic.Bool
-	timing    atomic.Pointer[settings.LeasedTiming]
-	drained   *lifecycle.Signal
-	killed    *lifecycle.Signal
+	// overloaded is set while the core says so.
+	overloaded atomic.Bool
+	timing     atomic.Pointer[settings.LeasedTiming]
+	drained    *lifecycle.Signal
+	killed     *lifecycle.Signal
 }
 
 // New opens the sockets of a dispatcher. Run must be called next, or Kill.
--- a/internal/dispatchd/service.go
+++ b/internal/dispatchd/service.go
@@ -28,9 +28,9 @@
 	// NotTaken records that a request was answered without becoming a job, and why.
 	// ID is that of the job, as far as it is known.
 	NotTaken(id, reason string, fields ...any)
-	// Leaving reports whether a planned stop has begun: connections are to be
-	// closed after their next answer.
-	Leaving() bool
+	// SendsAway reports whether connections are to be closed after their next answer:
+	// a planned stop has begun, or other dispatchers should take over load.
+	SendsAway() bool
 }
 
 var _ Service = (*Daemon)(nil)
@@ -97,8 +97,8 @@
 	d.logs.Decide("job_refused", id, append([]any{"reason", reason, "revision", d.Site().Revision}, fields...))
 }
 
-// Leaving implements Service.
-func (d *Daemon) Leaving() bool { return d.draining.Load() }
+// SendsAway implements Service.
+func (d *Daemon) SendsAway() bool { return d.draining.Load() || d.overloaded.Load() }
 
 // do carries out one action of the core.
 func (d *Daemon) do(action step.Action) {
@@ -111,6 +111,8 @@
 		d.cancels.Answer(a.Call, a.Found)
 	case step.Decision:
 		d.logs.Decide(a.Event, a.Job, a.Fields)
+	case dispatch.Overloaded:
+		d.overloaded.Store(a.Now)
 	case dispatch.Published:
 		d.site.Store(a.State)
 	case dispatch.Silent:
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/go-faster/errors"
+	fastjson "github.com/segmentio/encoding/json"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -107,7 +108,7 @@
 	}
 	env := &message.Envelope{}
 	params := frame[len(deliverPrefix) : len(frame)-len(notifySuffix)]
-	if err := json.Unmarshal(params, env); err != nil {
+	if err := fastjson.Unmarshal(params, env); err != nil {
 		return nil, false
 	}
 	return env, true
@@ -174,7 +175,7 @@
 	buf.Reset()
 	buf.Write(header[:])
 	buf.Write(prefix)
-	enc := json.NewEncoder(buf)
+	enc := fastjson.NewEncoder(buf)
 	enc.SetEscapeHTML(false)
 	if err := enc.Encode(obj); err != nil {
 		return nil, err
