--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -96,7 +96,7 @@
 func (c *Core) sendBeat(a *agent, want, give bool) {
 	a.beatAt = c.now.Mono
 	b := &message.Beat{
-		Stamp: c.now.Mono, Echo: a.stamp, Revision: c.site.Revision, Waiting: len(c.waiting) > 0, WantSite: want,
+		Stamp: c.now.Mono, Echo: a.stamp, Revision: c.site.Revision, Waiting: c.firstWaiting(), WantSite: want,
 		KnownKind: a.kindVersion,
 	}
 	if give {
@@ -105,6 +105,16 @@
 	c.send(a.ref, message.Message{Beat: b})
 }
 
+// firstWaiting describes the first task that waits for room, if any.
+func (c *Core) firstWaiting() *message.Waiting {
+	for _, j := range c.waiting {
+		if i := slices.IndexFunc(j.tasks, func(t *task) bool { return t.state == unplaced }); i >= 0 {
+			return &message.Waiting{Priority: j.spec.Route.Priority, Need: j.tasks[i].kind().Demand}
+		}
+	}
+	return nil
+}
+
 func (c *Core) receive(env message.Envelope) {
 	a, ok := c.agents[env.From]
 	if !ok {
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -83,8 +83,8 @@
 	b.submit("waits", 0, 1, time.Second)
 	b.pass(askPause)
 	b.alive(1)
-	if !b.beats["a0"].Waiting {
-		t.Fatal("the agent was not told that a task waits")
+	if w := b.beats["a0"].Waiting; w == nil || w.Priority != 0 || w.Need.MilliCPU != core1 {
+		t.Fatalf("the agent was not told that a task waits, but %+v", w)
 	}
 	b.take()
 	b.receive(0, message.Message{Beat: &message.Beat{Stamp: b.now, Revision: 1, Room: &message.Room{
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -59,8 +59,10 @@
 	// roomVersion counts the changes of the room, kindVersion those of what the upstream
 	// is.
 	roomVersion, kindVersion uint64
-	draining                 bool
-	nextBeat                 time.Duration
+	// turn says for whom room that is short is kept.
+	turn     turn
+	draining bool
+	nextBeat time.Duration
 }
 
 // New returns a lessee without an upstream.
@@ -108,7 +110,9 @@
 	c.endLeases()
 	c.drive()
 	c.beat()
-	c.pushRoom()
+	if c.passTurn() {
+		c.beatTo(c.turn.holder)
+	}
 	if c.draining && len(c.runs) == 0 && !c.life.unacknowledged() {
 		c.out = append(c.out, step.Drained{})
 	}
@@ -167,7 +171,7 @@
 
 func (c *Core) room(o *owner) *message.Room {
 	r := &message.Room{
-		Version: c.roomVersion, Ready: c.Ready(), Used: c.used, Seen: o.seen, KindVersion: c.kindVersion,
+		Version: c.roomVersion, Ready: c.Ready(), Used: c.usedFor(o), Seen: o.seen, KindVersion: c.kindVersion,
 	}
 	if o.knownKind != c.kindVersion {
 		r.Kind = &message.UpstreamKind{
@@ -202,9 +206,9 @@
 		if o.runs > 0 && !o.lapsed {
 			at = min(at, o.leaseUntil)
 		}
-		if c.owedRoom(o) {
-			at = min(at, o.pushedAt+pushPause)
-		}
+	}
+	if c.turn.holder != nil {
+		at = min(at, c.turn.until)
 	}
 	return max(at, c.now.Mono+time.Millisecond)
 }
--- a/core/lessee/lessee_test.go
+++ b/core/lessee/lessee_test.go
@@ -321,7 +321,7 @@
 	b.open()
 	s := b.started(d0, "j")
 	b.now += 20 * time.Millisecond
-	b.step(received(d1, message.Message{Beat: &message.Beat{Stamp: b.now, Echo: b.now, Waiting: true}}))
+	b.step(received(d1, message.Message{Beat: &message.Beat{Stamp: b.now, Echo: b.now, Waiting: &message.Waiting{}}}))
 	delete(b.beats, "d1")
 	b.now += 15 * time.Millisecond
 	b.step(Looked{SentAt: b.now, Born: 1, Clock: b.now, Ended: []EndedTask{{Number: 1, Name: s.Name, Run: 1, How: EndedDone}}})
--- a/core/lessee/owner.go
+++ b/core/lessee/owner.go
@@ -21,9 +21,6 @@
 	// waitingLife is how long a dispatcher that has said that tasks wait is told of
 	// freed room at once; it says so again after half a beat.
 	waitingLife = lease.Beat
-	// pushPause is the shortest pause between two such reports to one dispatcher. A
-	// short task lasts some multiples of it.
-	pushPause = 10 * time.Millisecond
 )
 
 // owner is one run of a dispatcher.
@@ -41,11 +38,15 @@
 	knownKind uint64
 	// seen is the highest sequence number that has been taken into account.
 	seen uint64
-	// waitingUntil is until when it is told of freed room at once, and pushedAt when
-	// it was last told.
-	waitingUntil, pushedAt time.Duration
-	told                   uint64
-	toldSeen               uint64
+	// waiting is the first of its tasks that wait, as it said until waitingUntil; it gets
+	// no turn until passedUntil with room of passedFree, and had its last at turnAt.
+	// Offered is set once it has made an offer in its turn.
+	waiting                           *message.Waiting
+	waitingUntil, passedUntil, turnAt time.Duration
+	passedFree                        message.Demand
+	offered                           bool
+	told                              uint64
+	toldSeen                          uint64
 	// bySeq holds the runs, ended ones included.
 	bySeq map[uint64]*run
 	ends  []*run
@@ -85,9 +86,9 @@
 	first := o.stamp == 0
 	o.stamp = b.Stamp
 	o.knownKind = b.KnownKind
-	o.waitingUntil = 0
-	if b.Waiting {
-		o.waitingUntil = c.now.Mono + waitingLife
+	o.waiting = b.Waiting
+	if b.Waiting != nil {
+		o.waitingUntil, o.passedUntil = c.now.Mono+waitingLife, 0
 	}
 	if b.Echo > 0 {
 		o.renew(b.Echo)
@@ -125,21 +126,6 @@
 	}
 }
 
-// pushRoom tells the dispatchers whose tasks wait of room that has changed.
-func (c *Core) pushRoom() {
-	for _, o := range c.order {
-		if c.owedRoom(o) && c.now.Mono-o.pushedAt >= pushPause {
-			o.pushedAt = c.now.Mono
-			c.beatTo(o)
-		}
-	}
-}
-
-// owedRoom reports whether a dispatcher waits for a report of the present room.
-func (c *Core) owedRoom(o *owner) bool {
-	return c.now.Mono < o.waitingUntil && o.told != c.roomVersion
-}
-
 func (c *Core) beatTo(o *owner) { c.sendBeat(o, false, false) }
 
 // sendBeat sends a beat that may ask for the dispatcher's state, or give this one.
@@ -156,6 +142,9 @@
 }
 
 func (c *Core) forget(o *owner) {
+	if c.turn.holder == o {
+		c.endTurn()
+	}
 	delete(c.owners, o.ref)
 	c.order = slices.DeleteFunc(c.order, func(x *owner) bool { return x == o })
 	c.decide("dispatcher_forgotten", "", "dispatcher", o.ref.String())
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -58,6 +58,7 @@
 		return
 	}
 	o.seen = max(o.seen, m.Seq)
+	o.offered = true
 	if reason := c.refuses(m); reason != "" {
 		c.refuse(o, m, reason)
 		return
@@ -306,6 +307,10 @@
 	r.owner.ends = append(r.owner.ends, r)
 	c.decide("run_ended", r.name.Job, "task", r.name.String(), "run", r.number, "result", result, "reason", reason,
 		"took_ms", took.Milliseconds())
+	// The report is to say whether the freed room is kept for another dispatcher.
+	if c.passTurn() && c.turn.holder != r.owner {
+		c.beatTo(c.turn.holder)
+	}
 	c.report(r)
 }
 
--- /dev/null
+++ b/core/lessee/turn_test.go
@@ -0,0 +1,100 @@
+package lessee
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+)
+
+// Patterns of load: more dispatchers with waiting tasks than there is room for.
+
+// full fills an upstream of two cores with two runs of d0 and lets the dispatchers of
+// the list say that tasks of one core wait.
+func full(b *bench, waiting map[node.Ref]int, order ...node.Ref) (first, second StartRun) {
+	b.open()
+	first, second = b.started(d0, "j1"), b.started(d0, "j2")
+	for _, d := range order {
+		b.now += time.Millisecond
+		b.step(received(d, message.Message{Beat: &message.Beat{Stamp: b.now, Echo: b.now, Waiting: &message.Waiting{
+			Priority: waiting[d], Need: message.Demand{MilliCPU: 1000},
+		}}}))
+	}
+	clear(b.beats)
+	return first, second
+}
+
+// heardRoom reports whether a dispatcher was told of free room since the last call.
+func (b *bench) heardRoom(d node.Ref) bool {
+	beat, ok := b.beats[d.ID]
+	delete(b.beats, d.ID)
+	return ok && beat.Room != nil && beat.Room.Used.MilliCPU < 2000
+}
+
+func (b *bench) ended(number int64, s StartRun) {
+	b.step(Looked{SentAt: b.now, Born: 1, Clock: b.now, Ended: []EndedTask{{Number: number, Name: s.Name, Run: 1, How: EndedDone}}})
+}
+
+var d2 = node.Ref{ID: "d2", Incarnation: 1}
+
+// TestContestedRoomGoesToOne: when tasks of several dispatchers wait, one of them hears
+// of freed room, and the next one when the first has not used it in time.
+func TestContestedRoomGoesToOne(t *testing.T) {
+	b := newBench(t)
+	first, _ := full(b, nil, d1, d2)
+	b.ended(1, first)
+	if b.ends[len(b.ends)-1].Room.Used.MilliCPU != 2000 {
+		t.Error("the dispatcher of the ended run was told of room that is kept for others")
+	}
+	if !b.heardRoom(d1) || b.heardRoom(d2) {
+		t.Fatal("not just the first one heard of the room")
+	}
+	b.now += turnTime
+	b.step(received(d0, message.Message{}))
+	if b.heardRoom(d1) || !b.heardRoom(d2) {
+		t.Error("not just the second one heard of the room that the first has not used")
+	}
+}
+
+// TestUrgentTasksGetContestedRoom: the dispatcher whose waiting task is the most urgent
+// hears of freed room, although another has waited for longer.
+func TestUrgentTasksGetContestedRoom(t *testing.T) {
+	b := newBench(t)
+	first, _ := full(b, map[node.Ref]int{d1: 1, d2: 0}, d1, d2)
+	b.ended(1, first)
+	if b.heardRoom(d1) || !b.heardRoom(d2) {
+		t.Error("the less urgent one heard of the room")
+	}
+}
+
+// TestTurnsGoRound: those that use their turns get them one after the other.
+func TestTurnsGoRound(t *testing.T) {
+	b := newBench(t)
+	first, second := full(b, nil, d1, d2)
+	b.ended(1, first)
+	if !b.heardRoom(d1) {
+		t.Fatal("the first one heard nothing")
+	}
+	b.started(d1, "j3")
+	b.ended(2, second)
+	if b.heardRoom(d1) || !b.heardRoom(d2) {
+		t.Error("the one that had its turn was told again before the other")
+	}
+}
+
+// TestRoomThatNobodyCanUse: room that is too small for every task that waits is kept
+// for none; the others hear of it with the next beat.
+func TestRoomThatNobodyCanUse(t *testing.T) {
+	b := newBench(t)
+	b.open()
+	s := b.started(d0, "j")
+	b.step(received(d1, message.Message{Beat: &message.Beat{Stamp: b.now, Echo: b.now, Waiting: &message.Waiting{
+		Need: message.Demand{MilliCPU: 5000},
+	}}}))
+	clear(b.beats)
+	b.ended(1, s)
+	if room := b.ends[len(b.ends)-1].Room; room.Used.MilliCPU != 0 {
+		t.Errorf("the dispatcher of the ended run heard of %+v", room)
+	}
+}
--- a/core/message/lease.go
+++ b/core/message/lease.go
@@ -124,8 +124,15 @@
 	Room *Room `json:"room,omitempty"`
 	// KnownKind, from a dispatcher, is the version of the upstream's kind that it knows.
 	KnownKind uint64 `json:"kk,omitempty"`
-	// Waiting, from a dispatcher, says that it has tasks that find no room.
-	Waiting bool `json:"wait,omitempty"`
+	// Waiting, from a dispatcher, is the first of its tasks that find no room.
+	Waiting *Waiting `json:"wait,omitempty"`
+}
+
+// Waiting describes a task that waits for room.
+type Waiting struct {
+	// Priority is that of its route; 0 comes first.
+	Priority int    `json:"prio,omitempty"`
+	Need     Demand `json:"need"`
 }
 
 // Room describes what of the upstream beside an agent is in use.
