lessee: lost answers of starts and looks are noticed early

A start without an answer held its room for 450 ms. A look that waits for ends was lost every half second and given up after 1.3 s; until then ends were seen by renewals only, 75 ms late on average.

Change: a start is repeated after 30 ms, then 60; a look waits 150 ms; a renewal that shows ends replaces the look that should have. Room is kept from dispatchers whose tasks wait only, so that others do not begin to wait.

leasemodel's TestCalm counted on luck: callers said 100 ms for tasks of up to 900 ms, and what was stopped as too slow depended on the moments of the looks.

--- a/core/leasemodel/world_test.go
+++ b/core/leasemodel/world_test.go
@@ -59,6 +59,13 @@
 	start       time.Duration
 }
 
+const (
+	// honestEstimate is within the factor up to which a run counts as sound, for every
+	// task. With lowEstimate the longer half is stopped and moved.
+	honestEstimate = 400 * time.Millisecond
+	lowEstimate    = 100 * time.Millisecond
+)
+
 // world is a site in virtual time.
 type world struct {
 	t         testing.TB
@@ -75,6 +82,8 @@
 	late   float64 // share of calls to upstreams that are carried out late
 	site   *site.State
 	starts int
+	// estimate is what callers say that a task takes; upstreams need 40 to 900 ms.
+	estimate time.Duration
 	// decided holds the processes and jobs that have a log line together.
 	decided map[string]bool
 	trace   []string
@@ -82,7 +91,8 @@
 
 func newWorld(t testing.TB, seed uint64) *world {
 	w := &world{
-		t: t, rnd: rand.New(rand.NewPCG(seed, 1)),
+		estimate: lowEstimate,
+		t:        t, rnd: rand.New(rand.NewPCG(seed, 1)),
 		decided: make(map[string]bool), processes: make(map[node.ID]*process), cut: make(map[[2]node.ID]time.Duration),
 		site: &site.State{Revision: 1, Version: 1, Configured: true, Routes: []site.Route{*testRoute}},
 	}
--- a/core/lessee/api.go
+++ b/core/lessee/api.go
@@ -159,6 +159,8 @@
 	Token    int64
 	// Until is the end of the lease on the upstream's clock.
 	Until time.Duration
+	// Try counts the calls for this run, from 1.
+	Try int
 }
 
 // StopRun calls the upstream to stop a run, or never to start it.
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -22,9 +22,9 @@
 	// tokenStep is added to a fencing token that the upstream refuses: a minute, so
 	// that a few steps pass any step of the wall clock.
 	tokenStep = 60_000
-	// watchTime is how long a look waits for an end: half of what the platform
-	// permits.
-	watchTime = time.Second
+	// watchTime is how long a look waits for an end. One whose answer is lost is given up
+	// soon after it, and until then ends are seen only by renewals.
+	watchTime = lease.Renewal
 	// probeRetry is the pause between two looks at what an earlier run left.
 	probeRetry = 60 * time.Millisecond
 	// announcementLife is how long an announcement counts; upstreams announce
--- a/core/lessee/life.go
+++ b/core/lessee/life.go
@@ -290,7 +290,10 @@
 		c.probed(e)
 		return
 	}
-	c.takeEnds(e)
+	if c.takeEnds(e) && e.Renewal {
+		// The look that waits for ends should have brought them: its answer is lost.
+		l.watching = false
+	}
 	c.compare(e)
 }
 
@@ -312,12 +315,14 @@
 	}
 }
 
-// takeEnds takes in the ends that are new.
-func (c *Core) takeEnds(e Looked) {
+// takeEnds takes in the ends that are new and reports whether there were any.
+func (c *Core) takeEnds(e Looked) bool {
+	news := false
 	for _, end := range e.Ended {
 		if end.Number <= c.life.seen {
 			continue
 		}
+		news = true
 		c.life.seen = end.Number
 		r, ok := c.byName[end.Name]
 		if !ok || r.number != end.Run {
@@ -336,6 +341,7 @@
 		}
 	}
 	c.life.acked = max(c.life.acked, e.SeenUpto)
+	return news
 }
 
 // compare looks for runs that the upstream does not know, and for runs there that
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -18,7 +18,7 @@
 
 // startTries is how often a start without an answer is sent before the run is
 // stopped instead.
-const startTries = 3
+const startTries = 4
 
 // run is one accepted offer.
 type run struct {
@@ -168,7 +168,7 @@
 	r.tries++
 	c.out = append(c.out, StartRun{
 		Handle: r.handle, Upstream: c.life.id, Name: r.name, Run: r.number, Spec: r.spec,
-		Token: c.token, Until: c.until(),
+		Token: c.token, Until: c.until(), Try: r.tries,
 	})
 }
 
--- a/core/lessee/turn.go
+++ b/core/lessee/turn.go
@@ -78,9 +78,10 @@
 }
 
 // usedFor returns what of the upstream a dispatcher is told to be in use: all of it
-// while the rest is kept for another.
+// while its tasks wait and the rest is kept for another. One that has no task waiting
+// rarely wants the same room, and is told the truth.
 func (c *Core) usedFor(o *owner) message.Demand {
-	if c.turn.holder == nil || c.turn.holder == o {
+	if c.turn.holder == nil || c.turn.holder == o || o.waiting == nil || c.now.Mono >= o.waitingUntil {
 		return c.used
 	}
 	return c.life.capacity
--- a/internal/lesseed/calls.go
+++ b/internal/lesseed/calls.go
@@ -15,7 +15,11 @@
 	// before the lease lapses.
 	callTime = lease.Renewal
 	// watchSlack is added to the time for which a look may wait.
-	watchSlack = 2 * lease.Renewal
+	watchSlack = lease.Renewal / 2
+	// firstStartTime bounds the first call that starts a run, and is doubled with each
+	// repetition up to callTime. A start that is repeated is harmless, and one whose
+	// answer is lost holds room meanwhile.
+	firstStartTime = 30 * time.Millisecond
 )
 
 // do carries out one action of the core.
@@ -44,7 +48,7 @@
 }
 
 func (d *Daemon) start(a lessee.StartRun) {
-	ctx, cancel := context.WithTimeout(d.calls, callTime)
+	ctx, cancel := context.WithTimeout(d.calls, min(firstStartTime<<(a.Try-1), callTime))
 	defer cancel()
 	began := time.Now()
 	result, clock := d.cfg.Platform.Upstream.Start(ctx, a)
