dispatch: some agents hear at once of a more urgent task that waits

A job of the first priority that came between was behind less urgent ones until the next round.

Change: eight agents in turn are told at once, at most every 10 ms.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -25,6 +26,11 @@
 	// ask for such reports. Both are half of an agent's own pause.
 	minReply = lease.Beat / 2
 	askPause = lease.Beat / 2
+	// urgentAgents is how many agents are asked at once when a more urgent task than the
+	// last one told has to wait, and urgentPause the pause between two such rounds. At
+	// fleets of 60 workers and more as many free some room every 3 ms.
+	urgentAgents = 8
+	urgentPause  = 10 * time.Millisecond
 	// recallRetry is the pause between two recalls of one offer.
 	recallRetry = 300 * time.Millisecond
 )
@@ -152,19 +158,48 @@
 }
 
 // askForRoom tells the agents that tasks wait, so that they report freed room at
-// once.
+// once. Between two rounds some are told of a task that is more urgent than the last.
 func (c *Core) askForRoom() {
-	if len(c.waiting) == 0 || c.now.Mono < c.askAt {
+	first := c.firstWaiting()
+	if first == nil {
+		c.askedPriority = leastUrgent
 		return
 	}
-	c.askAt = c.now.Mono + askPause
-	for _, a := range c.order {
-		if c.usable(a) {
+	switch {
+	case c.now.Mono >= c.askAt:
+		c.askAt = c.now.Mono + askPause
+		for _, a := range c.order {
+			if c.usable(a) {
+				c.beatTo(a)
+			}
+		}
+	case first.Priority < c.askedPriority && c.now.Mono >= c.urgentAt:
+		c.askSome()
+	default:
+		return
+	}
+	c.askedPriority = first.Priority
+	c.urgentAt = c.now.Mono + urgentPause
+}
+
+// askSome tells the next agents in turn.
+func (c *Core) askSome() {
+	told := 0
+	for range c.order {
+		if told == urgentAgents {
+			return
+		}
+		c.askNext = (c.askNext + 1) % len(c.order)
+		if a := c.order[c.askNext]; c.usable(a) {
 			c.beatTo(a)
+			told++
 		}
 	}
 }
 
+// leastUrgent is behind every priority.
+const leastUrgent = math.MaxInt
+
 // heardRoom takes a report, unless a later one has come before it.
 func (c *Core) heardRoom(a *agent, r *message.Room) {
 	if r.Version < a.room.Version {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -72,6 +72,11 @@
 	startedAt time.Duration
 	// askAt is when the agents may be asked for room again.
 	askAt time.Duration
+	// askedPriority is that of the task that agents were told of last, urgentAt when some
+	// may be told of a more urgent one, and askNext the place of the last one told.
+	askedPriority int
+	urgentAt      time.Duration
+	askNext       int
 	// resumedAt is when the last long pause of the process ended, or zero.
 	resumedAt time.Duration
 	// pressure watches how long submissions wait for this process.
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -275,3 +275,31 @@
 		t.Error("not said to have recovered")
 	}
 }
+
+// TestUrgentTaskIsToldAtOnce: while less urgent tasks wait, some agents hear of a more
+// urgent one without waiting for the next round, and only some.
+func TestUrgentTaskIsToldAtOnce(t *testing.T) {
+	const agents = 40
+	b := newBench(t)
+	b.agents(agents, 1)
+	b.submit("running", 2, agents, time.Second)
+	b.submit("normal", 2, 1, time.Second)
+	b.now += urgentPause
+	clear(b.beats)
+	b.submit("urgent", 0, 1, time.Second)
+	told := 0
+	for _, beat := range b.beats {
+		if w := beat.Waiting; w != nil && w.Priority == 0 {
+			told++
+		}
+	}
+	if told != urgentAgents {
+		t.Errorf("%d agents were told of the urgent task, want %d", told, urgentAgents)
+	}
+	b.now += urgentPause
+	clear(b.beats)
+	b.submit("urgent-2", 0, 1, time.Second)
+	if len(b.beats) != 0 {
+		t.Errorf("%d agents were told again of what is no more urgent", len(b.beats))
+	}
+}
