lessee: a start may be taken by the next life of an upstream

An upstream crashed and came back under its name within 40 ms; starts that were meant for its former life were carried out in the new one, which accepts any fencing token. The agent then saw the new life and reported all runs as lost, and their dispatcher started them elsewhere.

core/leasemodel did not find it, as its upstreams announced a new life at once; with the announcement up to 1.5 s later TestNoTwoRunsOfOneTask failed.

Change: when the upstream has begun another life, nothing is said of the open runs until a look has shown the new life with nothing running, or until its longest lease has passed. TestAnotherLife asked for the loss at once; it now asks for silence before the look, and for the loss after it.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -30,6 +30,11 @@
 // has ended: its clock may be 2% slow.
 const UpstreamEnd = Upstream + Upstream/50 + slack
 
+// LongestEnd is the same for a call that the upstream has taken in another life than
+// was meant: there the end asked for lies far ahead on its clock, and the longest lease
+// that the platform permits, 1 s, counts.
+const LongestEnd = time.Second + time.Second/50 + slack
+
 // Settled is how long after the last word of an agent none of the runs that it had
 // then is alive.
 const Settled = Run + UpstreamEnd
--- a/core/leasemodel/upstream_test.go
+++ b/core/leasemodel/upstream_test.go
@@ -206,5 +206,5 @@
 func (u *upstream) crash() {
 	u.w.logf("u%d crashes with %d runs", u.index, len(u.running))
 	u.begin()
-	u.announce()
+	u.w.after(u.w.ms(0, 1500), u.announce)
 }
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -53,9 +53,12 @@
 	byName map[message.TaskName]*run
 	// endedAt is when the last run of a task has ended here, for a while.
 	endedAt map[message.TaskName]time.Duration
-	handles uint64
-	used    message.Demand
-	token   int64
+	// strayUntil is when nothing of a former life of the upstream runs any more, whatever
+	// became of the calls that were meant for it.
+	strayUntil time.Duration
+	handles    uint64
+	used       message.Demand
+	token      int64
 	// roomVersion counts the changes of the room, kindVersion those of what the upstream
 	// is.
 	roomVersion, kindVersion uint64
@@ -147,7 +150,7 @@
 	switch {
 	case c.draining:
 		return message.RefusedDraining
-	case c.life.phase != open || c.life.draining:
+	case c.life.phase != open || !c.life.announced || c.life.draining:
 		return message.RefusedNotReady
 	case c.site.Out(c.life.domain):
 		return message.RefusedOut
@@ -196,6 +199,9 @@
 	if c.life.phase == probing && !c.life.renewing {
 		at = min(at, c.life.lookAt)
 	}
+	if len(c.runs) > 0 && c.life.phase == probing {
+		at = min(at, c.strayUntil+time.Millisecond)
+	}
 	if len(c.runs) > 0 && !c.life.renewing {
 		at = min(at, c.life.renewedAt+lease.Renewal)
 	}
--- a/core/lessee/lessee_test.go
+++ b/core/lessee/lessee_test.go
@@ -256,11 +256,14 @@
 	b.open()
 	b.started(d0, "j")
 	b.announce(2, 1, false)
-	if e := b.lastEnd(); e.Result != message.RunLost {
-		t.Errorf("the run of the former life: %+v", e)
+	if len(b.ends) != 0 {
+		t.Errorf("before the new life is known to run nothing: %+v", b.ends)
 	}
 	b.announce(1, 99, false) // A late word of the former life.
 	b.step(Looked{Renewal: true, SentAt: b.now, Born: 2, Clock: time.Second})
+	if e := b.lastEnd(); e.Result != message.RunLost {
+		t.Errorf("the run of the former life: %+v", e)
+	}
 	if !b.core.Ready() {
 		t.Error("the new life is not in use")
 	}
--- a/core/lessee/life.go
+++ b/core/lessee/life.go
@@ -21,7 +21,9 @@
 
 // life is one life of the upstream beside the agent.
 type life struct {
-	phase    phase
+	phase phase
+	// begunAt is when this life was first heard of.
+	begunAt  time.Duration
 	id       string
 	born     int64
 	seq      int64
@@ -30,7 +32,9 @@
 	labels   []string
 	capacity message.Demand
 	draining bool
-	// announcedAt is when the last announcement came.
+	// announced is set once the life has announced itself, or is remembered to have done
+	// so; announcedAt is when the last announcement came.
+	announced   bool
 	announcedAt time.Duration
 	// clock is the upstream's clock as of clockAt.
 	clock   time.Duration
@@ -80,7 +84,7 @@
 			c.begin(a)
 		}
 	default:
-		c.lifeEnded("another life has announced itself")
+		c.lifeChanged("another life has announced itself")
 		c.begin(a)
 	}
 	c.update(a)
@@ -123,7 +127,8 @@
 		seen = c.life.seen
 	}
 	c.life = life{
-		phase: probing, id: a.ID, born: a.Born, clock: a.Clock, clockAt: c.now.Mono, lookAt: c.now.Mono,
+		begunAt: c.now.Mono,
+		phase:   probing, id: a.ID, born: a.Born, clock: a.Clock, clockAt: c.now.Mono, lookAt: c.now.Mono,
 		seen: seen, acked: seen,
 	}
 	c.decide("upstream_announced", "", "upstream", a.ID, "born", a.Born, "service", a.Service, "capacity_mcpu", a.Capacity.MilliCPU)
@@ -143,7 +148,7 @@
 	}
 	l.seq, l.service, l.domain, l.labels = a.Seq, a.Service, a.Domain, a.Labels
 	l.capacity, l.draining = a.Capacity, a.Draining
-	l.announcedAt = c.now.Mono
+	l.announced, l.announcedAt = true, c.now.Mono
 	l.heardClock(a.Clock, c.now.Mono)
 }
 
@@ -165,6 +170,34 @@
 	c.loseAll()
 }
 
+// lifeChanged notes that the upstream has begun another life. Its runs have ended, but
+// calls that were meant for the former life may have been carried out in the new one:
+// until that is known to run nothing, nothing is said of them.
+func (c *Core) lifeChanged(why string) {
+	if c.life.phase == absent {
+		return
+	}
+	c.changed()
+	c.decide("upstream_changed", "", "upstream", c.life.id, "born", c.life.born, "why", why, "runs", len(c.runs))
+	for _, o := range c.order {
+		for _, r := range o.open() {
+			r.state, r.stray = stopping, true
+		}
+	}
+	c.strayUntil = c.life.extendedAt + lease.LongestEnd
+}
+
+// endStrays reports the runs of a former life as lost.
+func (c *Core) endStrays() {
+	for _, o := range c.order {
+		for _, r := range o.stopping() {
+			if r.stray {
+				c.finish(r, message.RunLost, "", 0)
+			}
+		}
+	}
+}
+
 func (c *Core) loseAll() {
 	for _, o := range c.order {
 		for _, r := range o.open() {
@@ -181,6 +214,9 @@
 	l := &c.life
 	switch l.phase {
 	case probing:
+		if len(c.runs) > 0 && c.now.Mono > c.strayUntil {
+			c.endStrays()
+		}
 		if !l.renewing && c.now.Mono >= l.lookAt {
 			l.lookAt = c.now.Mono + probeRetry
 			c.look(true)
@@ -270,7 +306,9 @@
 	switch e.Result {
 	case CallOK:
 	case CallNoListener:
-		c.lifeEnded("its port refused a connection")
+		if e.SentAt >= l.begunAt {
+			c.lifeEnded("its port refused a connection")
+		}
 		return
 	case CallFenced:
 		c.token += tokenStep
@@ -280,7 +318,9 @@
 	}
 	if e.Born != l.born {
 		if e.Born > l.born {
-			c.lifeEnded("it has begun another life")
+			c.lifeChanged("it has begun another life")
+			// What it offers is known with its announcement.
+			c.begin(Announcement{ID: l.id, Born: e.Born})
 		}
 		return
 	}
@@ -304,6 +344,7 @@
 		c.life.seen = max(c.life.seen, end.Number)
 	}
 	if len(e.Running) == 0 {
+		c.endStrays()
 		c.life.phase = open
 		c.changed()
 		c.decide("upstream_open", "", "upstream", c.life.id, "born", c.life.born)
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -35,6 +35,9 @@
 	// stopReason says why it is being stopped, if that is to be told.
 	stopReason message.RefuseReason
 	tries      int
+	// stray is set when the upstream has begun another life since: the last call that
+	// starts the run may have been carried out there.
+	stray bool
 	// unanswered is set when a start got no answer: it may be carried out yet.
 	unanswered bool
 	// confirmed is set once the upstream has answered a start or a stop, so that it
@@ -183,6 +186,10 @@
 	if !ok {
 		return
 	}
+	if r.stray {
+		c.strayStartEnded(r, e.Result)
+		return
+	}
 	c.life.heardClock(e.Clock, c.now.Mono)
 	if e.Result == CallOK {
 		r.confirmed = true
@@ -204,6 +211,20 @@
 	c.startFailed(r, e.Result)
 }
 
+// strayStartEnded takes the answer to a start that was meant for a former life.
+func (c *Core) strayStartEnded(r *run, result CallResult) {
+	switch result {
+	case CallUnknown, CallNoListener:
+		r.unanswered = true
+	case CallOK:
+		c.callStop(r)
+	default:
+		if !r.unanswered {
+			c.finish(r, message.RunStopped, "", 0)
+		}
+	}
+}
+
 // startRefusedWhileStopping ends a run that the upstream has provably not started.
 func (c *Core) startRefusedWhileStopping(r *run, result CallResult) {
 	if result == CallUnknown {
@@ -278,11 +299,13 @@
 // stopEnded takes the answer to a stop. The run has ended when the upstream lists
 // its end, or lists it no longer.
 func (c *Core) stopEnded(e StopEnded) {
+	r, ok := c.byName[e.Name]
 	if e.Result == CallNoListener {
-		c.lifeEnded("its port refused a connection")
+		if !ok || !r.stray {
+			c.lifeEnded("its port refused a connection")
+		}
 		return
 	}
-	r, ok := c.byName[e.Name]
 	if ok && r.number == e.Run && r.state == stopping && e.Result == CallOK {
 		r.confirmed = true
 		r.startedAt = c.now.Mono
