--- a/internal/dispatchd/service.go
+++ b/internal/dispatchd/service.go
@@ -153,6 +153,11 @@
 // WriteMetrics writes the metrics in the Prometheus text format.
 func (d *Daemon) WriteMetrics(w io.Writer) {
 	process.WriteMetrics(w, d.metrics, d.Snapshot, func(s dispatch.Stats) {
+		overloaded := 0.0
+		if s.Overloaded {
+			overloaded = 1
+		}
+		d.metrics.Set(telemetry.Overloaded, overloaded)
 		d.metrics.Set(telemetry.Members, float64(s.Agents))
 		d.metrics.Set(telemetry.AgentsReady, float64(s.Ready))
 		d.metrics.Set(telemetry.JobsWaiting, float64(s.Waiting))
