--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -182,5 +182,6 @@
 	c.send(t.agent.ref, message.Message{Offer: &message.Offer{
 		Seq: t.seq, Task: t.name(), Run: t.runs, Service: t.job.spec.Route.Service, Spec: t.job.spec.Spec,
 		Demand: kind.Demand, Expected: expected, Stamp: t.agent.stamp, Age: c.now.Mono - t.agent.heardAt,
+		Waiting: c.firstWaiting(),
 	}})
 }
--- a/core/leasemodel/upstream_test.go
+++ b/core/leasemodel/upstream_test.go
@@ -78,7 +78,7 @@
 func (u *upstream) announcement() lessee.Announcement {
 	return lessee.Announcement{
 		ID: fmt.Sprintf("u%d", u.index), Born: int64(u.life), Seq: u.seq, Clock: u.clock(), Service: "s",
-		Domain: fmt.Sprintf("z%d", u.index), Capacity: message.Demand{MilliCPU: upstreamCapacity, MemoryMB: 1000},
+		Domain: fmt.Sprintf("z%d", u.index), Capacity: message.Demand{MilliCPU: u.w.capacity, MemoryMB: 1000},
 	}
 }
 
@@ -102,11 +102,11 @@
 	for _, r := range u.running {
 		need += r.need
 	}
-	if need > upstreamCapacity {
+	if need > u.w.capacity {
 		return lessee.CallNoRoom
 	}
 	u.w.started(u, a)
-	r := &there{run: a.Run, need: taskCPU, began: u.w.now, lasts: u.w.ms(40, 900)}
+	r := &there{run: a.Run, need: taskCPU, began: u.w.now, lasts: u.w.duration(a)}
 	u.running[a.Name] = r
 	u.highest[a.Name] = a.Run
 	life := u.life
--- a/core/leasemodel/world_test.go
+++ b/core/leasemodel/world_test.go
@@ -82,6 +82,13 @@
 	late   float64 // share of calls to upstreams that are carried out late
 	site   *site.State
 	starts int
+	// capacity is that of every upstream, in thousandths of a core, and offered the number
+	// of dispatchers.
+	capacity, offered int
+	// duration returns how long a run lasts.
+	duration func(a lessee.StartRun) time.Duration
+	// answer takes the answers, unless it is nil and callers of the model do.
+	answer func(a dispatch.Answer)
 	// estimate is what callers say that a task takes; upstreams need 40 to 900 ms.
 	estimate time.Duration
 	// decided holds the processes and jobs that have a log line together.
@@ -89,19 +96,24 @@
 	trace   []string
 }
 
-func newWorld(t testing.TB, seed uint64) *world {
+func newWorld(t testing.TB, seed uint64) *world { return newWorldOf(t, seed, 2, 3, upstreamCapacity) }
+
+// newWorldOf returns a world of some dispatchers, and agents whose upstreams have some
+// capacity.
+func newWorldOf(t testing.TB, seed uint64, dispatchers, agents, capacity int) *world {
 	w := &world{
-		estimate: lowEstimate,
-		t:        t, rnd: rand.New(rand.NewPCG(seed, 1)),
+		estimate: lowEstimate, capacity: capacity, offered: dispatchers,
+		t: t, rnd: rand.New(rand.NewPCG(seed, 1)),
 		decided: make(map[string]bool), processes: make(map[node.ID]*process), cut: make(map[[2]node.ID]time.Duration),
 		site: &site.State{Revision: 1, Version: 1, Configured: true, Routes: []site.Route{*testRoute}},
 	}
-	for i := range 3 {
+	w.duration = func(lessee.StartRun) time.Duration { return w.ms(40, 900) }
+	for i := range agents {
 		u := newUpstream(w, i)
 		w.upstreams = append(w.upstreams, u)
 		w.startAgent(u)
 	}
-	for i := range 2 {
+	for i := range dispatchers {
 		w.startDispatcher(node.ID(fmt.Sprintf("d%d", i)))
 	}
 	return w
@@ -182,8 +194,8 @@
 
 func (w *world) dispatchers() []*process {
 	var list []*process
-	for _, id := range []node.ID{"d0", "d1"} {
-		if p := w.processes[id]; p != nil && !p.dead {
+	for i := range w.offered {
+		if p := w.processes[node.ID(fmt.Sprintf("d%d", i))]; p != nil && !p.dead {
 			list = append(list, p)
 		}
 	}
@@ -235,7 +247,11 @@
 			}
 		})
 	case dispatch.Answer:
-		w.answered(p, a)
+		if w.answer != nil {
+			w.answer(a)
+		} else {
+			w.answered(p, a)
+		}
 	case step.Decision:
 		w.decided[p.ref.String()+a.Job] = true
 		w.logf("%s %s %s %v", p.ref, a.Event, a.Job, a.Fields)
@@ -278,23 +294,16 @@
 }
 
 // call carries out a call of an agent to its upstream. Some are carried out late and
-// get no answer. A call names the upstream's life; another life does nothing.
+// get no answer. A call names the upstream and not its life: another life that came
+// meanwhile carries it out.
 func (w *world) call(p *process, do func() any, event func(any) step.Event, limit time.Duration) {
-	life := p.upstream.life
 	if w.rnd.Float64() < w.late {
-		w.after(w.ms(2000, 12000), func() {
-			if p.upstream.life == life {
-				do()
-			}
-		})
+		w.after(w.ms(2000, 12000), func() { do() })
 		w.after(limit, func() { w.post(p, event(nil)) })
 		return
 	}
 	w.after(w.ms(0.1, 1), func() {
-		var r any
-		if p.upstream.life == life {
-			r = do()
-		}
+		r := do()
 		w.after(w.ms(0.1, 1), func() { w.post(p, event(r)) })
 	})
 }
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -62,6 +62,10 @@
 	}
 	o.seen = max(o.seen, m.Seq)
 	o.offered = true
+	o.waiting = m.Waiting
+	if m.Waiting != nil {
+		o.waitingUntil = c.now.Mono + waitingLife
+	}
 	if reason := c.refuses(m); reason != "" {
 		c.refuse(o, m, reason)
 		return
--- a/core/lessee/turn_test.go
+++ b/core/lessee/turn_test.go
@@ -132,3 +132,19 @@
 		t.Errorf("looks since then: %+v", b.looks[looks:])
 	}
 }
+
+// TestOfferTellsWhatWaits: a dispatcher whose last waiting task has been offered gets no
+// further turn, before its next beat says so.
+func TestOfferTellsWhatWaits(t *testing.T) {
+	b := newBench(t)
+	first, second := full(b, nil, d1)
+	b.ended(1, first, second)
+	if !b.heardRoom(d1) {
+		t.Fatal("the waiting dispatcher heard nothing")
+	}
+	third := b.started(d1, "j3")
+	b.ended(2, second, third)
+	if b.heardRoom(d1) {
+		t.Error("told again of room, although nothing waits any more")
+	}
+}
--- a/core/message/lease.go
+++ b/core/message/lease.go
@@ -25,6 +25,8 @@
 	// the time since it came.
 	Stamp time.Duration `json:"st"`
 	Age   time.Duration `json:"age,omitempty"`
+	// Waiting is the first of the sender's tasks that find no room, after this one.
+	Waiting *Waiting `json:"wait,omitempty"`
 }
 
 // TaskName names a task in the whole fleet.
