dispatch, platform, command: log lines name the caller's request

Change: job_accepted is a new line, and it, job_refused, job_submitted_again and job_ended have the request; explain takes either name.

--- a/core/dispatch/api.go
+++ b/core/dispatch/api.go
@@ -15,6 +15,9 @@
 // Job is one submission. It is not stored: it ends with its caller's request.
 type Job struct {
 	ID string
+	// Request is the caller's own name of this submission, for logs, or empty. A job that
+	// is submitted again has another one.
+	Request string
 	// Route is the route that the submission matched.
 	Route *site.Route
 	Spec  string
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -111,7 +111,7 @@
 		reason, retry = reasonOverloaded, retrySoon
 	}
 	if reason != "" {
-		c.decide("job_refused", j.spec.ID, "reason", reason, "route", j.spec.Route.Name, "open_jobs", len(c.jobs),
+		c.decide("job_refused", j.spec.ID, "request", j.spec.Request, "reason", reason, "route", j.spec.Route.Name, "open_jobs", len(c.jobs),
 			"agents", len(c.agents), "delay_ms", delay.Milliseconds(), "revision", c.site.Revision)
 		c.stats.Refusals++
 		c.out = append(c.out, Answer{
@@ -120,6 +120,8 @@
 		})
 		return
 	}
+	c.decide("job_accepted", j.spec.ID, "request", j.spec.Request, "route", j.spec.Route.Name, "tasks", len(j.tasks),
+		"wait_ms", j.spec.Wait.Milliseconds(), "delay_ms", delay.Milliseconds(), "revision", c.site.Revision)
 	c.jobs[j.call] = j
 	c.byID[j.spec.ID] = j
 	c.deadlines.Add(j.deadline, j.call)
@@ -158,10 +160,10 @@
 	if !ok {
 		return false
 	}
-	c.decide("job_submitted_again", j.spec.ID, "open_ms", (c.now.Mono - j.arrived).Milliseconds())
+	c.decide("job_submitted_again", j.spec.ID, "request", again.spec.Request, "open_ms", (c.now.Mono - j.arrived).Milliseconds())
 	c.out = append(c.out, Answer{Call: j.call, Outcome: Interrupted, Reason: reasonTakenOver})
 	delete(c.jobs, j.call)
-	j.call, j.deadline = again.call, again.deadline
+	j.call, j.deadline, j.spec.Request = again.call, again.deadline, again.spec.Request
 	c.jobs[j.call] = j
 	c.deadlines.Add(j.deadline, j.call)
 	c.hopeless.Add(j.hopelessAt(), j.call)
@@ -325,7 +327,7 @@
 	if c.byID[j.spec.ID] == j {
 		delete(c.byID, j.spec.ID)
 	}
-	c.decide("job_ended", j.spec.ID, "outcome", outcome, "reason", reason, "route", j.spec.Route.Name,
+	c.decide("job_ended", j.spec.ID, "request", j.spec.Request, "outcome", outcome, "reason", reason, "route", j.spec.Route.Name,
 		"tasks", len(j.tasks), "offers", j.offers, "unplaced", j.unplaced, "took_ms", (c.now.Mono - j.arrived).Milliseconds(),
 		"objective_ms", (j.objective - j.arrived).Milliseconds(), "revision", c.site.Revision)
 	c.out = append(c.out, Answer{Call: j.call, Outcome: outcome, Reason: reason, RetryAfter: retry})
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -20,13 +20,19 @@
 
 // logLine is one line of a process's log about a job.
 type logLine struct {
-	Time   string `json:"time"`
-	Event  string `json:"msg"`
-	Part   string `json:"part"`
-	Job    string `json:"job"`
-	fields map[string]any
+	Time  string `json:"time"`
+	Event string `json:"msg"`
+	Part  string `json:"part"`
+	Job   string `json:"job"`
+	// Request is the caller's own name of a submission.
+	Request string `json:"request"`
+	raw     []byte
+	fields  map[string]any
 }
 
+// jobField begins the field of a line that names a job.
+var jobField = []byte(`"job":`)
+
 // causes says what the reason of a job's last line means.
 var causes = map[string]string{
 	"no_upstream":                "no agent with an upstream of the service was in reach; see agent_room and agent_silent lines of the dispatcher",
@@ -52,26 +58,47 @@
 
 func addExplain(app *kingpin.Application, std Streams) {
 	cmd := app.Command("explain", "Order the log lines about one job and say its cause. Example: dogwoodgauge explain 5c0e7a21d94b36f8 entry-1.log agent-*.log")
-	id := cmd.Arg("id", "ID of the job.").Required().String()
+	id := cmd.Arg("id", "ID of the job, or of the caller's request.").Required().String()
 	files := cmd.Arg("log", "Log files of any processes; standard input without one.").Strings()
 	cmd.Action(action(func() error {
-		lines, err := readLogs(*id, *files, std.In)
+		lines, err := readLogs(*files, std.In)
 		if err != nil {
 			return err
 		}
+		if lines, err = about(*id, lines); err != nil {
+			return err
+		}
 		if len(lines) == 0 {
-			return errors.Errorf("no line about job %s; was the log of its dispatcher given?", *id)
+			return errors.Errorf("no line about job or request %s; was the log of its dispatcher given?", *id)
 		}
 		explain(std.Out, lines)
 		return nil
 	}))
 }
 
-// readLogs returns the lines about a job, in order of their times.
-func readLogs(id string, files []string, in io.Reader) ([]logLine, error) {
+// about returns the lines about a job, or about the job of a request, with their
+// fields.
+func about(id string, lines []logLine) ([]logLine, error) {
+	job := id
+	for _, l := range lines {
+		if l.Request == id {
+			job = l.Job
+		}
+	}
+	lines = slices.DeleteFunc(lines, func(l logLine) bool { return l.Job != job })
+	for i := range lines {
+		if err := json.Unmarshal(lines[i].raw, &lines[i].fields); err != nil {
+			return nil, errors.Wrap(err, "decode a line")
+		}
+	}
+	return lines, nil
+}
+
+// readLogs returns the lines about jobs, in order of their times.
+func readLogs(files []string, in io.Reader) ([]logLine, error) {
 	var all []logLine
 	if len(files) == 0 {
-		lines, err := scanLog(id, in)
+		lines, err := scanLog(in)
 		if err != nil {
 			return nil, err
 		}
@@ -82,7 +109,7 @@
 		if err != nil {
 			return nil, err
 		}
-		lines, err := scanLog(id, f)
+		lines, err := scanLog(f)
 		_ = f.Close()
 		if err != nil {
 			return nil, errors.Wrap(err, path)
@@ -93,22 +120,23 @@
 	return all, nil
 }
 
-// scanLog returns the lines about a job. What stands before the JSON object of a
+// scanLog returns the lines about jobs. What stands before the JSON object of a
 // line, such as a collector's prefix, is left out, and so are lines without one.
-func scanLog(id string, r io.Reader) ([]logLine, error) {
+func scanLog(r io.Reader) ([]logLine, error) {
 	var lines []logLine
 	s := bufio.NewScanner(r)
 	s.Buffer(nil, maxLogLine)
 	for s.Scan() {
 		text := s.Bytes()
 		start := bytes.IndexByte(text, '{')
-		if start < 0 || !bytes.Contains(text, []byte(id)) {
+		if start < 0 || !bytes.Contains(text, jobField) {
 			continue
 		}
 		var l logLine
-		if json.Unmarshal(text[start:], &l) != nil || l.Job != id || json.Unmarshal(text[start:], &l.fields) != nil {
+		if json.Unmarshal(text[start:], &l) != nil || l.Job == "" {
 			continue
 		}
+		l.raw = bytes.Clone(text[start:])
 		lines = append(lines, l)
 	}
 	return lines, s.Err()
