--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -34,6 +34,9 @@
 	// thinkTime is the longest pause of a caller between two jobs. Connections are used
 	// often enough to learn of a planned stop before they are closed as idle.
 	thinkTime = 250 * time.Millisecond
+	// longShare is the share of jobs with long tasks: long enough to be found running twice
+	// when a lease ends too late.
+	longShare = 0.2
 	// failingShare is the share of jobs one of whose tasks always fails.
 	failingShare = 0.02
 )
@@ -66,6 +69,9 @@
 	id := fmt.Sprintf("%016x", c.rnd.Uint64())
 	tasks := 1 + c.rnd.IntN(4)
 	task := platform.StandinTask{Work: time.Duration(20+c.rnd.IntN(180)) * time.Millisecond}
+	if c.rnd.Float64() < longShare {
+		task.Work += time.Duration(c.rnd.IntN(900)) * time.Millisecond
+	}
 	if c.rnd.Float64() < failingShare {
 		task.Failing = []int{0}
 	}
