soak: two faults of its own

A job with a task that always fails could be long as well, so that its three attempts did not fit into 1.5 s and it had no answer after the recovery (traced by its lines: three runs of 1 s). A listener whose server had just been started was not closed with it, and the next life could not bind.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -69,10 +69,11 @@
 	id := fmt.Sprintf("%016x", c.rnd.Uint64())
 	tasks := 1 + c.rnd.IntN(4)
 	task := platform.StandinTask{Work: time.Duration(20+c.rnd.IntN(180)) * time.Millisecond}
-	if c.rnd.Float64() < longShare {
+	switch p := c.rnd.Float64(); {
+	case p < longShare:
 		task.Work += time.Duration(c.rnd.IntN(900)) * time.Millisecond
-	}
-	if c.rnd.Float64() < failingShare {
+	case p < longShare+failingShare:
+		// Short, so that all attempts fit into the time that the caller waits.
 		task.Failing = []int{0}
 	}
 	for range maxSubmissions {
--- a/internal/soak/hosts.go
+++ b/internal/soak/hosts.go
@@ -65,8 +65,9 @@
 	upstream      *platform.StandinUpstream
 	listen        string
 
-	mu     sync.Mutex
-	server *http.Server
+	mu       sync.Mutex
+	server   *http.Server
+	listener net.Listener
 	// links are the proxies through which the dispatchers reach the agent.
 	links map[string]*link
 }
@@ -79,7 +80,7 @@
 	}
 	server := &http.Server{Handler: a.upstream}
 	a.mu.Lock()
-	a.server = server
+	a.server, a.listener = server, l
 	a.mu.Unlock()
 	go func() { _ = server.Serve(l) }()
 	return nil
@@ -88,11 +89,12 @@
 // closeUpstream closes the port of the upstream, and all connections with it.
 func (a *agent) closeUpstream() {
 	a.mu.Lock()
-	server := a.server
+	server, l := a.server, a.listener
 	a.server = nil
 	a.mu.Unlock()
 	if server != nil {
 		_ = server.Close()
+		_ = l.Close() // The server does not know it yet if it has just been started.
 	}
 }
 
