telemetry: routine lines are thinned out under load, the same jobs everywhere

Cause: the volume of the log was bounded by its buffer only, which drops whatever comes when it is full, lines of failed requests as well.

Lines about what was not served are always written. The line about dropped lines is JSON, too.

--- a/internal/telemetry/decisions.go
+++ b/internal/telemetry/decisions.go
@@ -86,7 +86,7 @@
 	l.dropped = 0
 	l.mu.Unlock()
 	if dropped > 0 {
-		lines = append(lines, "log lines dropped for want of room: "+strconv.Itoa(dropped)+"\n"...)
+		lines = append(lines, `{"level":"WARN","msg":"log lines dropped for want of room","lines":`+strconv.Itoa(dropped)+"}\n"...)
 	}
 	if len(lines) > 0 {
 		// A closed standard output leaves nowhere to report the error to.
@@ -97,9 +97,26 @@
 // LogTo sends the lines of klog to w, each as one JSON object.
 func LogTo(w io.Writer) { klog.SetSlogLogger(slog.New(slog.NewJSONHandler(w, nil))) }
 
+// routine lists the events of every job that is served. Under load only those of some
+// jobs are written; the events of what goes wrong are always.
+var routine = map[string]bool{"job_accepted": true, "task_offered": true, "run_ended": true, "offer_refused": true}
+
+// routineSampler thins out the routine lines of the process.
+var routineSampler = newSampler(time.Now)
+
 // Decide writes the line of one decision: its event, the job it is about, if any,
-// and the inputs that decided it. Unlike Info it has no rate limit; see Lines.
+// and the inputs that decided it. Routine lines are thinned out under load; others have
+// no rate limit. See Lines.
 func (l *Logger) Decide(event, job string, fields []any) {
+	if routine[event] {
+		ok, leftOut := routineSampler.admit(job)
+		if leftOut > 0 {
+			klog.InfoSDepth(callerDepth, "routine_lines_left_out", "part", l.part, "lines", leftOut)
+		}
+		if !ok {
+			return
+		}
+	}
 	all := make([]any, 0, len(fields)+4)
 	all = append(all, "part", l.part)
 	if job != "" {
