dispatch, lessee, platform: files of one job

The asking of agents, changes of an upstream's life, and the stand-in of callers stand in files of their own; nothing else changes.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -22,15 +21,8 @@
 	forgetDead   = 10 * time.Second
 	forgetSilent = 10 * time.Minute
 	// minReply is the shortest pause between two beats in answer to an agent's, which
-	// may come with every change of its room; askPause that between two beats which
-	// ask for such reports. Both are half of an agent's own pause.
+	// may come with every change of its room: half of an agent's own pause.
 	minReply = lease.Beat / 2
-	askPause = lease.Beat / 2
-	// urgentAgents is how many agents are asked at once when a more urgent task than the
-	// last one told has to wait, and urgentPause the pause between two such rounds. At
-	// fleets of 60 workers and more as many free some room every 3 ms.
-	urgentAgents = 8
-	urgentPause  = 10 * time.Millisecond
 	// recallRetry is the pause between two recalls of one offer.
 	recallRetry = 300 * time.Millisecond
 )
@@ -111,16 +103,6 @@
 	c.send(a.ref, message.Message{Beat: b})
 }
 
-// firstWaiting describes the first task that waits for room, if any.
-func (c *Core) firstWaiting() *message.Waiting {
-	for _, j := range c.waiting {
-		if i := slices.IndexFunc(j.tasks, func(t *task) bool { return t.state == unplaced }); i >= 0 {
-			return &message.Waiting{Priority: j.spec.Route.Priority, Need: j.tasks[i].kind().Demand}
-		}
-	}
-	return nil
-}
-
 func (c *Core) receive(env message.Envelope) {
 	a, ok := c.agents[env.From]
 	if !ok {
@@ -157,49 +139,6 @@
 	}
 }
 
-// askForRoom tells the agents that tasks wait, so that they report freed room at
-// once. Between two rounds some are told of a task that is more urgent than the last.
-func (c *Core) askForRoom() {
-	first := c.firstWaiting()
-	if first == nil {
-		c.askedPriority = leastUrgent
-		return
-	}
-	switch {
-	case c.now.Mono >= c.askAt:
-		c.askAt = c.now.Mono + askPause
-		for _, a := range c.order {
-			if c.usable(a) {
-				c.beatTo(a)
-			}
-		}
-	case first.Priority < c.askedPriority && c.now.Mono >= c.urgentAt:
-		c.askSome()
-	default:
-		return
-	}
-	c.askedPriority = first.Priority
-	c.urgentAt = c.now.Mono + urgentPause
-}
-
-// askSome tells the next agents in turn.
-func (c *Core) askSome() {
-	told := 0
-	for range c.order {
-		if told == urgentAgents {
-			return
-		}
-		c.askNext = (c.askNext + 1) % len(c.order)
-		if a := c.order[c.askNext]; c.usable(a) {
-			c.beatTo(a)
-			told++
-		}
-	}
-}
-
-// leastUrgent is behind every priority.
-const leastUrgent = math.MaxInt
-
 // heardRoom takes a report, unless a later one has come before it.
 func (c *Core) heardRoom(a *agent, r *message.Room) {
 	if r.Version < a.room.Version {
