--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -23,6 +23,9 @@
 	// minReply is the shortest pause between two beats in answer to an agent's, which
 	// may come with every change of its room: half of an agent's own pause.
 	minReply = lease.Beat / 2
+	// idleReply is the same for an agent that has no runs of this dispatcher: it must only
+	// know that the dispatcher is there, which it forgets after five times as long.
+	idleReply = time.Second
 	// recallRetry is the pause between two recalls of one offer.
 	recallRetry = 300 * time.Millisecond
 )
@@ -134,11 +137,24 @@
 	c.repeatRecalls(a)
 	want := c.asking.Heard(c.now.Mono, c.site.Revision, b.Revision)
 	give := b.WantSite && b.Revision < c.site.Revision && c.relay.Give(c.now.Mono, c.site)
-	if want || give || c.now.Mono-a.beatAt >= minReply {
+	if want || give || a.newKind(b) || c.now.Mono-a.beatAt >= a.replyPause() {
 		c.sendBeat(a, want, give)
 	}
 }
 
+// newKind reports whether an agent has said what its upstream is, which it repeats until
+// it is told that this is known.
+func (a *agent) newKind(b *message.Beat) bool { return b.Room != nil && b.Room.Kind != nil }
+
+// replyPause returns the shortest pause between two beats in answer to those of a: its
+// runs need proof that this process is alive.
+func (a *agent) replyPause() time.Duration {
+	if len(a.sent)+len(a.recalls) > 0 {
+		return minReply
+	}
+	return idleReply
+}
+
 // heardRoom takes a report, unless a later one has come before it.
 func (c *Core) heardRoom(a *agent, r *message.Room) {
 	if r.Version < a.room.Version {
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -303,3 +303,32 @@
 		t.Errorf("%d agents were told again of what is no more urgent", len(b.beats))
 	}
 }
+
+// TestIdleAgentsCostLittle: an agent without runs of this dispatcher gets one beat a
+// second, and one with runs proof that the dispatcher is alive with every beat.
+func TestIdleAgentsCostLittle(t *testing.T) {
+	b := newBench(t)
+	b.agents(2, 4)
+	beats := func() (n [2]int) {
+		for range 10 {
+			b.now += 100 * time.Millisecond
+			clear(b.beats)
+			b.alive(2)
+			for i := range n {
+				if _, ok := b.beats[ref(i).ID]; ok {
+					n[i]++
+				}
+			}
+		}
+		return n
+	}
+	beats()
+	if n := beats(); n[0] > 1 || n[1] > 1 {
+		t.Errorf("%v beats in a second to agents without runs", n)
+	}
+	b.submit("j", 0, 1, time.Second)
+	busy := int(b.to[b.take()[0].Seq][1] - '0')
+	if n := beats(); n[busy] < 9 || n[1-busy] > 2 {
+		t.Errorf("%v beats in a second, with a run at agent %d", n, busy)
+	}
+}
