--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -115,7 +115,7 @@
 		c.brokenOff(d, life, sent, err)
 		return answerBroken
 	}
-	if calm, ok := d.calmSince(); ok && calm.Add(calmTime).Before(sent) && time.Since(sent) > callerWait+c.s.checks.bound(answerSlack) {
+	if sound, ok := d.soundSince(); ok && sound.Add(calmTime).Before(sent) && time.Since(sent) > callerWait+c.s.checks.bound(answerSlack) {
 		c.s.checks.violate("answer_held", "job %s was answered by %s after %v, its caller waits %v", id, d.name, time.Since(sent), callerWait)
 	}
 	return answerOf(resp.StatusCode, body)
@@ -146,9 +146,9 @@
 	if isRefusedConnection(err) {
 		return
 	}
-	calm, ok := d.calmSince()
+	sound, ok := d.soundSince()
 	now, _, _ := d.state()
-	if !ok || !calm.Add(calmTime).Before(sent) {
+	if !ok || !sound.Add(calmTime).Before(sent) {
 		return
 	}
 	c.s.checks.violate("cut_off", "a request to %s (life %d, now %d) was cut off after %v: %v", d.name, life, now, time.Since(sent), err)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -35,14 +35,14 @@
 var kinds = []fault{
 	{"process_paused", func(s *Soak, rnd *rand.Rand, stop <-chan struct{}) {
 		p := s.anyProcess(rnd)
-		defer p.disturb()()
+		defer p.strike()()
 		p.signal(syscall.SIGSTOP)
 		lifecycle.Wait(duration(rnd, maxFault), stop)
 		p.signal(syscall.SIGCONT)
 	}},
 	{"process_killed", func(s *Soak, rnd *rand.Rand, stop <-chan struct{}) {
 		p := s.anyProcess(rnd)
-		defer p.disturb()()
+		defer p.strike()()
 		s.restart(p, syscall.SIGKILL, duration(rnd, restartTime), stop)
 	}},
 	{"all_killed", func(s *Soak, rnd *rand.Rand, stop <-chan struct{}) {
@@ -50,7 +50,7 @@
 		for _, p := range s.processes() {
 			pause := duration(rnd, restartTime)
 			wg.Go(func() {
-				defer p.disturb()()
+				defer p.strike()()
 				s.restart(p, syscall.SIGKILL, pause, stop)
 			})
 		}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -29,10 +29,8 @@
 	// life counts the starts; dead is closed at the end of the present life.
 	life int
 	dead chan struct{}
-	// upset is when the last unplanned fault of this process or its links ended, and
-	// upsets counts those that go on.
-	upset  time.Time
-	upsets int
+	// links and self are the unplanned faults of its links and of the process itself.
+	links, self upsets
 }
 
 // start starts the next life.
@@ -85,26 +83,50 @@
 	<-dead
 }
 
-// disturb notes the begin of an unplanned fault, and its end when the returned
-// function is called.
-func (p *process) disturb() (end func()) {
+// upsets counts the unplanned faults that go on, and says when the last one ended.
+type upsets struct {
+	going int
+	ended time.Time
+}
+
+// disturb notes the begin of an unplanned fault of the links of the process, and its
+// end when the returned function is called.
+func (p *process) disturb() (end func()) { return p.note(&p.links) }
+
+// strike does the same for a fault of the process itself.
+func (p *process) strike() (end func()) { return p.note(&p.self) }
+
+func (p *process) note(u *upsets) (end func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.upsets++
+	u.going++
 	return sync.OnceFunc(func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.upsets--
-		p.upset = time.Now()
+		u.going--
+		u.ended = time.Now()
 	})
 }
 
-// calmSince returns since when nothing unplanned has disturbed the process, and false
-// while something does.
+// calmSince returns since when nothing unplanned has disturbed the process or its
+// links, and false while something does.
 func (p *process) calmSince() (time.Time, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.upset, p.upsets == 0
+	last := p.links.ended
+	if p.self.ended.After(last) {
+		last = p.self.ended
+	}
+	return last, p.links.going+p.self.going == 0
+}
+
+// soundSince returns since when the process itself has been left alone, and false while
+// it is not. Callers reach it without a proxy: faults of links are no excuse towards
+// them.
+func (p *process) soundSince() (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.self.ended, p.self.going == 0
 }
 
 // usage returns the resident memory in bytes and the open descriptors.
