soak: more planned stops, longer times out, fewer excuses

Cause: mutations that ignore domains taken out and that end a dispatcher at once went unseen: in 30 to 50 s no dispatcher was stopped, and a domain was out for 2 s past the bound while hardly any agent counted as undisturbed. Faults of links to dispatchers excuse nothing that an agent learns from the store or from its upstream.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -123,14 +123,15 @@
 	}
 }
 
-// late checks a start that is forbidden since a time, for agents that have been calm.
+// late checks a start that is forbidden since a time. Agents learn of both from the store
+// or from their upstreams, so that faults of links to dispatchers are no excuse.
 func (c *checks) late(check string, u *platform.StandinUpstream, since time.Time, bound time.Duration, task string) {
 	agent := c.agents[u]
-	calm, ok := agent.calmSince()
+	sound, ok := agent.soundSince()
 	if !ok || c.storeUpsets > 0 {
 		return
 	}
-	for _, t := range []time.Time{calm.Add(calmTime), c.storeUpset.Add(calmTime)} {
+	for _, t := range []time.Time{sound.Add(calmTime), c.storeUpset.Add(calmTime)} {
 		if t.After(since) {
 			since = t
 		}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -18,7 +18,7 @@
 	maxFault = 4 * time.Second
 	// outTime is how long a failure domain stays out: past the bound within which starts
 	// in it have to be over.
-	outTime = evacuateBound + 2*time.Second
+	outTime = evacuateBound + 7*time.Second
 	// drainTime is how long an upstream that leaves goes on serving.
 	drainTime = drainBound + 2*time.Second
 	// restartTime is the longest pause before a process that has ended is started again.
@@ -59,6 +59,10 @@
 	{"process_restarted", func(s *Soak, rnd *rand.Rand, stop <-chan struct{}) {
 		s.restart(s.anyProcess(rnd), syscall.SIGTERM, duration(rnd, restartTime), stop)
 	}},
+	{"dispatcher_restarted", func(s *Soak, rnd *rand.Rand, stop <-chan struct{}) {
+		d := s.dispatchers[rnd.IntN(len(s.dispatchers))]
+		s.restart(&d.process, syscall.SIGTERM, duration(rnd, restartTime), stop)
+	}},
 	{"reload", func(s *Soak, rnd *rand.Rand, _ <-chan struct{}) { s.anyProcess(rnd).signal(syscall.SIGHUP) }},
 	{"link_delayed", func(s *Soak, rnd *rand.Rand, stop <-chan struct{}) {
 		s.disturbLinks(rnd, LinkFaults{Delay: duration(rnd, 300*time.Millisecond)}, stop)
