soak: faults of the store excuse only those whom they hit

They are noted for the processes that they hit now. A process that ends right after its start is started again, as by the platform (seen once: its port was still taken), and one that does not run at the end is a violation of its own.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -177,8 +177,9 @@
 			break
 		}
 	}
-	calm, ok := d.calmSince()
-	if ok && seen[key] < version && time.Since(since) > s.checks.bound(configBound) && calm.Add(calmTime+s.checks.bound(configBound)).Before(time.Now()) && s.storeCalm() {
+	informed, ok := d.informedSince()
+	late := time.Now().Add(-s.checks.bound(configBound))
+	if ok && seen[key] < version && since.Before(late) && informed.Add(calmTime).Before(late) {
 		s.checks.violate("config_late", "%s has version %d, %d was published %v ago", d.name, seen[key], version, time.Since(since))
 	}
 	if v := seen[key]; v > 0 && d.status(client, versionPrefix(v)) == http.StatusNotFound {
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -63,12 +63,9 @@
 	out      map[string]time.Time
 	draining map[upstreamLife]time.Time
 	agents   map[*platform.StandinUpstream]*process
-	// storeUpset is when the last fault of the store ended, storeUpsets how many go on.
-	storeUpset  time.Time
-	storeUpsets int
-	told        []Violation
-	counts      map[string]int
-	answers     map[string]int
+	told     []Violation
+	counts   map[string]int
+	answers  map[string]int
 }
 
 func newChecks(slack float64) *checks {
@@ -127,14 +124,12 @@
 // or from their upstreams, so that faults of links to dispatchers are no excuse.
 func (c *checks) late(check string, u *platform.StandinUpstream, since time.Time, bound time.Duration, task string) {
 	agent := c.agents[u]
-	sound, ok := agent.soundSince()
-	if !ok || c.storeUpsets > 0 {
+	informed, ok := agent.informedSince()
+	if !ok {
 		return
 	}
-	for _, t := range []time.Time{sound.Add(calmTime), c.storeUpset.Add(calmTime)} {
-		if t.After(since) {
-			since = t
-		}
+	if t := informed.Add(calmTime); t.After(since) {
+		since = t
 	}
 	if took := time.Since(since); took > bound {
 		c.broken(check, "task %s began at %s %v after it had to be over", task, agent.name, took-bound)
@@ -220,17 +215,3 @@
 		c.draining[l] = time.Now()
 	}
 }
-
-// storeDisturbed notes the begin of a fault of the store, and its end when the
-// returned function is called.
-func (c *checks) storeDisturbed() (end func()) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.storeUpsets++
-	return sync.OnceFunc(func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.storeUpsets--
-		c.storeUpset = time.Now()
-	})
-}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -170,7 +170,7 @@
 	p.signal(syscall.SIGCONT)
 	p.kill()
 	lifecycle.Wait(pause, stop)
-	if err := p.start(); err != nil {
+	if err := p.startAgain(); err != nil {
 		s.checks.violate("start", "%v", err)
 	}
 }
@@ -225,11 +225,11 @@
 // storeFault disturbs the store for one process, for a third of them, or for all.
 func storeFault(f platform.StandinStoreFault) func(*Soak, *rand.Rand, <-chan struct{}) {
 	return func(s *Soak, rnd *rand.Rand, stop <-chan struct{}) {
-		defer s.checks.storeDisturbed()()
 		hit := s.processes()
 		rnd.Shuffle(len(hit), func(i, j int) { hit[i], hit[j] = hit[j], hit[i] })
 		hit = hit[:[]int{1, 1 + len(hit)/3, len(hit)}[rnd.IntN(3)]]
 		for _, p := range hit {
+			defer p.cutStore()()
 			s.store.Disturb(p.name, f)
 		}
 		lifecycle.Wait(duration(rnd, 2*maxFault), stop)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/dogwoodgauge/dogwoodgauge/internal/lifecycle"
 )
 
 // process is one program on a host of its own, which is started again when it ends.
@@ -29,8 +31,9 @@
 	// life counts the starts; dead is closed at the end of the present life.
 	life int
 	dead chan struct{}
-	// links and self are the unplanned faults of its links and of the process itself.
-	links, self upsets
+	// links, self and store are the unplanned faults of its links, of the process itself,
+	// and of the store as it reaches it.
+	links, self, store upsets
 }
 
 // start starts the next life.
@@ -59,6 +62,27 @@
 	return nil
 }
 
+const (
+	// startTries bounds the starts of one life. A port may still be taken for a moment
+	// after the process that held it has ended.
+	startTries = 5
+	// startedAfter is how long a process must run to count as started.
+	startedAfter = 200 * time.Millisecond
+)
+
+// startAgain starts the next life, as the platform does with a process that ends.
+func (p *process) startAgain() error {
+	for range startTries {
+		if err := p.start(); err != nil {
+			return err
+		}
+		if _, _, dead := p.state(); lifecycle.Wait(startedAfter, dead) {
+			return nil
+		}
+	}
+	return errors.Errorf("%s ended %d times right after its start; see %s", p.name, startTries, p.log)
+}
+
 // state returns the present life, its ID, and a channel that is closed at its end.
 func (p *process) state() (life, pid int, dead <-chan struct{}) {
 	p.mu.Lock()
@@ -93,8 +117,10 @@
 // end when the returned function is called.
 func (p *process) disturb() (end func()) { return p.note(&p.links) }
 
-// strike does the same for a fault of the process itself.
-func (p *process) strike() (end func()) { return p.note(&p.self) }
+// strike does the same for a fault of the process itself, and cutStore for one of the
+// store as the process reaches it.
+func (p *process) strike() (end func())   { return p.note(&p.self) }
+func (p *process) cutStore() (end func()) { return p.note(&p.store) }
 
 func (p *process) note(u *upsets) (end func()) {
 	p.mu.Lock()
@@ -108,16 +134,16 @@
 	})
 }
 
-// calmSince returns since when nothing unplanned has disturbed the process or its
-// links, and false while something does.
-func (p *process) calmSince() (time.Time, bool) {
+// informedSince returns since when nothing unplanned has kept the process from what the
+// store says, and false while something does.
+func (p *process) informedSince() (time.Time, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last := p.links.ended
+	last := p.store.ended
 	if p.self.ended.After(last) {
 		last = p.self.ended
 	}
-	return last, p.links.going+p.self.going == 0
+	return last, p.store.going+p.self.going == 0
 }
 
 // soundSince returns since when the process itself has been left alone, and false while
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -207,13 +207,6 @@
 	return s.configured, s.configuredA
 }
 
-// storeCalm reports whether nothing has disturbed the store for a while.
-func (s *Soak) storeCalm() bool {
-	s.checks.mu.Lock()
-	defer s.checks.mu.Unlock()
-	return s.checks.storeUpsets == 0 && time.Since(s.checks.storeUpset) > s.checks.bound(calmTime+configBound)
-}
-
 // untilServing waits until a job is served by every dispatcher.
 func (s *Soak) untilServing(ctx context.Context) error {
 	c := newCaller(s, 0)
@@ -274,7 +267,8 @@
 	for _, p := range s.processes() {
 		rss, fds, err := p.usage()
 		if err != nil {
-			return r, errors.Wrapf(err, "usage of %s", p.name)
+			s.checks.violate("exited", "%s does not run: %v", p.name, err)
+			continue
 		}
 		r.MaxResident, r.MaxDescriptors = max(r.MaxResident, rss), max(r.MaxDescriptors, fds)
 		if rss > memoryLimit || fds > maxDescriptors {
