--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -171,15 +171,18 @@
 	life, _, _ := d.state()
 	key := fmt.Sprintf("%s/%d", d.name, life)
 	version, since := s.version()
+	answered := false // A process that leaves answers no new connections.
 	for v := version; v > max(seen[key], version-3); v-- {
-		if d.status(client, versionPrefix(v)) == http.StatusOK {
+		status := d.status(client, versionPrefix(v))
+		answered = answered || status != 0
+		if status == http.StatusOK {
 			seen[key] = v
 			break
 		}
 	}
 	informed, ok := d.informedSince()
 	late := time.Now().Add(-s.checks.bound(configBound))
-	if ok && seen[key] < version && since.Before(late) && informed.Add(calmTime).Before(late) {
+	if ok && answered && seen[key] < version && since.Before(late) && informed.Add(calmTime).Before(late) {
 		s.checks.violate("config_late", "%s has version %d, %d was published %v ago", d.name, seen[key], version, time.Since(since))
 	}
 	if v := seen[key]; v > 0 && d.status(client, versionPrefix(v)) == http.StatusNotFound {
--- a/internal/soak/hosts.go
+++ b/internal/soak/hosts.go
@@ -74,7 +74,7 @@
 
 // serveUpstream opens the port of the upstream.
 func (a *agent) serveUpstream() error {
-	l, err := net.Listen("tcp", a.listen)
+	l, err := listenAgain(a.listen)
 	if err != nil {
 		return err
 	}
@@ -86,6 +86,25 @@
 	return nil
 }
 
+const (
+	// listenTries and listenPause bound the time in which a port must become free that was
+	// in use a moment ago.
+	listenTries = 20
+	listenPause = 50 * time.Millisecond
+)
+
+// listenAgain opens a port that may still be taken for a moment after its listener was
+// closed.
+func listenAgain(addr string) (l net.Listener, err error) {
+	for range listenTries {
+		if l, err = net.Listen("tcp", addr); !errors.Is(err, syscall.EADDRINUSE) {
+			return l, err
+		}
+		time.Sleep(listenPause)
+	}
+	return nil, err
+}
+
 // closeUpstream closes the port of the upstream, and all connections with it.
 func (a *agent) closeUpstream() {
 	a.mu.Lock()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -28,8 +28,9 @@
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
-	// life counts the starts; dead is closed at the end of the present life.
+	// life counts the starts; the present one began at born, and dead is closed at its end.
 	life int
+	born time.Time
 	dead chan struct{}
 	// links, self and store are the unplanned faults of its links, of the process itself,
 	// and of the store as it reaches it.
@@ -52,7 +53,7 @@
 	}
 	dead := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.dead = cmd, dead
+	p.cmd, p.dead, p.born = cmd, dead, time.Now()
 	p.life++
 	p.mu.Unlock()
 	go func() {
@@ -134,14 +135,16 @@
 	})
 }
 
-// informedSince returns since when nothing unplanned has kept the process from what the
-// store says, and false while something does.
+// informedSince returns since when nothing has kept the process from what the store
+// says, and false while something does. A planned restart does for a moment, too.
 func (p *process) informedSince() (time.Time, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last := p.store.ended
-	if p.self.ended.After(last) {
-		last = p.self.ended
+	last := p.born
+	for _, t := range []time.Time{p.store.ended, p.self.ended} {
+		if t.After(last) {
+			last = t
+		}
 	}
 	return last, p.store.going+p.self.going == 0
 }
