lessee: a look from before the change of an upstream says nothing of starts on their way

An upstream had begun another life; a look sent before the agent knew of it was answered by the new life before a start that was on its way. After the announcement the answer was taken for the first look at the new life, and the run was reported as lost while it went on.

Change: a look carries its fencing token, and only one with the newest token opens a life: the upstream refuses every call with an older one from then on.

--- a/core/leasemodel/world_test.go
+++ b/core/leasemodel/world_test.go
@@ -319,7 +319,7 @@
 		if r != nil {
 			looked = r.(lessee.Looked)
 		}
-		looked.Renewal, looked.SentAt, looked.SeenUpto = a.Renewal, sentAt, a.SeenUpto
+		looked.Renewal, looked.SentAt, looked.Token, looked.SeenUpto = a.Renewal, sentAt, a.Token, a.SeenUpto
 		return looked
 	}
 	if a.Renewal {
--- a/core/lessee/api.go
+++ b/core/lessee/api.go
@@ -120,6 +120,8 @@
 	Result  CallResult
 	// SentAt is the monotonic time at which the call was sent.
 	SentAt time.Duration
+	// Token is the fencing token that the call carried.
+	Token int64
 	// SeenUpto is the number that the call acknowledged.
 	SeenUpto int64
 	Born     int64
--- a/core/lessee/lessee_test.go
+++ b/core/lessee/lessee_test.go
@@ -32,7 +32,12 @@
 	return &bench{t: t, core: New(Config{Token: 100}), now: time.Second, beats: map[node.ID]message.Beat{}}
 }
 
+// step hands in an event. A look without a token answers the last one that was sent.
 func (b *bench) step(event step.Event) {
+	if l, ok := event.(Looked); ok && l.Token == 0 && len(b.looks) > 0 {
+		l.Token = b.looks[len(b.looks)-1].Token
+		event = l
+	}
 	for _, action := range b.core.Step(clock.Now{Mono: b.now}, event) {
 		switch a := action.(type) {
 		case step.Send:
--- a/core/lessee/life.go
+++ b/core/lessee/life.go
@@ -275,7 +275,10 @@
 	l.heardClock(e.Clock, c.now.Mono)
 	l.heldAt = max(l.heldAt, e.SentAt)
 	if l.phase == probing {
-		c.probed(e)
+		// Only a look with the newest token says that earlier calls start nothing any more.
+		if e.Token == c.token {
+			c.probed(e)
+		}
 		return
 	}
 	if c.takeEnds(e) && e.Renewal {
--- a/core/lessee/stray_test.go
+++ b/core/lessee/stray_test.go
@@ -59,3 +59,22 @@
 		t.Errorf("end %+v after the longest lease", e)
 	}
 }
+
+// TestLookFromBeforeTheChange: a look that was sent before the agent knew of another life
+// may have been answered by it before a start that was on its way as well. It does not
+// say that nothing runs.
+func TestLookFromBeforeTheChange(t *testing.T) {
+	b := newBench(t)
+	b.open()
+	b.offer(d0, "j")
+	before := b.looks[len(b.looks)-1].Token
+	b.announce(2, 1, false)
+	b.step(Looked{SentAt: b.now, Token: before, Born: 2, Clock: time.Second})
+	if len(b.ends) != 0 || b.core.Ready() {
+		t.Fatalf("ready %t, said %+v", b.core.Ready(), b.ends)
+	}
+	b.step(Looked{Renewal: true, SentAt: b.now, Born: 2, Clock: time.Second})
+	if e := b.lastEnd(); e.Result != message.RunLost {
+		t.Errorf("end %+v after a look with the new token", e)
+	}
+}
--- a/internal/lesseed/calls.go
+++ b/internal/lesseed/calls.go
@@ -77,7 +77,7 @@
 	if a.Renewal {
 		d.observe("renew", looked.Result, began)
 	}
-	looked.Renewal, looked.SentAt, looked.SeenUpto = a.Renewal, sentAt, a.SeenUpto
+	looked.Renewal, looked.SentAt, looked.Token, looked.SeenUpto = a.Renewal, sentAt, a.Token, a.SeenUpto
 	d.loop.Post(looked)
 }
 
