dispatch, lessee: heartbeats to dispatchers without runs at an idle pace

Cause: each agent sent a heartbeat to each dispatcher every 200 ms, and a dispatcher with waiting tasks notified every agent every 100 ms.

Change: pairs with runs keep the pace of the lease. The dispatchers without runs at an agent share 20 of its heartbeats a second, in turn (package pace), so the interval grows with the fleet and the rate does not; up to four dispatchers nothing changes. The lease of a run counts from the time at which the offer was sent (echoed timestamp plus its age), so offers to idle agents are accepted, and the dispatcher waits from the later of the last timestamp and the last offer. An agent with an open offer is suspected as fast as before; then the idle agents of its domain get no work until they answer. A dispatcher notifies 24 agents a round that may run its first waiting task.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -51,9 +51,11 @@
 	siteLimiter   site.RelayLimiter
 
 	agents map[node.Ref]*agent
-	// sortedAgents lists the agents by ID and incarnation.
-	sortedAgents []*agent
-	jobs         map[uint64]*job
+	// sortedAgents lists the agents by ID and incarnation. workersChanged is set until the
+	// fault detector has the list.
+	sortedAgents   []*agent
+	workersChanged bool
+	jobs           map[uint64]*job
 	// byID holds the same jobs by their IDs.
 	byID map[string]*job
 	// waiting lists the jobs with unplaced tasks, by priority, then by objective.
@@ -68,6 +70,8 @@
 	// candidates and placementList are buffers that placements reuse.
 	candidates    []candidate
 	placementList []*job
+	// domainDoubtedAt is when the agents of a failure domain were last asked for heartbeats.
+	domainDoubtedAt map[string]time.Duration
 	// agentsCheckedAt is when the agents were last checked for unresponsive ones.
 	agentsCheckedAt time.Duration
 	faults          *quarantine.Detector
@@ -77,9 +81,8 @@
 	draining        bool
 	// startedAt is the time of the first event.
 	startedAt time.Duration
-	// notifyAllAt is the earliest time at which all agents may be notified of waiting
-	// tasks again.
-	notifyAllAt time.Duration
+	// notifyAt is the earliest time of the next round of notifications of waiting tasks.
+	notifyAt time.Duration
 	// notifiedPriority is the priority of the waiting task that agents were last notified
 	// of. notifyUrgentAt is the earliest time at which some agents may be notified of a
 	// more urgent task, and notifyIndex the index in sortedAgents at which the last such
@@ -118,6 +121,8 @@
 		byID:       make(map[string]*job),
 		openOffers: make(map[uint64]*task),
 		faults:     quarantine.New(),
+
+		domainDoubtedAt: make(map[string]time.Duration),
 	}
 }
 
@@ -140,6 +145,7 @@
 func (c *Core) EndBatch(now clock.Now) []step.Action {
 	c.beginCall(now)
 	c.checkAgents()
+	c.updateKnownWorkers()
 	c.checkDeadlines()
 	c.place()
 	c.refuseInfeasible()
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -83,7 +83,7 @@
 	b.connectAgents(1, 1)
 	b.submit("running", 0, 1, time.Second)
 	b.submit("waits", 0, 1, time.Second)
-	b.advance(notifyAllInterval)
+	b.advance(notifyInterval)
 	b.sendHeartbeats(1)
 	if w := b.heartbeats["a0"].FirstWaiting; w == nil || w.Priority != 0 || w.Demand.MilliCPU != oneCore {
 		t.Fatalf("got %+v as the first waiting task in the heartbeat, want the task of one core", w)
@@ -337,3 +337,25 @@
 		t.Errorf("got %v heartbeats in a second, want at least 9 to the agent with a run (%d) and at most 2 to the other", n, busy)
 	}
 }
+
+// TestWorkStaysInItsDomain checks that a load that the agents of the dispatcher's failure
+// domain can serve stays there, and that more work than that goes to other domains at once.
+func TestWorkStaysInItsDomain(t *testing.T) {
+	b := newTestBed(t)
+	b.connectAgents(4, 10) // One agent in each of z0 to z3; the dispatcher is in z0.
+	for i := range 13 {
+		b.submit(fmt.Sprintf("j%d", i), 0, 1, time.Second)
+	}
+	counts := map[string]int{}
+	offers := b.takeOffers()
+	for i, o := range offers {
+		to := string(b.offeredTo[o.Seq])
+		counts[to]++
+		if i == 4 && counts["a0"] != 5 {
+			t.Errorf("got the first 5 tasks on %v, want all of them in the own domain", counts)
+		}
+	}
+	if len(offers) != 13 || counts["a0"] > 10 {
+		t.Errorf("got %d offers on %v, want 13, at most 10 of them in the own domain", len(offers), counts)
+	}
+}
--- a/core/dispatch/notify.go
+++ b/core/dispatch/notify.go
@@ -10,9 +10,14 @@
 )
 
 const (
-	// notifyAllInterval is the pause between two rounds in which all agents are notified
-	// of waiting tasks: half of the interval between an agent's heartbeats.
-	notifyAllInterval = lease.HeartbeatInterval / 2
+	// notifyInterval is the pause between two rounds in which agents are notified of waiting
+	// tasks: half of the interval between an agent's heartbeats. Agents remember a
+	// notification for two such pauses.
+	notifyInterval = lease.HeartbeatInterval / 2
+	// notifyCount is the number of agents in a round. Together they complete several tasks
+	// before the next round. Without a limit, every agent would get notifications of every
+	// dispatcher as soon as the fleet is full.
+	notifyCount = 24
 	// urgentNotifyCount is how many agents are notified at once of a waiting task that is
 	// more urgent than the last one they were notified of. In fleets of 60 or more workers,
 	// about that many workers free some capacity every 3 ms. urgentNotifyInterval is the
@@ -23,55 +28,60 @@
 	leastUrgent = math.MaxInt
 )
 
-// firstWaiting describes the first task that waits for capacity. It returns nil if there
-// is none.
-func (c *Core) firstWaiting() *message.WaitingTask {
+// firstWaitingTask returns the first task that waits for capacity, or nil.
+func (c *Core) firstWaitingTask() *task {
 	for _, j := range c.waiting {
 		if i := slices.IndexFunc(j.tasks, func(t *task) bool { return t.state == unplaced }); i >= 0 {
-			return &message.WaitingTask{Priority: j.spec.Route.Priority, Demand: j.tasks[i].stepSpec().Demand}
+			return j.tasks[i]
 		}
 	}
 	return nil
 }
 
-// notifyWaiting notifies the agents of waiting tasks, so that they report freed capacity
-// at once. Between two rounds to all agents, it notifies some of them of a task that is
-// more urgent than the last one.
+// firstWaiting describes the first task that waits for capacity. It returns nil if there
+// is none.
+func (c *Core) firstWaiting() *message.WaitingTask {
+	t := c.firstWaitingTask()
+	if t == nil {
+		return nil
+	}
+	return &message.WaitingTask{Priority: t.job.spec.Route.Priority, Demand: t.stepSpec().Demand}
+}
+
+// notifyWaiting notifies some agents of the first waiting task, so that they report freed
+// capacity at once. Between two rounds, it notifies a few of a task that is more urgent
+// than the last one.
 func (c *Core) notifyWaiting() {
-	first := c.firstWaiting()
+	first := c.firstWaitingTask()
 	if first == nil {
 		c.notifiedPriority = leastUrgent
 		return
 	}
+	priority := first.job.spec.Route.Priority
 	switch {
-	case c.now.Mono >= c.notifyAllAt:
-		c.notifyAllAt = c.now.Mono + notifyAllInterval
-		for _, a := range c.sortedAgents {
-			if c.usable(a) {
-				c.sendHeartbeat(a)
-			}
-		}
-	case first.Priority < c.notifiedPriority && c.now.Mono >= c.notifyUrgentAt:
-		c.notifyNextAgents()
+	case c.now.Mono >= c.notifyAt:
+		c.notifyAt = c.now.Mono + notifyInterval
+		c.notifyNextAgents(first, notifyCount)
+	case priority < c.notifiedPriority && c.now.Mono >= c.notifyUrgentAt:
+		c.notifyNextAgents(first, urgentNotifyCount)
 	default:
 		return
 	}
-	c.notifiedPriority = first.Priority
+	c.notifiedPriority = priority
 	c.notifyUrgentAt = c.now.Mono + urgentNotifyInterval
 }
 
-// notifyNextAgents notifies the next urgentNotifyCount usable agents, in round-robin
+// notifyNextAgents notifies the next count usable agents that may run t, in round-robin
 // order.
-func (c *Core) notifyNextAgents() {
-	notified := 0
+func (c *Core) notifyNextAgents(t *task, count int) {
 	for range c.sortedAgents {
-		if notified == urgentNotifyCount {
+		if count == 0 {
 			return
 		}
 		c.notifyIndex = (c.notifyIndex + 1) % len(c.sortedAgents)
-		if a := c.sortedAgents[c.notifyIndex]; c.usable(a) {
+		if a := c.sortedAgents[c.notifyIndex]; c.usable(a) && eligible(t, a) {
 			c.sendHeartbeat(a)
-			notified++
+			count--
 		}
 	}
 }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -9,11 +9,12 @@
 const (
 	// sameDomainBonus is added to the score of an agent in the failure domain of this
 	// process, since messages between failure domains are expensive. Without bonuses, the
-	// score is the share of free capacity.
-	sameDomainBonus = 0.15
+	// score is the share of free capacity. A task leaves its domain when the agents there are
+	// nearly full while others are nearly idle.
+	sameDomainBonus = 0.4
 	// affinityBonus is added to the score of an agent whose upstream has the label in
-	// Step.PreferredLabel. On other upstreams the task takes 1.5 times as long.
-	affinityBonus = 0.5
+	// Step.PreferredLabel. On other upstreams the task takes up to twice as long.
+	affinityBonus = 0.75
 	// avoidPenalty ranks the agents that the task avoids behind all others.
 	avoidPenalty = 4.0
 	// maxTooSlowRuns is how often a task moves to another upstream for lack of progress. A
@@ -167,6 +168,9 @@
 	t.job.unplaced--
 	t.job.mayHaveRun = true
 	t.job.offerCount++
+	if !a.active() {
+		a.activeSince = c.now.Mono
+	}
 	c.openOffers[t.seq] = t
 	a.openOffers[t.seq] = t
 	a.addUnreported(t.seq, t.stepSpec().Demand)
@@ -185,6 +189,7 @@
 	if t.tooSlowRuns >= maxTooSlowRuns {
 		expected = 0
 	}
+	t.agent.lastOfferAt = c.now.Mono
 	c.send(t.agent.ref, message.Message{Offer: &message.Offer{
 		Seq: t.seq, Task: t.name(), RunNumber: t.starts, Service: t.job.spec.Route.Service, Spec: t.job.spec.Spec,
 		Demand: spec.Demand, ExpectedDuration: expected, EchoedTimestamp: t.agent.lastTimestamp, EchoAge: c.now.Mono - t.agent.lastHeartbeatAt,
--- /dev/null
+++ b/core/dispatch/silence.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/pace"
+)
+
+// doubtInterval is the shortest pause between two rounds in which the agents of a failure
+// domain are asked for heartbeats.
+const doubtInterval = time.Second
+
+// active reports whether the agent has, or may have, runs of this dispatcher. It then sends
+// heartbeats at the pace of the lease.
+func (a *agent) active() bool { return len(a.openOffers)+len(a.revokedAt) > 0 }
+
+// usable reports whether a may get new work.
+func (c *Core) usable(a *agent) bool {
+	return a.lastReport.Ready && a.lastReport.InfoVersion == a.infoVersion && !a.dead && !a.doubted &&
+		c.silence(a) <= pace.SuspectAfter(a.interval()) && !c.site.IsDomainOut(a.info.Domain)
+}
+
+// interval returns the pause between the heartbeats that a sends now.
+func (a *agent) interval() time.Duration {
+	if a.active() {
+		return lease.HeartbeatInterval
+	}
+	return a.idleInterval
+}
+
+// silence returns for how long a has sent nothing. It counts from the first open offer if
+// that is later than the last message: until then a kept its idle interval.
+func (c *Core) silence(a *agent) time.Duration {
+	since := a.lastMessageAt
+	if a.active() {
+		since = max(since, a.activeSince)
+	}
+	return c.now.Mono - since
+}
+
+// recordMessage records that a message of a was received.
+func (c *Core) recordMessage(a *agent) {
+	if a.suspect {
+		c.logEvent("agent_heard_again", "", "agent", a.ref.String(), "silent_ms", (c.now.Mono - a.lastMessageAt).Milliseconds())
+	}
+	if a.suspect || a.doubted {
+		c.placementNeeded = true
+	}
+	a.suspect, a.doubted = false, false
+	a.lastMessageAt = c.now.Mono
+}
+
+// doubtDomain asks the idle agents of a failure domain for a heartbeat, after an agent of it
+// has become suspect: the whole domain may be cut off or without power. Until they answer,
+// they get no work.
+func (c *Core) doubtDomain(domain string) {
+	if at, ok := c.domainDoubtedAt[domain]; ok && c.now.Mono-at < doubtInterval {
+		return
+	}
+	c.domainDoubtedAt[domain] = c.now.Mono
+	asked := 0
+	for _, a := range c.sortedAgents {
+		if a.domain == domain && !a.dead && !a.suspect && !a.active() && c.now.Mono-a.lastMessageAt > lease.HeartbeatInterval {
+			a.doubted = true
+			asked++
+			c.sendHeartbeatWith(a, message.Heartbeat{WantReply: true})
+		}
+	}
+	if asked > 0 {
+		c.logEvent("domain_doubted", "", "domain", domain, "asked", asked)
+	}
+}
+
+// handlePeerReset resends what may have been lost with a connection. Agents answer a
+// repeated offer from the state of the first one.
+func (c *Core) handlePeerReset(ref node.Ref) {
+	a, ok := c.agents[ref]
+	if !ok || a.dead {
+		return
+	}
+	c.logEvent("connection_reset", "", "agent", ref.String(), "offers", len(a.openOffers))
+	c.sendHeartbeat(a)
+	for _, seq := range sortedKeys(a.openOffers) {
+		c.sendOffer(a.openOffers[seq])
+	}
+}
+
+// handlePeerDead records that the process of an agent has ended. Its runs continue until
+// their lease at the upstream lapses.
+func (c *Core) handlePeerDead(ref node.Ref) {
+	a, ok := c.agents[ref]
+	if !ok || a.dead {
+		return
+	}
+	a.dead, a.deadAt = true, c.now.Mono
+	c.logEvent("agent_ended", "", "agent", ref.String(), "offers", len(a.openOffers))
+}
+
+// checkAgents reconnects or removes agents without heartbeats and requeues their tasks.
+func (c *Core) checkAgents() {
+	if c.now.Mono-c.agentsCheckedAt < minCheckInterval {
+		return
+	}
+	c.agentsCheckedAt = c.now.Mono
+	for _, a := range slices.Clone(c.sortedAgents) {
+		unresponsiveFor := c.silence(a)
+		if unresponsiveFor <= pace.SuspectAfter(a.interval()) {
+			continue
+		}
+		if !a.suspect {
+			a.suspect = true
+			c.logEvent("agent_silent", "", "agent", a.ref.String(), "silent_ms", unresponsiveFor.Milliseconds(), "offers", len(a.openOffers))
+			c.doubtDomain(a.domain)
+		}
+		if c.now.Mono > a.runsExpiredAt() {
+			c.requeueLost(a, unresponsiveFor)
+		}
+		if reconnectAfter := pace.ReconnectAfter(a.interval()); unresponsiveFor > reconnectAfter && c.now.Mono >= a.nextReconnectAt && !a.dead {
+			a.nextReconnectAt = c.now.Mono + reconnectAfter
+			c.out = append(c.out, AgentUnresponsive{Agent: a.ref})
+			c.sendHeartbeat(a)
+		}
+		if a.dead && unresponsiveFor > forgetDead || unresponsiveFor > forgetUnresponsive {
+			c.removeAgent(a)
+		}
+	}
+}
+
+// runsExpiredAt returns the time after which no run of the agent can be alive. Its lease of
+// the runs counts from the last of its timestamps that this process has received, and from
+// the last offer. An agent whose process has ended may have renewed the upstream's lease
+// right before.
+func (a *agent) runsExpiredAt() time.Duration {
+	at := max(a.lastHeartbeatAt, a.lastOfferAt) + lease.RunExpiry
+	if a.dead {
+		at = min(at, a.deadAt+lease.UpstreamExpiry)
+	}
+	return at
+}
+
+// requeueLost requeues the tasks of an agent's open offers when the leases of its runs have
+// lapsed.
+func (c *Core) requeueLost(a *agent, unresponsiveFor time.Duration) {
+	for _, seq := range sortedKeys(a.openOffers) {
+		t := a.openOffers[seq]
+		delete(a.openOffers, seq)
+		delete(c.openOffers, seq)
+		a.revokedAt[seq] = c.now.Mono
+		c.stats.LostRuns++
+		c.logEvent("run_lost", t.job.spec.ID, "task", t.name().String(), "agent", a.ref.String(), "silent_ms", unresponsiveFor.Milliseconds())
+		t.avoidAgent(a.ref.ID)
+		c.requeue(t)
+	}
+	clear(a.unreported)
+	a.unreportedSum = message.Resources{}
+}
+
+func (c *Core) removeAgent(a *agent) {
+	delete(c.agents, a.ref)
+	c.sortedAgents = slices.DeleteFunc(c.sortedAgents, func(x *agent) bool { return x == a })
+	c.workersChanged = true
+	c.logEvent("agent_forgotten", "", "agent", a.ref.String())
+}
--- a/core/leasemodel/load_test.go
+++ b/core/leasemodel/load_test.go
@@ -29,11 +29,13 @@
 	sim      *simulation
 	jobs     map[uint64]loadJob
 	outcomes map[string]*outcomes
+	// countFrom is the time of submission of the first job that outcomes includes.
+	countFrom time.Duration
 }
 
 type loadJob struct {
-	kind     string
-	deadline time.Duration
+	kind                  string
+	submittedAt, deadline time.Duration
 }
 
 // outcomes counts the jobs of a kind by outcome.
@@ -75,8 +77,11 @@
 }
 
 func newLoad(t *testing.T, dispatchers, agents int) *load {
-	l := &load{jobs: map[uint64]loadJob{}, outcomes: map[string]*outcomes{}}
-	l.sim = newSimulationOf(t, 1, dispatchers, agents, slotsPerAgent*taskCPU)
+	return newLoadOn(newSimulationOf(t, 1, dispatchers, agents, slotsPerAgent*taskCPU))
+}
+
+func newLoadOn(sim *simulation) *load {
+	l := &load{sim: sim, jobs: map[uint64]loadJob{}, outcomes: map[string]*outcomes{}}
 	l.sim.onAnswer = l.recordAnswer
 	l.sim.duration = func(a lessee.StartRun) time.Duration {
 		ms, err := strconv.Atoi(strings.Split(a.Spec, ",")[a.Name.Index])
@@ -92,6 +97,9 @@
 func (l *load) recordAnswer(a dispatch.Answer) {
 	j := l.jobs[a.Call]
 	delete(l.jobs, a.Call)
+	if j.submittedAt < l.countFrom {
+		return
+	}
 	o := l.outcomes[j.kind]
 	switch {
 	case a.Outcome == dispatch.Refused:
@@ -118,7 +126,7 @@
 	}
 	longestDuration := time.Duration(longestMS * float64(time.Millisecond))
 	objective := time.Duration(objectiveStretch*float64(longestDuration)) + objectiveMargin
-	l.jobs[sim.lastCall] = loadJob{k.name, sim.now + objective}
+	l.jobs[sim.lastCall] = loadJob{k.name, sim.now, sim.now + objective}
 	dispatchers := sim.liveDispatchers()
 	sim.deliver(dispatchers[sim.rnd.IntN(len(dispatchers))], dispatch.Submit{Call: sim.lastCall, Job: dispatch.Job{
 		ID: fmt.Sprintf("%016x", sim.lastCall), Spec: strings.Join(spec, ","), Wait: 3 * objective,
--- a/core/leasemodel/simulation_test.go
+++ b/core/leasemodel/simulation_test.go
@@ -93,6 +93,10 @@
 	onAnswer func(a dispatch.Answer)
 	// estimate is the task duration that callers state; runs actually take 40 to 900 ms.
 	estimate time.Duration
+	// idleRate is lessee.Config.IdleRate of all agents.
+	idleRate float64
+	// sent and received count the messages of each process.
+	sent, received map[node.ID]int
 	// loggedJobs holds the pairs of process and job with a log event, concatenated.
 	loggedJobs map[string]bool
 	trace      []string
@@ -104,8 +108,16 @@
 
 // newSimulationOf returns a simulation with the given numbers of dispatchers and agents, and
 // with the given capacity of each agent's upstream.
+//
+// Half of the seeds let agents send heartbeats to dispatchers without runs there as seldom as
+// in a large fleet.
 func newSimulationOf(t testing.TB, seed uint64, dispatchers, agents, capacity int) *simulation {
+	return newFleet(t, seed, dispatchers, agents, capacity, []float64{0, 1}[seed%2])
+}
+
+func newFleet(t testing.TB, seed uint64, dispatchers, agents, capacity int, idleRate float64) *simulation {
 	sim := &simulation{
+		idleRate: idleRate, sent: make(map[node.ID]int), received: make(map[node.ID]int),
 		estimate: lowEstimate, capacity: capacity, dispatcherCount: dispatchers,
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)),
 		loggedJobs: make(map[string]bool), processes: make(map[node.ID]*process), cutUntil: make(map[[2]node.ID]time.Duration),
@@ -162,7 +174,7 @@
 // either from the upstream or as restored from its previous incarnation, at random.
 func (sim *simulation) startAgent(u *upstream) {
 	id := node.ID(fmt.Sprintf("a%d", u.index))
-	p := sim.spawn(id, lessee.New(lessee.Config{Token: sim.now.Milliseconds() + 1}))
+	p := sim.spawn(id, lessee.New(lessee.Config{Token: sim.now.Milliseconds() + 1, IdleRate: sim.idleRate}))
 	p.upstream = u
 	u.agent = p
 	sim.deliver(p, lessee.SiteChanged{State: sim.site})
@@ -284,6 +296,8 @@
 // stay in order.
 func (sim *simulation) send(from *process, to node.Ref, m message.Message) {
 	p := sim.processes[to.ID]
+	sim.sent[from.ref.ID]++
+	sim.received[to.ID]++
 	if p == nil || sim.isCut(from.ref.ID, to.ID) {
 		return
 	}
--- a/core/lessee/leaseholder.go
+++ b/core/lessee/leaseholder.go
@@ -9,15 +9,13 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/pace"
 )
 
 const (
 	// completionRetention is how long the completions of a dispatcher's offers are kept to
 	// answer repeated offers: far longer than it takes to restore a connection.
 	completionRetention = 5 * time.Second
-	// forgetHolderAfter is the time without a message after which a dispatcher without
-	// runs is forgotten.
-	forgetHolderAfter = 5 * time.Second
 	// waitingTTL is how long a dispatcher's report of a waiting task is valid. While it is,
 	// the dispatcher can get a reservation and is notified of freed capacity at once. The
 	// dispatcher repeats the report after half a heartbeat interval.
@@ -34,8 +32,11 @@
 	lapsed bool
 	// lastTimestamp is the Timestamp of its last heartbeat, echoed in heartbeats to it.
 	lastTimestamp time.Duration
-	// lastMessageAt is when its last message was received.
-	lastMessageAt time.Duration
+	// lastMessageAt is when its last message was received, and heartbeatSentAt when the last
+	// heartbeat was sent to it.
+	lastMessageAt, heartbeatSentAt time.Duration
+	// acceptsIdleInterval is set if it accepts fewer heartbeats while it has no runs here.
+	acceptsIdleInterval bool
 	// knownInfoVersion is the version of the upstream info that it last reported to have.
 	knownInfoVersion uint64
 	// maxOfferSeq is the highest Seq of its offers that were processed.
@@ -50,9 +51,10 @@
 	skippedFree                                    message.Resources
 	offeredSinceReserved                           bool
 	// reportedVersion and reportedSeq are capacityVersion and maxOfferSeq as of the last
-	// capacity report that was sent to it.
+	// capacity report that was sent to it, and reportedReady what that report stated.
 	reportedVersion uint64
 	reportedSeq     uint64
+	reportedReady   bool
 	// runsBySeq holds the runs by Offer.Seq, including completed and refused ones.
 	runsBySeq     map[uint64]*run
 	completedRuns []*run
@@ -93,7 +95,7 @@
 func (c *Core) handleHeartbeat(h *leaseHolder, hb *message.Heartbeat) {
 	first := h.lastTimestamp == 0
 	h.lastTimestamp = hb.Timestamp
-	h.knownInfoVersion = hb.KnownInfoVersion
+	h.knownInfoVersion, h.acceptsIdleInterval = hb.KnownInfoVersion, hb.AcceptsIdleInterval
 	h.firstWaiting = hb.FirstWaiting
 	if hb.FirstWaiting != nil {
 		h.waitingExpiresAt, h.skippedUntil = c.now.Mono+waitingTTL, 0
@@ -104,7 +106,7 @@
 	c.applySite(hb.Site)
 	wantSite := c.siteRequester.ShouldRequest(c.now.Mono, c.site.Revision, hb.Revision)
 	giveSite := hb.WantSite && hb.Revision < c.site.Revision && c.siteLimiter.Allow(c.now.Mono, c.site)
-	if first || wantSite || giveSite {
+	if first || wantSite || giveSite || hb.WantReply {
 		c.sendHeartbeatWithSite(h, wantSite, giveSite)
 	}
 }
@@ -118,22 +120,57 @@
 	}
 }
 
-// sendDueHeartbeats sends the periodic heartbeats. It also drops old completions, and
-// forgets dispatchers without runs and without a message for forgetHolderAfter.
+// sendDueHeartbeats sends the periodic heartbeats: in each round to the dispatchers with runs
+// here, and to some of the others in turn. It also drops old completions, and forgets
+// dispatchers that have neither runs here nor sent a message for long.
 func (c *Core) sendDueHeartbeats() {
 	if c.now.Mono < c.nextHeartbeatAt {
 		return
 	}
 	c.nextHeartbeatAt = c.now.Mono + lease.HeartbeatInterval
 	maps.DeleteFunc(c.completedAt, func(_ message.TaskName, at time.Duration) bool { return c.now.Mono-at > completionRetention })
+	idleInterval := c.idleInterval()
 	for _, h := range slices.Clone(c.holderOrder) {
 		c.forgetCompletions(h)
-		if h.unfinished == 0 && c.now.Mono-h.lastMessageAt > forgetHolderAfter {
+		if h.unfinished == 0 && c.now.Mono-h.lastMessageAt > pace.ForgetAfter(idleInterval) {
 			c.forgetHolder(h)
-			continue
+		} else if h.needsEveryHeartbeat(c) {
+			c.sendHeartbeat(h)
 		}
-		c.sendHeartbeat(h)
 	}
+	c.idleCredit = min(c.idleCredit+c.idlePerRound(), float64(len(c.holderOrder)))
+	c.sendIdleHeartbeats()
+}
+
+// needsEveryHeartbeat reports whether a dispatcher gets a heartbeat in each round: it has
+// runs here, or does not know the upstream's info or readiness, or accepts no longer pauses.
+func (h *leaseHolder) needsEveryHeartbeat(c *Core) bool {
+	return h.unfinished > 0 || !h.acceptsIdleInterval || h.knownInfoVersion != c.infoVersion || h.reportedReady != c.Ready()
+}
+
+// sendIdleHeartbeats sends idleCredit heartbeats to the next dispatchers that do not need
+// every one, in the order of holderOrder.
+func (c *Core) sendIdleHeartbeats() {
+	for range c.holderOrder {
+		if c.idleCredit < 1 {
+			return
+		}
+		c.idleIndex = (c.idleIndex + 1) % len(c.holderOrder)
+		if h := c.holderOrder[c.idleIndex]; !h.needsEveryHeartbeat(c) && h.heartbeatSentAt != c.now.Mono {
+			c.sendHeartbeat(h)
+			c.idleCredit--
+		}
+	}
+}
+
+func (c *Core) idlePerRound() float64 {
+	return pace.IdlePerRound(len(c.holders), cmp.Or(c.cfg.IdleRate, pace.IdleRate))
+}
+
+// idleInterval returns the longest pause between two heartbeats to a dispatcher without runs
+// here.
+func (c *Core) idleInterval() time.Duration {
+	return pace.IdleInterval(len(c.holders), c.idlePerRound())
 }
 
 func (c *Core) sendHeartbeat(h *leaseHolder) { c.sendHeartbeatWithSite(h, false, false) }
@@ -141,13 +178,16 @@
 // sendHeartbeatWithSite sends a heartbeat. It requests the dispatcher's site state if
 // wantSite is set, and carries this agent's site state if giveSite is set.
 func (c *Core) sendHeartbeatWithSite(h *leaseHolder, wantSite, giveSite bool) {
-	hb := &message.Heartbeat{Timestamp: c.now.Mono, EchoedTimestamp: h.lastTimestamp, Revision: c.site.Revision, WantSite: wantSite}
+	h.heartbeatSentAt = c.now.Mono
+	hb := &message.Heartbeat{
+		Timestamp: c.now.Mono, EchoedTimestamp: h.lastTimestamp, Revision: c.site.Revision, WantSite: wantSite,
+		IdleInterval: c.idleInterval(),
+	}
 	if giveSite {
 		hb.Site = c.site
 	}
 	if h.reportedVersion != c.capacityVersion || h.reportedSeq != h.maxOfferSeq || h.lastTimestamp == 0 || h.knownInfoVersion != c.infoVersion {
 		hb.Capacity = c.capacityReport(h)
-		h.reportedVersion, h.reportedSeq = c.capacityVersion, h.maxOfferSeq
 	}
 	c.send(h.ref, message.Message{Heartbeat: hb})
 }
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -16,6 +16,9 @@
 	// Token is the first fencing token. It must exceed the tokens of earlier incarnations
 	// of the agent. The wall clock in milliseconds does, unless it was set back.
 	Token int64
+	// IdleRate is the number of heartbeats sent in a second to all dispatchers without runs
+	// here. Zero means pace.IdleRate.
+	IdleRate float64
 }
 
 const (
@@ -72,6 +75,10 @@
 	reservation     reservation
 	draining        bool
 	nextHeartbeatAt time.Duration
+	// idleIndex is the index in holderOrder of the last dispatcher without runs here that
+	// got a periodic heartbeat, and idleCredit the number of such heartbeats that are due.
+	idleIndex  int
+	idleCredit float64
 }
 
 // New returns a lessee without an upstream.
@@ -179,7 +186,9 @@
 // capacityChanged makes the next heartbeat to each dispatcher carry a capacity report.
 func (c *Core) capacityChanged() { c.capacityVersion++ }
 
+// capacityReport returns a report for a dispatcher, and records what it states.
 func (c *Core) capacityReport(h *leaseHolder) *message.CapacityReport {
+	h.reportedVersion, h.reportedSeq, h.reportedReady = c.capacityVersion, h.maxOfferSeq, c.Ready()
 	r := &message.CapacityReport{
 		Version: c.capacityVersion, Ready: c.Ready(), Used: c.reportedUse(h), MaxIncludedSeq: h.maxOfferSeq, InfoVersion: c.infoVersion,
 	}
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -71,10 +71,13 @@
 		h.waitingExpiresAt = c.now.Mono + waitingTTL
 	}
 	if reason := c.offerRefusal(m); reason != "" {
+		if reason == message.RefusedStale {
+			c.sendHeartbeat(h) // The next offer needs a newer timestamp.
+		}
 		c.refuseOffer(h, m, reason)
 		return
 	}
-	h.renewLease(m.EchoedTimestamp)
+	h.renewLease(min(m.EchoedTimestamp+m.EchoAge, c.now.Mono))
 	if other, ok := c.runsByTask[m.Task]; ok {
 		c.adoptOrRefuse(h, m, other)
 		return
@@ -100,7 +103,7 @@
 // offerRefusal returns why an offer is refused regardless of free capacity, or an empty
 // reason.
 func (c *Core) offerRefusal(m *message.Offer) message.RefuseReason {
-	if sinceEchoed := c.now.Mono - m.EchoedTimestamp; sinceEchoed-m.EchoAge > lease.MaxOfferDelay || sinceEchoed > lease.RunLease {
+	if m.EchoedTimestamp == 0 || c.now.Mono-m.EchoedTimestamp-m.EchoAge > lease.MaxOfferDelay {
 		return message.RefusedStale
 	}
 	if reason := c.refusal(); reason != "" {
@@ -359,7 +362,6 @@
 func (c *Core) reportCompletion(r *run) {
 	completion := r.completion
 	completion.Capacity = c.capacityReport(r.holder)
-	r.holder.reportedVersion, r.holder.reportedSeq = c.capacityVersion, r.holder.maxOfferSeq
 	c.send(r.holder.ref, message.Message{RunCompletion: &completion})
 }
 
--- a/core/message/offer.go
+++ b/core/message/offer.go
@@ -23,7 +23,8 @@
 	// check.
 	ExpectedDuration time.Duration `json:"exp,omitempty"`
 	// EchoedTimestamp is the last Heartbeat.Timestamp that the sender has received from
-	// the receiver, and EchoAge the time since then.
+	// the receiver, and EchoAge the time since then. Their sum is at most the receiver's
+	// time when the offer was sent, and proves that the sender was alive then.
 	EchoedTimestamp time.Duration `json:"st"`
 	EchoAge         time.Duration `json:"age,omitempty"`
 	// FirstWaiting is the first of the sender's other tasks that wait for free capacity.
@@ -133,6 +134,14 @@
 	KnownInfoVersion uint64 `json:"kk,omitempty"`
 	// FirstWaiting, from a dispatcher, is the first of its tasks that wait for free capacity.
 	FirstWaiting *WaitingTask `json:"wait,omitempty"`
+	// WantReply, from a dispatcher, requests a heartbeat at once.
+	WantReply bool `json:"reply,omitempty"`
+	// AcceptsIdleInterval, from a dispatcher, permits the agent to send heartbeats at
+	// IdleInterval.
+	AcceptsIdleInterval bool `json:"iv,omitempty"`
+	// IdleInterval, from an agent, is the longest pause until its next heartbeat while it has
+	// no runs of the receiver. Zero means lease.HeartbeatInterval.
+	IdleInterval time.Duration `json:"idle,omitempty"`
 }
 
 // WaitingTask describes a task that waits for free capacity.
