dispatcher: callers wait for the first configuration, own domain first, old reports discounted

Cause, by replay of the loss of power of all hosts of the large fleet (1.4 s): 86 jobs were refused with no_configuration in the 50 ms between the start of the dispatchers and their first read of the store; the 160 connections of a dispatcher came in no order over 0.35 s; 5,524 offers were refused with no_room, as agents that are not in use report seldom.

Change: within 300 ms of its start a dispatcher lets a call wait for the configuration; the time counts against the caller's wait. It connects with the agents of its own failure domain first. The free capacity in an old report of an idle agent is replaced by what newer reports make likely; in a full fleet such agents are notified and the free ones answer.

--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -359,3 +359,42 @@
 		t.Errorf("got %d offers on %v, want 13, at most 10 of them in the own domain", len(offers), counts)
 	}
 }
+
+// TestOldReportsInAFullFleet guards against refused offers when a burst meets a full fleet:
+// agents that reported free capacity long ago are most likely full by now. They are notified
+// of the waiting task, and the first of them that reports free capacity gets it.
+func TestOldReportsInAFullFleet(t *testing.T) {
+	const agents, recent = 40, 10
+	newBed := func(usedByRecent int) *testBed {
+		b := newTestBed(t)
+		b.connectAgents(agents, 4)
+		b.sendIdleHeartbeats(agents)
+		b.advance(1500 * time.Millisecond)
+		for i := range recent {
+			b.receive(i, message.Message{Heartbeat: &message.Heartbeat{
+				Timestamp: b.now, Revision: 1, IdleInterval: largeFleetInterval,
+				Capacity: &message.CapacityReport{Version: uint64(b.now), Ready: true, InfoVersion: 1, Used: message.Resources{MilliCPU: usedByRecent * oneCore}},
+			}})
+		}
+		clear(b.heartbeats)
+		return b
+	}
+	b := newBed(4)
+	b.submit("j", 0, 1, time.Second)
+	if offers := b.takeOffers(); len(offers) != 0 {
+		t.Fatalf("got offers %+v while all agents with a new report are full, want none", offers)
+	}
+	if n := len(b.heartbeats); n != notifyCount {
+		t.Errorf("got %d agents notified of the waiting task, want %d", n, notifyCount)
+	}
+	b.receive(agents-1, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now, Revision: 1, IdleInterval: largeFleetInterval}})
+	if offers := b.takeOffers(); len(offers) != 1 || b.offeredTo[offers[0].Seq] != ref(agents-1).ID {
+		t.Errorf("got offers %+v, want one to the agent that has just reported free capacity", offers)
+	}
+
+	b = newBed(2)
+	b.submit("wide", 0, agents, time.Second)
+	if n := len(b.takeOffers()); n != agents {
+		t.Errorf("got %d offers while agents with a new report are half full, want %d", n, agents)
+	}
+}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -2,7 +2,9 @@
 
 import (
 	"slices"
+	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 )
 
@@ -25,6 +27,10 @@
 	maxPlacementMisses = 16
 )
 
+// reportLifetime is the age at which a report says nothing more about the capacity in use:
+// most tasks that it includes have completed.
+const reportLifetime = time.Second
+
 // candidate is an agent that may get tasks in this placement. Its free capacity excludes
 // what this placement has already offered to it.
 type candidate struct {
@@ -66,14 +72,50 @@
 // findCandidates returns the agents that may get work now.
 func (c *Core) findCandidates() []candidate {
 	c.candidates = c.candidates[:0]
+	used, capacity := 0, 0
 	for _, a := range c.sortedAgents {
-		if c.usable(a) && !c.faults.Quarantined(c.now.Mono, a.ref.ID) {
-			c.candidates = append(c.candidates, candidate{a, a.free()})
+		if !c.usable(a) || c.faults.Quarantined(c.now.Mono, a.ref.ID) {
+			continue
+		}
+		c.candidates = append(c.candidates, candidate{a, a.free()})
+		if c.reportAge(a) <= lease.HeartbeatInterval {
+			used += a.lastReport.Used.MilliCPU
+			capacity += a.info.Capacity.MilliCPU
 		}
 	}
+	if capacity > 0 {
+		c.discountOldReports(float64(used) / float64(capacity))
+	}
 	return c.candidates
 }
 
+// reportAge returns the age of the last report of an agent. It is zero for an agent that
+// sends every heartbeat to all dispatchers.
+func (c *Core) reportAge(a *agent) time.Duration {
+	if a.idleInterval == lease.HeartbeatInterval {
+		return 0
+	}
+	return c.now.Mono - a.lastMessageAt
+}
+
+// discountOldReports replaces the free capacity in old reports by what is likely, given the
+// share of capacity in use in new ones. In a full fleet nearly all offers to agents that
+// reported free capacity long ago would be refused; such agents are notified of the waiting
+// tasks instead, and those with free capacity then report it.
+func (c *Core) discountOldReports(usedShare float64) {
+	for i := range c.candidates {
+		o := &c.candidates[i]
+		age := c.reportAge(o.agent)
+		if age <= lease.HeartbeatInterval {
+			continue
+		}
+		weight := min(float64(age)/float64(reportLifetime), 1)
+		reported := float64(o.agent.lastReport.Used.MilliCPU)
+		likely := usedShare * float64(o.agent.info.Capacity.MilliCPU)
+		o.free.MilliCPU -= int(weight * (likely - reported))
+	}
+}
+
 // place offers the waiting tasks to agents, in placementOrder, while there is free capacity.
 func (c *Core) place() {
 	if !c.placementNeeded {
--- a/core/dispatch/silence.go
+++ b/core/dispatch/silence.go
@@ -47,7 +47,7 @@
 	if a.suspect {
 		c.logEvent("agent_heard_again", "", "agent", a.ref.String(), "silent_ms", (c.now.Mono - a.lastMessageAt).Milliseconds())
 	}
-	if a.suspect || a.doubted {
+	if a.suspect || a.doubted || c.reportAge(a) > lease.HeartbeatInterval {
 		c.placementNeeded = true
 	}
 	a.suspect, a.doubted = false, false
--- a/internal/dispatchd/agents.go
+++ b/internal/dispatchd/agents.go
@@ -23,10 +23,16 @@
 	// Attempts to connect to an agent that is never started again must cost little.
 	minConnectDelay = 20 * time.Millisecond
 	maxConnectDelay = 300 * time.Millisecond
+	// otherDomainDelay delays the first attempts to connect to agents of other failure
+	// domains. After a start, a process on a slow host first connects to the agents that it
+	// prefers.
+	otherDomainDelay = 100 * time.Millisecond
 )
 
 // agentConnector keeps a connection to every known agent.
 type agentConnector struct {
+	// domain is the failure domain of this process.
+	domain    string
 	transport *transport.Transport
 	loop      *process.Loop
 	logs      *telemetry.Logger
@@ -52,8 +58,8 @@
 	peerDied chan struct{}
 }
 
-func newAgentConnector(t *transport.Transport, l *process.Loop, logs *telemetry.Logger) *agentConnector {
-	return &agentConnector{transport: t, loop: l, logs: logs, known: make(map[netip.AddrPort]*agentConnection)}
+func newAgentConnector(domain string, t *transport.Transport, l *process.Loop, logs *telemetry.Logger) *agentConnector {
+	return &agentConnector{domain: domain, transport: t, loop: l, logs: logs, known: make(map[netip.AddrPort]*agentConnection)}
 }
 
 // Run opens and reopens connections until ctx ends.
@@ -106,6 +112,9 @@
 // keepConnected connects to the agent, and connects again each time the agent's
 // incarnation has ended.
 func (a *agentConnector) keepConnected(ctx context.Context, c *agentConnection) {
+	if d := c.agent.Domain; d != "" && d != a.domain {
+		lifecycle.Wait(otherDomainDelay, ctx.Done())
+	}
 	delay := minConnectDelay
 	for ctx.Err() == nil {
 		ref, err := a.transport.Connect(ctx, c.agent.Addr.String())
--- a/internal/dispatchd/daemon.go
+++ b/internal/dispatchd/daemon.go
@@ -77,6 +77,10 @@
 	// site is the published state in force.
 	site     atomic.Pointer[site.State]
 	draining atomic.Bool
+	// startedAt is when the process started. configured is set once the state has a
+	// configuration.
+	startedAt  time.Time
+	configured *lifecycle.Signal
 	// overloaded is set while the core reports overload.
 	overloaded atomic.Bool
 	// timing holds the times of a planned stop.
@@ -95,6 +99,8 @@
 		metrics: telemetry.NewMetrics(),
 		drained: lifecycle.NewSignal(),
 		killed:  lifecycle.NewSignal(),
+
+		startedAt: time.Now(), configured: lifecycle.NewSignal(),
 	}
 	d.site.Store(&site.State{})
 	d.Apply(cfg.Settings)
@@ -106,7 +112,7 @@
 		d.closeSockets()
 		return nil, err
 	}
-	d.agents = newAgentConnector(d.transport, d.loop, d.logs)
+	d.agents = newAgentConnector(cfg.Settings.Node.Domain, d.transport, d.loop, d.logs)
 	d.registerGauges()
 	return d, nil
 }
--- a/internal/dispatchd/service.go
+++ b/internal/dispatchd/service.go
@@ -16,8 +16,10 @@
 
 // Service is the part of a dispatcher that the callers' interface uses.
 type Service interface {
-	// Site returns the published state in force. The caller must not modify it.
-	Site() *site.State
+	// AwaitSite returns the published state in force. A dispatcher that has just started
+	// waits a short time for its first one; waited is that time. The caller must not modify
+	// the state.
+	AwaitSite(ctx context.Context) (state *site.State, waited time.Duration)
 	// Submit submits a job and waits for its outcome. If ctx ends first, the dispatcher
 	// gives the job up and Submit returns the outcome Interrupted.
 	Submit(ctx context.Context, j dispatch.Job) dispatch.Answer
@@ -36,9 +38,31 @@
 
 var _ Service = (*Daemon)(nil)
 
-// Site implements Service.
+// siteStartupWait is how long after its start a dispatcher lets callers wait for the first
+// published state: several calls to the store.
+const siteStartupWait = 300 * time.Millisecond
+
+// Site returns the published state in force. The caller must not modify it.
 func (d *Daemon) Site() *site.State { return d.site.Load() }
 
+// AwaitSite implements Service.
+func (d *Daemon) AwaitSite(ctx context.Context) (state *site.State, waited time.Duration) {
+	calledAt := time.Now()
+	left := siteStartupWait - calledAt.Sub(d.startedAt)
+	if d.Site().Configured || left <= 0 {
+		return d.Site(), 0
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-d.configured.Done():
+	case <-d.killed.Done():
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return d.Site(), time.Since(calledAt)
+}
+
 // Submit implements Service.
 func (d *Daemon) Submit(ctx context.Context, j dispatch.Job) dispatch.Answer {
 	startedAt := time.Now()
@@ -116,6 +140,9 @@
 		d.overloaded.Store(a.Active)
 	case dispatch.SiteUpdated:
 		d.site.Store(a.State)
+		if a.State.Configured {
+			d.configured.Set()
+		}
 	case dispatch.AgentUnresponsive:
 		go d.transport.Reset(a.Agent)
 	case step.SetTimer:
