dispatch, lessee: dispatchers learn of a longer interval before it applies

An agent that starts with all others told its first dispatchers the interval of a small fleet, and then kept to that of a large one. And while every agent of the service had been asked for a heartbeat, jobs were refused for want of an upstream.

Change: a dispatcher that was told a shorter interval than the present one gets a heartbeat in the next round. Agents that have been asked for a heartbeat count as upstreams that can get work soon.

Tests that failed before: TestMoreDispatchersCome, TestDoubtedDomainRefusesNothing, TestLoadBelowCapacity.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -215,11 +215,11 @@
 	return "", 0
 }
 
-// couldRun reports whether a usable agent of the service is known, and whether one of
-// them could run a task of the step if it were idle.
+// couldRun reports whether an agent of the service that can get work is known, and whether
+// one of them could run a task of the step if it were idle.
 func (c *Core) couldRun(service string, spec *Step) (known, fits bool) {
 	for _, a := range c.sortedAgents {
-		if a.info.Service != service || !c.usable(a) {
+		if a.info.Service != service || !c.expectedUsable(a) {
 			continue
 		}
 		known = true
--- a/core/dispatch/silence.go
+++ b/core/dispatch/silence.go
@@ -19,8 +19,12 @@
 func (a *agent) active() bool { return len(a.openOffers)+len(a.revokedAt) > 0 }
 
 // usable reports whether a may get new work.
-func (c *Core) usable(a *agent) bool {
-	return a.lastReport.Ready && a.lastReport.InfoVersion == a.infoVersion && !a.dead && !a.doubted &&
+func (c *Core) usable(a *agent) bool { return c.expectedUsable(a) && !a.doubted }
+
+// expectedUsable reports whether a may get new work now, or as soon as it has answered the
+// heartbeat of doubtDomain.
+func (c *Core) expectedUsable(a *agent) bool {
+	return a.lastReport.Ready && a.lastReport.InfoVersion == a.infoVersion && !a.dead &&
 		c.silence(a) <= pace.SuspectAfter(a.interval()) && !c.site.IsDomainOut(a.info.Domain)
 }
 
--- a/core/dispatch/silence_test.go
+++ b/core/dispatch/silence_test.go
@@ -120,3 +120,26 @@
 		t.Error("the agent is suspected")
 	}
 }
+
+// TestDoubtedDomainRefusesNothing checks that a job is accepted while all agents have been
+// asked for a heartbeat, and placed when the first of them answers.
+func TestDoubtedDomainRefusesNothing(t *testing.T) {
+	b := newTestBed(t)
+	for i := range 2 {
+		b.step(AgentConnected{Agent: ref(i), Domain: "z0"})
+	}
+	b.reportIdle(2, 1)
+	b.sendIdleHeartbeats(2)
+	b.advance(time.Second)
+	b.submit("first", 0, 1, time.Second)
+	b.takeOffers()
+	b.advance(pace.SuspectAfter(lease.HeartbeatInterval) + 50*time.Millisecond)
+	call := b.submit("second", 0, 1, time.Millisecond)
+	if a, ok := b.answers[call]; ok {
+		t.Fatalf("got answer %+v while the domain is doubted, want the job to wait", a)
+	}
+	b.receive(1, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now, Revision: 1, IdleInterval: largeFleetInterval}})
+	if got := jobIDs(b.takeOffers()); len(got) != 1 || got[0] != "second" {
+		t.Errorf("got offers of %v after the answer, want the second job", got)
+	}
+}
--- a/core/lessee/leaseholder.go
+++ b/core/lessee/leaseholder.go
@@ -35,8 +35,10 @@
 	// lastMessageAt is when its last message was received, and heartbeatSentAt when the last
 	// heartbeat was sent to it.
 	lastMessageAt, heartbeatSentAt time.Duration
-	// acceptsIdleInterval is set if it accepts fewer heartbeats while it has no runs here.
+	// acceptsIdleInterval is set if it accepts fewer heartbeats while it has no runs here,
+	// and statedInterval is the interval that the last heartbeat to it stated.
 	acceptsIdleInterval bool
+	statedInterval      time.Duration
 	// knownInfoVersion is the version of the upstream info that it last reported to have.
 	knownInfoVersion uint64
 	// maxOfferSeq is the highest Seq of its offers that were processed.
@@ -143,9 +145,11 @@
 }
 
 // needsEveryHeartbeat reports whether a dispatcher gets a heartbeat in each round: it has
-// runs here, or does not know the upstream's info or readiness, or accepts no longer pauses.
+// runs here, or does not know the upstream's info or readiness, or accepts no longer pauses,
+// or expects shorter ones than there are since more dispatchers have come.
 func (h *leaseHolder) needsEveryHeartbeat(c *Core) bool {
-	return h.unfinished > 0 || !h.acceptsIdleInterval || h.knownInfoVersion != c.infoVersion || h.reportedReady != c.Ready()
+	return h.unfinished > 0 || !h.acceptsIdleInterval || h.knownInfoVersion != c.infoVersion || h.reportedReady != c.Ready() ||
+		h.statedInterval < c.idleInterval()
 }
 
 // sendIdleHeartbeats sends idleCredit heartbeats to the next dispatchers that do not need
@@ -178,10 +182,10 @@
 // sendHeartbeatWithSite sends a heartbeat. It requests the dispatcher's site state if
 // wantSite is set, and carries this agent's site state if giveSite is set.
 func (c *Core) sendHeartbeatWithSite(h *leaseHolder, wantSite, giveSite bool) {
-	h.heartbeatSentAt = c.now.Mono
+	h.heartbeatSentAt, h.statedInterval = c.now.Mono, c.idleInterval()
 	hb := &message.Heartbeat{
 		Timestamp: c.now.Mono, EchoedTimestamp: h.lastTimestamp, Revision: c.site.Revision, WantSite: wantSite,
-		IdleInterval: c.idleInterval(),
+		IdleInterval: h.statedInterval,
 	}
 	if giveSite {
 		hb.Site = c.site
--- a/core/lessee/pace_test.go
+++ b/core/lessee/pace_test.go
@@ -34,6 +34,8 @@
 	b.open()
 	b.connectIdle(dispatchers)
 	b.startRun(d0, "j")
+	b.now += lease.HeartbeatInterval
+	b.heartbeat(d0) // In this round, all dispatchers are told the interval.
 	counts := map[node.ID]int{}
 	interval := b.core.idleInterval()
 	rounds := int(interval / lease.HeartbeatInterval)
@@ -128,3 +130,25 @@
 		t.Error("got no heartbeat, want one at once")
 	}
 }
+
+// TestMoreDispatchersCome checks that dispatchers learn of a longer interval before their
+// next heartbeat would be overdue: after a start of the whole fleet, the first ones were told
+// the interval of a small fleet.
+func TestMoreDispatchersCome(t *testing.T) {
+	b := newTestBed(t)
+	b.open()
+	for i := range 40 {
+		stated := b.heartbeats["i0"].IdleInterval
+		b.receiveIdle(i, message.Heartbeat{})
+		if i%10 != 9 {
+			continue
+		}
+		sentAt := b.heartbeats["i0"].Timestamp
+		b.now += lease.HeartbeatInterval
+		b.step(SiteChanged{State: &site.State{}})
+		hb := b.heartbeats["i0"]
+		if b.core.idleInterval() > stated && (hb.Timestamp == sentAt || hb.IdleInterval != b.core.idleInterval()) {
+			t.Errorf("%d dispatchers: the first one has been told %v and got no newer heartbeat, want one that states %v", i+1, stated, b.core.idleInterval())
+		}
+	}
+}
