sitestore: a change between two pages of the newest records is not missed

Cause: loadNewest raised its end above that of the first page, so a key that changed between two pages kept its old record until its next change; configuration and domains taken out depend on it. Reading from the end of the first page instead would let a key go back, as the log before the newest records is read again.

Change: the follower reads on from the end of the first page, skips records older than those it has, and reports no state until nothing is missing.

Tests that failed before: TestChangesBetweenPages, TestOlderRecordAfterPages.

--- a/internal/sitestore/sitestore.go
+++ b/internal/sitestore/sitestore.go
@@ -62,9 +62,12 @@
 	OnChange func(records map[string][]byte, end int64)
 	Logs     *telemetry.Logger
 
-	// records holds the newest record of each key as of the offset end.
-	records map[string][]byte
-	end     int64
+	// records holds the newest record of each key as of the offset end, and offsets those of
+	// all records that were applied, including deletions. After the newest records were
+	// read, some may be from offsets up to completeAt, while others are still missing.
+	records         map[string][]byte
+	offsets         map[string]int64
+	end, completeAt int64
 	// loaded is false until the newest records have been read, and again after
 	// ErrTrimmed.
 	loaded bool
@@ -106,10 +109,17 @@
 		f.applyRecord(r)
 	}
 	f.end = records[len(records)-1].Offset + 1
-	f.OnChange(maps.Clone(f.records), f.end)
+	f.reportChange()
 	return nil
 }
 
+// reportChange calls OnChange, unless records before completeAt are missing.
+func (f *Follower) reportChange() {
+	if f.end >= f.completeAt {
+		f.OnChange(maps.Clone(f.records), f.end)
+	}
+}
+
 // loadNewest replaces the copy by the newest records. It rejects an answer whose end
 // offset is lower than that of the copy.
 func (f *Follower) loadNewest(ctx context.Context) error {
@@ -121,17 +131,22 @@
 	if end < f.end {
 		return errors.Errorf("the store answered as of offset %d, but the records as of offset %d are already known", end, f.end)
 	}
-	f.records = make(map[string][]byte, len(records))
+	f.records, f.offsets = make(map[string][]byte, len(records)), make(map[string]int64, len(records))
+	f.loaded, f.end, f.completeAt = true, end, end
 	for _, r := range records {
 		f.applyRecord(r)
-		end = max(end, r.Offset+1)
+		f.completeAt = max(f.completeAt, r.Offset+1)
 	}
-	f.loaded, f.end = true, end
-	f.OnChange(maps.Clone(f.records), f.end)
+	f.reportChange()
 	return nil
 }
 
+// applyRecord applies a record, unless a newer one of the same key was applied.
 func (f *Follower) applyRecord(r Record) {
+	if at, ok := f.offsets[r.Key]; ok && r.Offset < at {
+		return
+	}
+	f.offsets[r.Key] = r.Offset
 	if len(r.Value) == 0 {
 		delete(f.records, r.Key)
 		return
--- a/internal/sitestore/sitestore_test.go
+++ b/internal/sitestore/sitestore_test.go
@@ -111,6 +111,33 @@
 	}
 }
 
+// TestChangesBetweenPages guards against a missed change: the newest records come in pages
+// that are not a snapshot. A key of the first page that changes before the last one is read
+// keeps its old record there, and the newer one is at an offset below that of the last page.
+func TestChangesBetweenPages(t *testing.T) {
+	got, _ := follow(t,
+		reply{records: []Record{record("a", "old", 4), record("b", "new", 6)}, end: 5},
+		reply{records: []Record{record("a", "new", 5)}, end: 7},
+		reply{records: []Record{record("b", "new", 6)}, end: 7},
+	)
+	if len(got) != 1 || got[0].end != 7 || string(got[0].records["a"]) != "new" || string(got[0].records["b"]) != "new" {
+		t.Errorf("changes: got %+v, want one at offset 7 with the newest value of both keys", got)
+	}
+}
+
+// TestOlderRecordAfterPages guards against a key that goes back: a read that continues from
+// the end of the first page returns records older than those of later pages.
+func TestOlderRecordAfterPages(t *testing.T) {
+	got, _ := follow(t,
+		reply{records: []Record{record("a", "newest", 6)}, end: 5},
+		reply{records: []Record{record("a", "older", 5), record("a", "newest", 6), record("b", "1", 7)}, end: 9},
+		reply{records: []Record{{Key: "a", Offset: 8}}, end: 9},
+	)
+	if len(got) != 2 || string(got[0].records["a"]) != "newest" || got[0].end != 8 || len(got[1].records) != 1 {
+		t.Errorf("changes: got %+v, want two: the newest value at offset 8, then its deletion", got)
+	}
+}
+
 func TestFollowerContinuesAfterOutage(t *testing.T) {
 	got, _ := follow(t,
 		reply{err: errors.New("down")},
