dispatchd: fewer attempts to connect to agents that have gone

Change: after 15 s without a connection the delay grows to 3 s. A record carries the agent's incarnation, and a new one ends the delay, so that a restarted agent is found as fast as before.

--- a/internal/dispatchd/agents.go
+++ b/internal/dispatchd/agents.go
@@ -20,9 +20,12 @@
 const (
 	// minConnectDelay and maxConnectDelay bound the delay between two attempts to
 	// connect to an agent. A restarted agent must be found within a fraction of a second.
-	// Attempts to connect to an agent that is never started again must cost little.
 	minConnectDelay = 20 * time.Millisecond
 	maxConnectDelay = 300 * time.Millisecond
+	// After goneAfter without a connection, an agent has most likely left for good, and
+	// maxGoneDelay bounds the delay. If it starts again, its new record ends the delay.
+	goneAfter    = 15 * time.Second
+	maxGoneDelay = 3 * time.Second
 	// otherDomainDelay delays the first attempts to connect to agents of other failure
 	// domains. After a start, a process on a slow host first connects to the agents that it
 	// prefers.
@@ -54,8 +57,39 @@
 	cancel context.CancelFunc
 	// ref is the incarnation that answered last, or zero if none has answered yet.
 	ref node.Ref
-	// peerDied receives a value when the incarnation in ref has ended.
-	peerDied chan struct{}
+	// peerDied receives a value when the incarnation in ref has ended, and restarted when
+	// the agent's record names another incarnation than before.
+	peerDied, restarted chan struct{}
+}
+
+func newAgentConnection(agent sitestore.Agent) *agentConnection {
+	return &agentConnection{agent: agent, peerDied: make(chan struct{}, 1), restarted: make(chan struct{}, 1)}
+}
+
+// setRecord replaces the agent's record.
+func (c *agentConnection) setRecord(agent sitestore.Agent) {
+	restarted := agent.Incarnation != c.agent.Incarnation
+	c.agent.Incarnation = agent.Incarnation
+	if restarted {
+		notify(c.restarted)
+	}
+}
+
+// notify sends a value unless one is waiting already.
+func notify(signal chan struct{}) {
+	select {
+	case signal <- struct{}{}:
+	default:
+	}
+}
+
+// nextConnectDelay returns the delay after a failed attempt to connect, given the one before
+// it and the time for which there has been no connection.
+func nextConnectDelay(delay, unreachableFor time.Duration) time.Duration {
+	if unreachableFor > goneAfter {
+		return min(2*delay, maxGoneDelay)
+	}
+	return min(2*delay, maxConnectDelay)
 }
 
 func newAgentConnector(domain string, t *transport.Transport, l *process.Loop, logs *telemetry.Logger) *agentConnector {
@@ -89,10 +123,11 @@
 	listed := make(map[netip.AddrPort]bool, len(list))
 	for _, agent := range list {
 		listed[agent.Addr] = true
-		if _, ok := a.known[agent.Addr]; ok {
+		if c, ok := a.known[agent.Addr]; ok {
+			c.setRecord(agent)
 			continue
 		}
-		c := &agentConnection{agent: agent, peerDied: make(chan struct{}, 1)}
+		c := newAgentConnection(agent)
 		a.known[agent.Addr] = c
 		a.logs.LogEvent("agent_address", "", []any{"agent", agent.ID, "addr", agent.Addr, "domain", agent.Domain})
 		if a.ctx != nil {
@@ -115,12 +150,15 @@
 	if d := c.agent.Domain; d != "" && d != a.domain {
 		lifecycle.Wait(otherDomainDelay, ctx.Done())
 	}
-	delay := minConnectDelay
+	delay, connectedAt := minConnectDelay, time.Now()
 	for ctx.Err() == nil {
 		ref, err := a.transport.Connect(ctx, c.agent.Addr.String())
 		if err != nil {
-			lifecycle.Wait(delay/2+rand.N(delay), ctx.Done())
-			delay = min(2*delay, maxConnectDelay)
+			if c.waitToRetry(ctx, delay/2+rand.N(delay)) {
+				delay = nextConnectDelay(delay, time.Since(connectedAt))
+			} else {
+				delay = minConnectDelay
+			}
 			continue
 		}
 		delay = minConnectDelay
@@ -130,9 +168,24 @@
 		case <-ctx.Done():
 		case <-c.peerDied:
 		}
+		connectedAt = time.Now()
 	}
 }
 
+// waitToRetry waits for the delay and returns true, or returns false as soon as the agent has
+// restarted.
+func (c *agentConnection) waitToRetry(ctx context.Context, delay time.Duration) bool {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-c.restarted:
+		return false
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return true
+}
+
 // addPeer stores the incarnation that answered at the address of c. It then passes all
 // known incarnations to the transport, which reopens broken connections to them.
 func (a *agentConnector) addPeer(c *agentConnection, ref node.Ref) {
@@ -155,10 +208,7 @@
 	defer a.mu.Unlock()
 	for _, c := range a.known {
 		if c.ref == ref {
-			select {
-			case c.peerDied <- struct{}{}:
-			default:
-			}
+			notify(c.peerDied)
 		}
 	}
 }
--- a/internal/lesseed/daemon.go
+++ b/internal/lesseed/daemon.go
@@ -198,7 +198,7 @@
 // publishAddress puts the agent's address into the store, then waits for the end of ctx.
 func (d *Daemon) publishAddress(ctx context.Context) error {
 	s := d.cfg.Settings
-	record := sitestore.Agent{ID: s.Node.ID, Addr: netip.MustParseAddrPort(d.transport.Addr()), Domain: s.Node.Domain}
+	record := sitestore.Agent{ID: s.Node.ID, Addr: netip.MustParseAddrPort(d.transport.Addr()), Domain: s.Node.Domain, Incarnation: d.self.Incarnation}
 	if err := sitestore.PutWithRetry(ctx, d.cfg.Platform.Agents, "address", string(s.Node.ID), record.Encode(), d.logs); err != nil {
 		return err
 	}
--- a/internal/sitestore/agents.go
+++ b/internal/sitestore/agents.go
@@ -7,11 +7,12 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 )
 
-// Agent is the record of an agent: its address and failure domain.
+// Agent is the record of an agent: its address, failure domain and newest incarnation.
 type Agent struct {
-	ID     node.ID        `json:"id"`
-	Addr   netip.AddrPort `json:"addr"`
-	Domain string         `json:"domain"`
+	ID          node.ID          `json:"id"`
+	Addr        netip.AddrPort   `json:"addr"`
+	Domain      string           `json:"domain"`
+	Incarnation node.Incarnation `json:"inc,omitempty"`
 }
 
 // Encode returns the value of the agent's record; its key is the agent's ID.
