--- /dev/null
+++ b/core/leasemodel/late_start_test.go
@@ -0,0 +1,40 @@
+package leasemodel
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/lessee"
+)
+
+// TestLateStartAtNextIncarnation checks that no task has two runs when a call that starts a
+// run is executed again, late, by the next incarnation of its upstream, while the agent there
+// is down and the task has moved to another agent.
+func TestLateStartAtNextIncarnation(t *testing.T) {
+	sim := newFleet(t, 1, 1, 2, upstreamCapacity, 0)
+	var first *lessee.StartRun
+	sim.duration = func(a lessee.StartRun) time.Duration {
+		if first == nil {
+			first = &a
+		}
+		return 900 * time.Millisecond
+	}
+	sim.estimate = accurateEstimate
+	sim.runUntil(2 * time.Second)
+	sim.newCaller(0)
+	sim.runUntil(sim.now + 50*time.Millisecond)
+	lost, other := sim.upstreams[0], sim.upstreams[1]
+	if _, ok := other.running[first.Name]; ok {
+		lost, other = other, lost
+	}
+	lost.crash()
+	sim.kill(lost.agent, 5*time.Second)
+	for end := sim.now + 2*time.Second; sim.now < end; {
+		sim.runUntil(sim.now + 10*time.Millisecond)
+		if _, ok := other.running[first.Name]; ok {
+			lost.startRun(*first)
+			return
+		}
+	}
+	t.Error("the task did not move to the other agent")
+}
--- a/core/leasemodel/simulation_test.go
+++ b/core/leasemodel/simulation_test.go
@@ -95,8 +95,10 @@
 	estimate time.Duration
 	// idleRate is lessee.Config.IdleRate of all agents.
 	idleRate float64
-	// sent and received count the messages of each process.
+	// sent and received count the messages of each process, and refusedOffers the offers that
+	// agents have refused.
 	sent, received map[node.ID]int
+	refusedOffers  int
 	// loggedJobs holds the pairs of process and job with a log event, concatenated.
 	loggedJobs map[string]bool
 	trace      []string
@@ -298,6 +300,9 @@
 	p := sim.processes[to.ID]
 	sim.sent[from.ref.ID]++
 	sim.received[to.ID]++
+	if m.RunCompletion != nil && m.RunCompletion.Result == message.RunRefused {
+		sim.refusedOffers++
+	}
 	if p == nil || sim.isCut(from.ref.ID, to.ID) {
 		return
 	}
