--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -8,6 +8,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/pace"
 )
 
 const (
@@ -133,7 +134,7 @@
 func (c *Core) handleHeartbeat(a *agent, hb *message.Heartbeat) {
 	a.lastTimestamp = max(a.lastTimestamp, hb.Timestamp)
 	a.lastHeartbeatAt = c.now.Mono
-	a.idleInterval = max(hb.IdleInterval, lease.HeartbeatInterval)
+	a.idleInterval = pace.StatedInterval(hb.IdleInterval)
 	a.dead = false
 	c.applySite(hb.Site)
 	if hb.Capacity != nil {
--- a/core/dispatch/silence_test.go
+++ b/core/dispatch/silence_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -143,3 +144,15 @@
 		t.Errorf("got offers of %v after the answer, want the second job", got)
 	}
 }
+
+// TestFaultyInterval checks that an agent which states an endless interval is suspected all
+// the same.
+func TestFaultyInterval(t *testing.T) {
+	b := newTestBed(t)
+	b.connectAgents(1, 4)
+	b.receive(0, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now, Revision: 1, IdleInterval: math.MaxInt64}})
+	b.advance(time.Minute)
+	if a := b.core.agents[ref(0)]; !a.suspect {
+		t.Error("the agent is not suspected after a minute without a message")
+	}
+}
--- a/core/policy/pace/pace.go
+++ b/core/policy/pace/pace.go
@@ -48,6 +48,12 @@
 	return scale(lease.HeartbeatInterval, float64(dispatchers)/perRound) + lease.HeartbeatInterval
 }
 
+// StatedInterval returns the interval that a dispatcher expects of an agent that has stated
+// this one. It is never longer than an agent may choose, whatever a faulty message says.
+func StatedInterval(stated time.Duration) time.Duration {
+	return min(max(stated, lease.HeartbeatInterval), maxIdleInterval+lease.HeartbeatInterval)
+}
+
 // SuspectAfter returns the time without a message after which a dispatcher suspects an agent
 // that sends its heartbeats at this interval.
 func SuspectAfter(interval time.Duration) time.Duration {
--- a/core/policy/pace/pace_test.go
+++ b/core/policy/pace/pace_test.go
@@ -35,6 +35,9 @@
 		if all := time.Duration(float64(dispatchers) / rate * float64(time.Second)); all > interval || interval > maxIdleInterval+2*lease.HeartbeatInterval {
 			t.Errorf("%d dispatchers: all are reached after %v, want interval %v or less", dispatchers, all, interval)
 		}
+		if StatedInterval(interval) != interval {
+			t.Errorf("a dispatcher expects interval %v of an agent that has stated %v", StatedInterval(interval), interval)
+		}
 		if SuspectAfter(interval) < 2*interval || ReconnectAfter(interval) < SuspectAfter(interval) {
 			t.Errorf("interval %v: suspected after %v, reconnected after %v", interval, SuspectAfter(interval), ReconnectAfter(interval))
 		}
