--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -179,16 +179,25 @@
 	b := newTestBed(t)
 	b.connectAgents(1, 1)
 	neverStarted := b.submit("a", 0, 1, time.Millisecond)
-	b.complete(b.takeOffers()[0], message.RunRefused, message.RefusedNotReady)
-	first := b.takeOffers()
-	if len(first) == 1 {
-		b.complete(first[0], message.RunRefused, message.RefusedNoCapacity)
+	for _, reason := range []message.RefuseReason{message.RefusedNoCapacity, message.RefusedNotReady} {
+		offers := b.takeOffers()
+		if len(offers) != 1 {
+			t.Fatalf("got %d offers, want 1", len(offers))
+		}
+		if reason == message.RefusedNotReady {
+			b.receive(0, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now, Revision: 1, Capacity: &message.CapacityReport{
+				Version: uint64(b.now) + 1, InfoVersion: 1,
+			}}})
+		}
+		b.complete(offers[0], message.RunRefused, reason)
 	}
 	b.step(step.PeerDead{Ref: ref(0)})
 	b.advance(1600 * time.Millisecond)
-	got := b.answers[neverStarted]
-	if want := Refused; got.Outcome != want && len(b.takeOffers()) == 0 {
-		t.Errorf("job that was never started: got %+v, want %s", got, want)
+	if offers := b.takeOffers(); len(offers) != 0 {
+		t.Fatalf("got offers %+v to an agent that is not ready, want none", offers)
+	}
+	if got := b.answers[neverStarted]; got.Outcome != Refused {
+		t.Errorf("job that was never started: got %+v, want it refused", got)
 	}
 
 	b = newTestBed(t)
--- a/internal/agentd/announce_test.go
+++ b/internal/agentd/announce_test.go
@@ -46,7 +46,7 @@
 }
 
 func FuzzDecodeAnnouncement(f *testing.F) {
-	for _, seed := range []string{validAnnouncement, `{}`, `null`, `[1]`, `{"ttl_ms":9223372036854775807}`, `{"slots":-1}`} {
+	for _, seed := range []string{validAnnouncement, `{}`, `null`, `[1]`, `{"ttl_ms":9223372036854775807}`, `{"slots":-1}`, strings.Replace(validAnnouncement, `"slots":8`, `"slots":0`, 1)} {
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, body []byte) {
@@ -58,7 +58,7 @@
 			}
 			return
 		}
-		if a.ttl() <= 0 || a.ttl() > maxTTL || a.Slots < 1 || a.Connections < 1 {
+		if a.ttl() <= 0 || a.ttl() > maxTTL || a.Slots < 0 || a.Slots > maxSlots || a.Connections < 1 {
 			t.Fatalf("an accepted announcement violates the limits: %+v", a)
 		}
 	})
