--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -44,8 +44,8 @@
 	// lastMessageAt is when its last message of any kind was received. idleInterval is the
 	// pause between its heartbeats while it has no runs of this dispatcher.
 	lastMessageAt, idleInterval time.Duration
-	// activeSince is when the oldest of the offers was sent that are open without a pause
-	// since then, and lastOfferAt when the last offer was sent.
+	// activeSince is when the first offer was sent after a time without open offers, and
+	// lastOfferAt when the last offer was sent.
 	activeSince, lastOfferAt time.Duration
 	// openOffers holds the tasks of offers that have not completed, by sequence number.
 	openOffers map[uint64]*task
--- a/core/lessee/leaseholder.go
+++ b/core/lessee/leaseholder.go
@@ -144,9 +144,9 @@
 	c.sendIdleHeartbeats()
 }
 
-// needsEveryHeartbeat reports whether a dispatcher gets a heartbeat in each round: it has
-// runs here, or does not know the upstream's info or readiness, or accepts no longer pauses,
-// or expects shorter ones than there are since more dispatchers have come.
+// needsEveryHeartbeat reports whether a dispatcher gets a heartbeat in each round. It does
+// if it has runs here, does not know the upstream's info or readiness, does not accept idle
+// intervals, or was told a shorter one than the present one.
 func (h *leaseHolder) needsEveryHeartbeat(c *Core) bool {
 	return h.unfinished > 0 || !h.acceptsIdleInterval || h.knownInfoVersion != c.infoVersion || h.reportedReady != c.Ready() ||
 		h.statedInterval < c.idleInterval()
