--- a/core/dispatch/silence_test.go
+++ b/core/dispatch/silence_test.go
@@ -129,6 +129,7 @@
 	for i := range 2 {
 		b.step(AgentConnected{Agent: ref(i), Domain: "z0"})
 	}
+	b.advance(startGrace) // Until then, jobs are accepted without any agent.
 	b.reportIdle(2, 1)
 	b.sendIdleHeartbeats(2)
 	b.advance(time.Second)
--- a/core/lessee/pace_test.go
+++ b/core/lessee/pace_test.go
@@ -71,6 +71,8 @@
 	b := newTestBed(t)
 	b.open()
 	b.connectIdle(dispatchers)
+	b.now += lease.HeartbeatInterval
+	b.step(SiteChanged{State: &site.State{}}) // In this round, all of them are told the interval.
 	clear(b.heartbeats)
 	b.announce(1, 2, true)
 	b.now += lease.HeartbeatInterval
