lessee, dispatch: crashes of upstreams are reported with the runs that were there

Cause: a run that was lost with its upstream looked like any other lost run, and only the dispatcher of the run learned of it. Logs and metrics could not tell which task was started last before a crash, nor how many crashes and lost runs there were.

Change: an agent records the unplanned end of its upstream with the runs that were there and how long before the crash each was started. It logs upstream_crashed and reports the crash to all dispatchers with heartbeats until they acknowledge it, for 10 s. Lost runs carry the reason upstream_crashed. Metrics count crashes and the runs lost to them. Nothing is decided by it yet.

Tests: TestCrashIsReportedToAllUntilAcknowledged, TestPlannedEndIsNoCrash, TestCrashAgesOfUnresponsiveUpstream.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -56,6 +56,8 @@
 	// unreportedSum the sum of these demands.
 	unreported    map[uint64]message.Resources
 	unreportedSum message.Resources
+	// knownCrash is the Number of the last crash of its upstream that was reported.
+	knownCrash uint64
 	// dead is set at deadAt, when the agent's process was found to have ended.
 	dead bool
 	// heartbeatSentAt is when the last heartbeat was sent to the agent.
@@ -111,6 +113,7 @@
 	a.heartbeatSentAt = c.now.Mono
 	hb.Timestamp, hb.EchoedTimestamp, hb.Revision = c.now.Mono, a.lastTimestamp, c.site.Revision
 	hb.FirstWaiting, hb.KnownInfoVersion, hb.AcceptsIdleInterval = c.firstWaiting(), a.infoVersion, true
+	hb.KnownCrash = a.knownCrash
 	c.send(a.ref, message.Message{Heartbeat: &hb})
 }
 
@@ -137,13 +140,14 @@
 	a.idleInterval = pace.StatedInterval(hb.IdleInterval)
 	a.dead = false
 	c.applySite(hb.Site)
+	c.handleCrashes(a, hb.Crashes)
 	if hb.Capacity != nil {
 		c.applyCapacity(a, hb.Capacity)
 	}
 	c.resendRevocations(a)
 	wantSite := c.siteRequester.ShouldRequest(c.now.Mono, c.site.Revision, hb.Revision)
 	giveSite := hb.WantSite && hb.Revision < c.site.Revision && c.siteLimiter.Allow(c.now.Mono, c.site)
-	if wantSite || giveSite || a.includesInfo(hb) || c.now.Mono-a.heartbeatSentAt >= a.replyInterval() {
+	if wantSite || giveSite || a.includesInfo(hb) || len(hb.Crashes) > 0 || c.now.Mono-a.heartbeatSentAt >= a.replyInterval() {
 		reply := message.Heartbeat{WantSite: wantSite}
 		if giveSite {
 			reply.Site = c.site
--- a/core/dispatch/completion.go
+++ b/core/dispatch/completion.go
@@ -71,6 +71,9 @@
 			return
 		}
 		c.stats.LostRuns++
+		if e.Reason == message.LostUpstreamCrashed {
+			c.stats.CrashedRuns++
+		}
 		c.logEvent("run_lost", id, "task", t.name().String(), "agent", a.ref.String(), "result", e.Result, "reason", e.Reason)
 		if e.Reason == message.RefusedTooSlow {
 			t.tooSlowRuns++
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -104,6 +104,9 @@
 	OpenJobs, WaitingJobs, Agents, ReadyAgents int
 	Revision                                   int64
 	Offers, Refusals, LostRuns                 uint64
+	// Crashes counts the crashes of upstreams that agents have reported, and CrashedRuns the
+	// runs of this dispatcher that were lost to them.
+	Crashes, CrashedRuns uint64
 	// Overloaded is set while the process falls behind its work, and for a short time
 	// after that.
 	Overloaded bool
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -233,7 +233,7 @@
 	}
 	t.agent.lastOfferAt = c.now.Mono
 	c.send(t.agent.ref, message.Message{Offer: &message.Offer{
-		Seq: t.seq, Task: t.name(), RunNumber: t.starts, Service: t.job.spec.Route.Service, Spec: t.job.spec.Spec,
+		Seq: t.seq, Task: t.name(), RunNumber: t.starts, Service: t.job.spec.Route.Service, Route: t.job.spec.Route.Name, Spec: t.job.spec.Spec,
 		Demand: spec.Demand, ExpectedDuration: expected, EchoedTimestamp: t.agent.lastTimestamp, EchoAge: c.now.Mono - t.agent.lastHeartbeatAt,
 		FirstWaiting: c.firstWaiting(),
 	}})
--- /dev/null
+++ b/core/lessee/crash.go
@@ -0,0 +1,73 @@
+package lessee
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+)
+
+const (
+	// crashRetention is how long a crash is reported to dispatchers that have not
+	// acknowledged it, such as new ones: several times the pause before a resubmission.
+	crashRetention = 10 * time.Second
+	// maxCrashedRuns limits the runs that a report of a crash lists.
+	maxCrashedRuns = 64
+)
+
+// crash is an unplanned end of the upstream while it had runs.
+type crash struct {
+	number uint64
+	at     time.Duration
+	runs   []message.CrashedRun
+}
+
+// recordCrash records that the upstream has crashed and returns the reason for the loss of
+// its runs. It does nothing if the upstream had no runs or was about to leave. The ages of
+// the runs count up to aliveAt, when the upstream was last known to run.
+func (c *Core) recordCrash(aliveAt time.Duration) message.RefuseReason {
+	if len(c.runs) == 0 || c.upstream.draining || c.upstream.phase != open {
+		return ""
+	}
+	recorded := crash{number: c.lastCrash + 1, at: c.now.Mono}
+	for _, r := range c.runs {
+		recorded.runs = append(recorded.runs, message.CrashedRun{Task: r.name, Route: r.route, Age: max(0, aliveAt-r.startedAt)})
+	}
+	slices.SortFunc(recorded.runs, func(a, b message.CrashedRun) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Task.String(), b.Task.String()))
+	})
+	recorded.runs = recorded.runs[:min(len(recorded.runs), maxCrashedRuns)]
+	c.lastCrash = recorded.number
+	c.crashes = append(c.crashes, recorded)
+	c.logEvent("upstream_crashed", "", "upstream", c.upstream.id, "born", c.upstream.incarnation, "crash", recorded.number, "runs", len(c.runs),
+		"last_started", recorded.runs[0].Task.String(), "last_started_ms_ago", recorded.runs[0].Age.Milliseconds())
+	return message.LostUpstreamCrashed
+}
+
+// reportCrashes sends a heartbeat to each dispatcher that does not know of a recent crash.
+// It precedes the reports of the lost runs, so that dispatchers know of the crash when they
+// place the tasks again.
+func (c *Core) reportCrashes() {
+	for _, h := range c.holderOrder {
+		if len(c.unknownCrashes(h)) > 0 {
+			c.sendHeartbeat(h)
+		}
+	}
+}
+
+// unknownCrashes returns the recent crashes that h has not acknowledged.
+func (c *Core) unknownCrashes(h *leaseHolder) []message.Crash {
+	var list []message.Crash
+	for _, x := range c.crashes {
+		if age := c.now.Mono - x.at; x.number > h.knownCrash && age <= crashRetention {
+			list = append(list, message.Crash{Number: x.number, Age: age, Runs: x.runs})
+		}
+	}
+	return list
+}
+
+// forgetCrashes drops the crashes that are older than crashRetention.
+func (c *Core) forgetCrashes() {
+	c.crashes = slices.DeleteFunc(c.crashes, func(x crash) bool { return c.now.Mono-x.at > crashRetention })
+}
--- /dev/null
+++ b/core/lessee/crash_test.go
@@ -0,0 +1,99 @@
+package lessee
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+)
+
+// crashedJobs returns the jobs of the runs in the crashes that the last heartbeat to d
+// reported.
+func (b *testBed) crashedJobs(d node.Ref) []string {
+	var jobs []string
+	for _, x := range b.heartbeats[d.ID].Crashes {
+		for _, r := range x.Runs {
+			jobs = append(jobs, r.Task.Job)
+		}
+	}
+	return jobs
+}
+
+// TestCrashIsReportedToAllUntilAcknowledged guards against a crash that only the dispatcher
+// of the lost runs learns of, and against one whose report was lost.
+func TestCrashIsReportedToAllUntilAcknowledged(t *testing.T) {
+	b := newTestBed(t)
+	b.open()
+	b.startRun(d0, "old")
+	b.now += 200 * time.Millisecond
+	b.heartbeat(d0)
+	b.startRun(d0, "new")
+	b.now += 10 * time.Millisecond
+	b.step(PollCompleted{Result: CallNoListener, SentAt: b.now})
+	want := []string{"new", "old"}
+	if got := [2][]string{b.crashedJobs(d0), b.crashedJobs(d1)}; !slices.Equal(got[0], want) || !slices.Equal(got[1], want) {
+		t.Fatalf("the crash was reported with the runs of %q, want %q in both, the last started first", got, want)
+	}
+	if e := b.lastCompletion(); e.Result != message.RunLost || e.Reason != message.LostUpstreamCrashed {
+		t.Errorf("got completion %+v, want it lost to the crash", e)
+	}
+	b.step(received(d1, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now, EchoedTimestamp: b.now, KnownCrash: 1}}))
+	b.now += 200 * time.Millisecond
+	b.step(received(d0, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now, EchoedTimestamp: b.now, WantReply: true}}))
+	b.step(received(d1, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now, EchoedTimestamp: b.now, WantReply: true, KnownCrash: 1}}))
+	if len(b.crashedJobs(d0)) == 0 || len(b.crashedJobs(d1)) != 0 {
+		t.Errorf("reported again to %q and %q, want only the dispatcher that has not acknowledged it", b.crashedJobs(d0), b.crashedJobs(d1))
+	}
+	b.now += crashRetention + time.Second
+	b.step(received(node.Ref{ID: "d2", Incarnation: 1}, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now}}))
+	if hb := b.heartbeats["d2"]; len(hb.Crashes) != 0 {
+		t.Errorf("a new dispatcher got a crash that is older than %v: %+v", crashRetention, hb.Crashes)
+	}
+}
+
+// TestPlannedEndIsNoCrash guards against blaming tasks for an upstream that leaves.
+func TestPlannedEndIsNoCrash(t *testing.T) {
+	for name, end := range map[string]func(b *testBed){
+		"withdrawn": func(b *testBed) { b.step(Withdrawn{ID: "u"}) },
+		"drained": func(b *testBed) {
+			b.announce(1, 2, true)
+			b.step(PollCompleted{Result: CallNoListener, SentAt: b.now})
+		},
+	} {
+		b := newTestBed(t)
+		b.open()
+		b.startRun(d0, "j")
+		end(b)
+		if got := b.crashedJobs(d0); len(got) != 0 || b.lastCompletion().Result != message.RunLost || b.lastCompletion().Reason != "" {
+			t.Errorf("%s: crash of %q and completion %+v, want no crash and a lost run", name, got, b.lastCompletion())
+		}
+	}
+}
+
+// TestCrashAgesOfUnresponsiveUpstream guards against counting the time until a crash was
+// noticed as the age of a run: the one that was started last would not stand out.
+func TestCrashAgesOfUnresponsiveUpstream(t *testing.T) {
+	b := newTestBed(t)
+	b.open()
+	b.startRun(d0, "old")
+	b.now += 300 * time.Millisecond
+	b.step(PollCompleted{Renewal: true, SentAt: b.now, Incarnation: 1, Clock: b.now, Running: []ActiveRun{{Name: message.TaskName{Job: "old"}, RunNumber: 1}}})
+	b.heartbeat(d0)
+	b.startRun(d0, "new")
+	for range 40 {
+		b.now += 50 * time.Millisecond
+		b.heartbeat(d0)
+		if e := b.lastCompletion(); e.Result != "" {
+			break
+		}
+	}
+	crashes := b.heartbeats[d0.ID].Crashes
+	if len(crashes) != 1 || len(crashes[0].Runs) != 2 {
+		t.Fatalf("got crashes %+v, want one with two runs", crashes)
+	}
+	if runs := crashes[0].Runs; runs[0].Task.Job != "new" || runs[0].Age != 0 || runs[1].Age != 300*time.Millisecond {
+		t.Errorf("got ages %+v, want those at the last answer", runs)
+	}
+}
--- a/core/lessee/incarnation.go
+++ b/core/lessee/incarnation.go
@@ -43,6 +43,7 @@
 	}
 	c.capacityChanged()
 	c.logEvent("upstream_changed", "", "upstream", c.upstream.id, "born", c.upstream.incarnation, "why", why, "runs", len(c.runs))
+	c.recordCrash(c.now.Mono)
 	for _, h := range c.holderOrder {
 		for _, r := range h.unfinishedRuns() {
 			r.state, r.orphaned = stopping, true
@@ -56,7 +57,7 @@
 	for _, h := range c.holderOrder {
 		for _, r := range h.stoppingRuns() {
 			if r.orphaned {
-				c.completeRun(r, message.RunLost, "", 0)
+				c.completeRun(r, message.RunLost, message.LostUpstreamCrashed, 0)
 			}
 		}
 	}
--- a/core/lessee/leaseholder.go
+++ b/core/lessee/leaseholder.go
@@ -41,6 +41,8 @@
 	statedInterval      time.Duration
 	// knownInfoVersion is the version of the upstream info that it last reported to have.
 	knownInfoVersion uint64
+	// knownCrash is the Number of the last crash of the upstream that it has acknowledged.
+	knownCrash uint64
 	// maxOfferSeq is the highest Seq of its offers that were processed.
 	maxOfferSeq uint64
 	// firstWaiting is its first waiting task, as last reported; the report expires at
@@ -98,6 +100,7 @@
 	first := h.lastTimestamp == 0
 	h.lastTimestamp = hb.Timestamp
 	h.knownInfoVersion, h.acceptsIdleInterval = hb.KnownInfoVersion, hb.AcceptsIdleInterval
+	h.knownCrash = hb.KnownCrash
 	h.firstWaiting = hb.FirstWaiting
 	if hb.FirstWaiting != nil {
 		h.waitingExpiresAt, h.skippedUntil = c.now.Mono+waitingTTL, 0
@@ -131,6 +134,7 @@
 	}
 	c.nextHeartbeatAt = c.now.Mono + lease.HeartbeatInterval
 	maps.DeleteFunc(c.completedAt, func(_ message.TaskName, at time.Duration) bool { return c.now.Mono-at > completionRetention })
+	c.forgetCrashes()
 	idleInterval := c.idleInterval()
 	for _, h := range slices.Clone(c.holderOrder) {
 		c.forgetCompletions(h)
@@ -145,11 +149,11 @@
 }
 
 // needsEveryHeartbeat reports whether a dispatcher gets a heartbeat in each round. It does
-// if it has runs here, does not know the upstream's info or readiness, does not accept idle
-// intervals, or was told a shorter one than the present one.
+// if it has runs here, does not know the upstream's info, readiness or last crash, does not
+// accept idle intervals, or was told a shorter one than the present one.
 func (h *leaseHolder) needsEveryHeartbeat(c *Core) bool {
 	return h.unfinished > 0 || !h.acceptsIdleInterval || h.knownInfoVersion != c.infoVersion || h.reportedReady != c.Ready() ||
-		h.statedInterval < c.idleInterval()
+		h.statedInterval < c.idleInterval() || len(c.unknownCrashes(h)) > 0
 }
 
 // sendIdleHeartbeats sends idleCredit heartbeats to the next dispatchers that do not need
@@ -185,7 +189,7 @@
 	h.heartbeatSentAt, h.statedInterval = c.now.Mono, c.idleInterval()
 	hb := &message.Heartbeat{
 		Timestamp: c.now.Mono, EchoedTimestamp: h.lastTimestamp, Revision: c.site.Revision, WantSite: wantSite,
-		IdleInterval: h.statedInterval,
+		IdleInterval: h.statedInterval, Crashes: c.unknownCrashes(h),
 	}
 	if giveSite {
 		hb.Site = c.site
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -60,6 +60,10 @@
 	// completedAt is when the last run of a task completed. Entries are dropped after
 	// completionRetention.
 	completedAt map[message.TaskName]time.Duration
+	// crashes holds the recent crashes of the upstream, and lastCrash the number of the last
+	// one in this incarnation of the agent.
+	crashes   []crash
+	lastCrash uint64
 	// orphansUntil is the time after which no orphaned run can be alive, since the longest
 	// lease of the calls sent to the previous incarnation of the upstream has lapsed.
 	orphansUntil time.Duration
@@ -149,13 +153,15 @@
 	Used, Capacity    message.Resources
 	Ready             bool
 	Revision          int64
+	// Crashes counts the crashes of the upstream.
+	Crashes uint64
 }
 
 // Stats returns the current values for metrics.
 func (c *Core) Stats() Stats {
 	return Stats{
 		Runs: len(c.runs), Dispatchers: len(c.holders), Used: c.used, Capacity: c.upstream.capacity,
-		Ready: c.Ready(), Revision: c.site.Revision,
+		Ready: c.Ready(), Revision: c.site.Revision, Crashes: c.lastCrash,
 	}
 }
 
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -28,6 +28,8 @@
 	seq    uint64
 	name   message.TaskName
 	number int
+	// route is the name of the route of the task's job.
+	route  string
 	spec   string
 	demand message.Resources
 	state  runState
@@ -89,7 +91,7 @@
 	c.lastHandle++
 	r := &run{
 		handle: c.lastHandle, holder: h, seq: m.Seq, name: m.Task, number: m.RunNumber,
-		spec: m.Spec, demand: m.Demand, expectedDuration: m.ExpectedDuration, startedAt: c.now.Mono,
+		route: m.Route, spec: m.Spec, demand: m.Demand, expectedDuration: m.ExpectedDuration, startedAt: c.now.Mono,
 	}
 	c.runs[r.handle] = r
 	c.runsByTask[r.name] = r
@@ -272,7 +274,7 @@
 	case CallUnhealthy:
 		c.giveUpStart(r, message.RefusedUnhealthy)
 	case CallNoListener:
-		c.handleUpstreamEnd("its port refused a connection")
+		c.handleRefusedConnection()
 	default:
 		c.giveUpStart(r, message.RefusedNotReady)
 	}
@@ -321,7 +323,7 @@
 	r, ok := c.runsByTask[e.Name]
 	if e.Result == CallNoListener {
 		if !ok || !r.orphaned {
-			c.handleUpstreamEnd("its port refused a connection")
+			c.handleRefusedConnection()
 		}
 		return
 	}
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -139,12 +139,13 @@
 
 func (c *Core) handleWithdrawal(id string) {
 	if id == c.upstream.id {
-		c.handleUpstreamEnd("the upstream has withdrawn")
+		c.handleUpstreamEnd("the upstream has withdrawn", "")
 	}
 }
 
-// handleUpstreamEnd reports all runs as lost, since the upstream's incarnation has ended.
-func (c *Core) handleUpstreamEnd(why string) {
+// handleUpstreamEnd reports all runs as lost for this reason, since the upstream's
+// incarnation has ended.
+func (c *Core) handleUpstreamEnd(why string, reason message.RefuseReason) {
 	if c.upstream.phase == absent {
 		return
 	}
@@ -152,13 +153,20 @@
 	c.upstream.longPollInFlight, c.upstream.renewalInFlight = false, false
 	c.capacityChanged()
 	c.logEvent("upstream_ended", "", "upstream", c.upstream.id, "born", c.upstream.incarnation, "why", why, "runs", len(c.runs))
-	c.reportAllLost()
+	c.reportAllLost(reason)
 }
 
-func (c *Core) reportAllLost() {
+// handleRefusedConnection handles the end of an upstream whose port refuses connections.
+func (c *Core) handleRefusedConnection() {
+	reason := c.recordCrash(c.now.Mono)
+	c.handleUpstreamEnd("its port refused a connection", reason)
+}
+
+func (c *Core) reportAllLost(reason message.RefuseReason) {
+	c.reportCrashes()
 	for _, h := range c.holderOrder {
 		for _, r := range h.unfinishedRuns() {
-			c.completeRun(r, message.RunLost, "", 0)
+			c.completeRun(r, message.RunLost, reason, 0)
 		}
 	}
 }
@@ -187,7 +195,7 @@
 func (c *Core) sendDueCallsOpen() {
 	u := &c.upstream
 	if c.now.Mono-u.lastAnnouncedAt > announcementTTL && len(c.runs) == 0 {
-		c.handleUpstreamEnd("no announcement received in time")
+		c.handleUpstreamEnd("no announcement received in time", "")
 		return
 	}
 	if len(c.runs) > 0 && c.upstreamSuspected() && c.now.Mono-u.lastExtensionSentAt > lease.UpstreamExpiry {
@@ -230,11 +238,12 @@
 func (c *Core) handleUnresponsiveUpstream() {
 	c.logEvent("upstream_silent", "", "upstream", c.upstream.id, "runs", len(c.runs),
 		"held_ms_ago", (c.now.Mono - c.upstream.lastAnsweredSentAt).Milliseconds())
+	reason := c.recordCrash(c.upstream.lastAnsweredSentAt)
 	c.upstream.phase = probing
 	c.upstream.nextProbeAt = c.now.Mono
 	c.upstream.longPollInFlight, c.upstream.renewalInFlight = false, false
 	c.capacityChanged()
-	c.reportAllLost()
+	c.reportAllLost(reason)
 }
 
 func (c *Core) poll(renewal bool) {
@@ -266,7 +275,7 @@
 	case CallOK:
 	case CallNoListener:
 		if e.SentAt >= u.discoveredAt {
-			c.handleUpstreamEnd("its port refused a connection")
+			c.handleRefusedConnection()
 		}
 		return
 	case CallFenced:
--- a/core/message/offer.go
+++ b/core/message/offer.go
@@ -14,10 +14,12 @@
 	Seq  uint64   `json:"seq"`
 	Task TaskName `json:"task"`
 	// RunNumber is the number of this start among the starts of the task.
-	RunNumber int       `json:"run"`
-	Service   string    `json:"svc"`
-	Spec      string    `json:"spec,omitempty"`
-	Demand    Resources `json:"need"`
+	RunNumber int    `json:"run"`
+	Service   string `json:"svc"`
+	// Route is the name of the route of the task's job.
+	Route  string    `json:"route,omitempty"`
+	Spec   string    `json:"spec,omitempty"`
+	Demand Resources `json:"need"`
 	// ExpectedDuration is the estimated duration of the task. The agent stops a run that
 	// takes several times as long, so that the task can run elsewhere. Zero disables the
 	// check.
@@ -112,6 +114,8 @@
 	// RefusedTakenOver: the run continues for another dispatcher, to which the caller has
 	// submitted the job again.
 	RefusedTakenOver RefuseReason = "taken_over"
+	// LostUpstreamCrashed: the upstream crashed while the run was there.
+	LostUpstreamCrashed RefuseReason = "upstream_crashed"
 )
 
 // Heartbeat is sent between a dispatcher and an agent, in both directions. Timestamp is
@@ -142,6 +146,29 @@
 	// IdleInterval, from an agent, is the longest pause until its next heartbeat while it has
 	// no runs of the receiver. Zero means lease.HeartbeatInterval.
 	IdleInterval time.Duration `json:"idle,omitempty"`
+	// Crashes, from an agent, are the recent crashes of its upstream that the receiver has
+	// not acknowledged, in order of Number.
+	Crashes []Crash `json:"crashes,omitempty"`
+	// KnownCrash, from a dispatcher, acknowledges the crashes up to this Number.
+	KnownCrash uint64 `json:"kc,omitempty"`
+}
+
+// Crash describes an unplanned end of an agent's local upstream.
+type Crash struct {
+	// Number counts the crashes within one incarnation of the agent, from 1.
+	Number uint64 `json:"n"`
+	// Age is the time since the crash was detected.
+	Age time.Duration `json:"age,omitempty"`
+	// Runs are the runs that were lost, the one that was started last first.
+	Runs []CrashedRun `json:"runs,omitempty"`
+}
+
+// CrashedRun is a run that was lost when its upstream crashed.
+type CrashedRun struct {
+	Task  TaskName `json:"task"`
+	Route string   `json:"route,omitempty"`
+	// Age is how long before the crash the run was started.
+	Age time.Duration `json:"age,omitempty"`
 }
 
 // WaitingTask describes a task that waits for free capacity.
--- a/internal/dispatchd/service.go
+++ b/internal/dispatchd/service.go
@@ -192,6 +192,8 @@
 		d.metrics.SetGauge(telemetry.SiteRevision, float64(s.Revision))
 		d.metrics.SetGauge(telemetry.OffersTotal, float64(s.Offers))
 		d.metrics.SetGauge(telemetry.RunsLostTotal, float64(s.LostRuns))
+		d.metrics.SetGauge(telemetry.UpstreamCrashesTotal, float64(s.Crashes))
+		d.metrics.SetGauge(telemetry.RunsCrashedTotal, float64(s.CrashedRuns))
 		process.CopyCounters(d.metrics, nil, d.transport.Stats())
 	})
 }
--- a/internal/lesseed/daemon.go
+++ b/internal/lesseed/daemon.go
@@ -271,6 +271,7 @@
 		}
 		d.metrics.SetGauge(telemetry.UpstreamReady, ready)
 		d.metrics.SetGauge(telemetry.RunsOpen, float64(s.Runs))
+		d.metrics.SetGauge(telemetry.UpstreamCrashesTotal, float64(s.Crashes))
 		d.metrics.SetGauge(telemetry.CapacityInUse, float64(s.Used.MilliCPU))
 		d.metrics.SetGauge(telemetry.TotalCapacity, float64(s.Capacity.MilliCPU))
 		d.metrics.SetGauge(telemetry.SiteRevision, float64(s.Revision))
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -40,4 +40,7 @@
 	UpstreamReady = "dogwoodgauge_upstream_ready"
 	OffersTotal   = "dogwoodgauge_offers_total"
 	RunsLostTotal = "dogwoodgauge_runs_lost_total"
+
+	UpstreamCrashesTotal = "dogwoodgauge_upstream_crashes_total"
+	RunsCrashedTotal     = "dogwoodgauge_runs_crashed_total"
 )
