--- a/core/leasemodel/load_test.go
+++ b/core/leasemodel/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -113,29 +114,47 @@
 	}
 }
 
-// submitNext submits a job of a kind now and schedules the next one.
-func (l *load) submitNext(k jobKind) {
-	sim := l.sim
-	sim.lastCall++
-	var spec []string
-	longestMS := 0.0
+// drawDurations draws the durations of a job's tasks, in milliseconds.
+func (l *load) drawDurations(k jobKind) []float64 {
+	var list []float64
 	for range k.tasks {
-		ms := float64(k.taskDuration.Milliseconds()) * (1 + durationSpread*(2*sim.rnd.Float64()-1))
+		list = append(list, float64(k.taskDuration.Milliseconds())*(1+durationSpread*(2*l.sim.rnd.Float64()-1)))
+	}
+	return list
+}
+
+// newJob returns a job whose tasks take these times, in milliseconds.
+func (l *load) newJob(id string, k jobKind, durationsMS []float64) dispatch.Job {
+	var spec []string
+	for _, ms := range durationsMS {
 		spec = append(spec, strconv.Itoa(int(ms)))
-		longestMS = max(longestMS, ms)
 	}
-	longestDuration := time.Duration(longestMS * float64(time.Millisecond))
-	objective := time.Duration(objectiveStretch*float64(longestDuration)) + objectiveMargin
-	l.jobs[sim.lastCall] = loadJob{k.name, sim.now, sim.now + objective}
-	dispatchers := sim.liveDispatchers()
-	sim.deliver(dispatchers[sim.rnd.IntN(len(dispatchers))], dispatch.Submit{Call: sim.lastCall, Job: dispatch.Job{
-		ID: fmt.Sprintf("%016x", sim.lastCall), Spec: strings.Join(spec, ","), Wait: 3 * objective,
+	longest := time.Duration(slices.Max(durationsMS) * float64(time.Millisecond))
+	return dispatch.Job{
+		ID: id, Spec: strings.Join(spec, ","), Wait: 3 * objective(longest),
 		Route: &site.Route{Name: k.name, Service: "s", Priority: k.priority, MaxAttempts: 3, Stretch: objectiveStretch, Margin: objectiveMargin},
 		Steps: []dispatch.Step{{
 			Count: k.tasks, Demand: message.Resources{MilliCPU: taskCPU, MemoryMB: 1},
-			Estimate: time.Duration(float64(longestDuration) * (1 + durationSpread*(2*sim.rnd.Float64()-1))),
+			Estimate: time.Duration(float64(longest) * (1 + durationSpread*(2*l.sim.rnd.Float64()-1))),
 		}},
-	}})
+	}
+}
+
+// objective returns the response time objective of a job whose longest task takes this time.
+func objective(longest time.Duration) time.Duration {
+	return time.Duration(objectiveStretch*float64(longest)) + objectiveMargin
+}
+
+// submitNext submits a job of a kind now and schedules the next one.
+func (l *load) submitNext(k jobKind) {
+	sim := l.sim
+	sim.lastCall++
+	durations := l.drawDurations(k)
+	longest := time.Duration(slices.Max(durations) * float64(time.Millisecond))
+	l.jobs[sim.lastCall] = loadJob{k.name, sim.now, sim.now + objective(longest)}
+	dispatchers := sim.liveDispatchers()
+	p := dispatchers[sim.rnd.IntN(len(dispatchers))]
+	sim.deliver(p, dispatch.Submit{Call: sim.lastCall, Job: l.newJob(fmt.Sprintf("%016x", sim.lastCall), k, durations)})
 	sim.after(time.Duration(sim.rnd.ExpFloat64()/k.rate*float64(time.Second)), func() { l.submitNext(k) })
 }
 
--- a/core/leasemodel/simulation_test.go
+++ b/core/leasemodel/simulation_test.go
@@ -89,6 +89,8 @@
 	capacity, dispatcherCount int
 	// duration returns the duration of a run.
 	duration func(a lessee.StartRun) time.Duration
+	// onStart, unless nil, is called when an upstream starts a run.
+	onStart func(u *upstream, a lessee.StartRun)
 	// onAnswer receives the answers. If it is nil, deliverAnswer receives them.
 	onAnswer func(a dispatch.Answer)
 	// estimate is the task duration that callers state; runs actually take 40 to 900 ms.
@@ -287,7 +289,7 @@
 			if r == nil {
 				return lessee.StopCallCompleted{Name: a.Name, RunNumber: a.RunNumber, Result: lessee.CallUnknown}
 			}
-			return lessee.StopCallCompleted{Name: a.Name, RunNumber: a.RunNumber, Result: lessee.CallOK}
+			return lessee.StopCallCompleted{Name: a.Name, RunNumber: a.RunNumber, Result: r.(lessee.CallResult)}
 		}, 150*time.Millisecond)
 	case lessee.Poll:
 		sim.poll(p, a)
--- a/core/leasemodel/upstream_test.go
+++ b/core/leasemodel/upstream_test.go
@@ -34,6 +34,8 @@
 	lastCompletion int64
 	leaseUntil     time.Duration // on the upstream's clock
 	incarnation    int
+	// down is set while its port refuses connections, between two incarnations.
+	down bool
 }
 
 // upstreamRun is one run at an upstream.
@@ -69,7 +71,7 @@
 }
 
 func (u *upstream) announce() {
-	if u.agent == nil {
+	if u.agent == nil || u.down {
 		return
 	}
 	u.seq++
@@ -84,6 +86,9 @@
 }
 
 func (u *upstream) startRun(a lessee.StartRun) lessee.CallResult {
+	if u.down {
+		return lessee.CallNoListener
+	}
 	u.stopIfLeaseLapsed()
 	if a.Token < u.token {
 		return lessee.CallFenced
@@ -107,6 +112,9 @@
 		return lessee.CallNoCapacity
 	}
 	u.sim.checkStart(u, a)
+	if u.sim.onStart != nil {
+		u.sim.onStart(u, a)
+	}
 	r := &upstreamRun{number: a.RunNumber, demand: taskCPU, startedAt: u.sim.now, duration: u.sim.duration(a)}
 	u.running[a.Name] = r
 	u.maxRunNumber[a.Name] = a.RunNumber
@@ -121,6 +129,9 @@
 }
 
 func (u *upstream) stopRun(a lessee.StopRun) lessee.CallResult {
+	if u.down {
+		return lessee.CallNoListener
+	}
 	u.stopIfLeaseLapsed()
 	if a.Token < u.token {
 		return lessee.CallFenced
@@ -142,6 +153,9 @@
 }
 
 func (u *upstream) poll(a lessee.Poll) lessee.PollCompleted {
+	if u.down {
+		return lessee.PollCompleted{Result: lessee.CallNoListener}
+	}
 	u.stopIfLeaseLapsed()
 	if a.Token < u.token {
 		return lessee.PollCompleted{Result: lessee.CallFenced}
@@ -203,6 +217,17 @@
 	u.sim.logf("u%d completes %s run %d: %s", u.index, name, r.number, completion)
 }
 
+// crashFor ends the incarnation with all its runs. The next one starts after downtime.
+func (u *upstream) crashFor(downtime time.Duration) {
+	u.sim.logf("u%d crashes with %d runs for %v", u.index, len(u.running), downtime)
+	u.beginIncarnation()
+	u.down = true
+	u.sim.after(downtime, func() {
+		u.startedAt, u.down = u.sim.now, false
+		u.announce()
+	})
+}
+
 // crash ends the incarnation with all its runs and starts the next one.
 func (u *upstream) crash() {
 	u.sim.logf("u%d crashes with %d runs", u.index, len(u.running))
