dispatch: a task under which upstreams crash is given up

What callers saw: one job with a task that crashes each upstream that starts it took the whole fleet down; nearly all jobs of the next 3 s were refused or lost.

Cause: a run that ends with its upstream is neither a failure nor an attempt, so its task was offered to the next upstream at once, without limit, together with all the tasks that had been beside it.

Change: dispatchers collect the reported crashes (core/policy/containment). The runs that were started within 100 ms before a crash are its suspects, and share the blame. A suspect is placed again on one of a quarter of the upstreams, the same for all dispatchers, which gets no other job until the task has completed or is 120 ms old: if that upstream crashes too, nothing else is to blame. A task with two such crashes is given up and its job answered as failed; after three crashes in any case. Tasks that were beside a crash and not new are placed at once, as before. A job that comes again is answered from the same memory (10 s), at any dispatcher. While crashes are remembered, an agent is told of the first waiting task that it may run, so that it does not reserve capacity for one that it may not.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -58,6 +58,9 @@
 	unreportedSum message.Resources
 	// knownCrash is the Number of the last crash of its upstream that was reported.
 	knownCrash uint64
+	// proving is the job of the last confined task that was offered to it, until provingUntil.
+	proving      *job
+	provingUntil time.Duration
 	// dead is set at deadAt, when the agent's process was found to have ended.
 	dead bool
 	// heartbeatSentAt is when the last heartbeat was sent to the agent.
@@ -112,7 +115,7 @@
 func (c *Core) sendHeartbeatWith(a *agent, hb message.Heartbeat) {
 	a.heartbeatSentAt = c.now.Mono
 	hb.Timestamp, hb.EchoedTimestamp, hb.Revision = c.now.Mono, a.lastTimestamp, c.site.Revision
-	hb.FirstWaiting, hb.KnownInfoVersion, hb.AcceptsIdleInterval = c.firstWaiting(), a.infoVersion, true
+	hb.FirstWaiting, hb.KnownInfoVersion, hb.AcceptsIdleInterval = c.firstWaiting(a), a.infoVersion, true
 	hb.KnownCrash = a.knownCrash
 	c.send(a.ref, message.Message{Heartbeat: &hb})
 }
--- /dev/null
+++ b/core/dispatch/answer.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import "time"
+
+// Reasons of answers, for logs and metrics.
+const (
+	reasonDraining     = "draining"
+	reasonTooManyJobs  = "too_many_jobs"
+	reasonTooLarge     = "larger_than_every_upstream"
+	reasonNoUpstream   = "no_upstream"
+	reasonOverloaded   = "overloaded"
+	reasonDeadline     = "deadline_passed"
+	reasonAttemptsUsed = "attempts_used_up"
+	reasonCrashes      = "upstreams_crashed"
+	reasonCallerGone   = "caller_gone"
+	reasonCancelled    = "cancelled"
+	reasonPaused       = "process_was_paused"
+	reasonTakenOver    = "submitted_again_elsewhere"
+)
+
+// answerJob answers a job and revokes its open offers.
+func (c *Core) answerJob(j *job, outcome Outcome, reason string, retry time.Duration) {
+	for _, t := range j.tasks {
+		if t.state == offered {
+			c.revoke(t)
+		}
+	}
+	c.dequeue(j)
+	delete(c.jobs, j.call)
+	if c.byID[j.spec.ID] == j {
+		delete(c.byID, j.spec.ID)
+	}
+	c.logEvent("job_ended", j.spec.ID, "request", j.spec.Request, "outcome", outcome, "reason", reason, "route", j.spec.Route.Name,
+		"tasks", len(j.tasks), "offers", j.offerCount, "unplaced", j.unplaced, "took_ms", (c.now.Mono - j.arrivedAt).Milliseconds(),
+		"objective_ms", (j.objective - j.arrivedAt).Milliseconds(), "revision", c.site.Revision)
+	c.out = append(c.out, Answer{Call: j.call, Outcome: outcome, Reason: reason, RetryAfter: retry})
+}
+
+// giveUp answers Interrupted for a job of which a task may have run, otherwise Refused.
+func (c *Core) giveUp(j *job, reason string) {
+	if j.mayHaveRun {
+		c.answerJob(j, Interrupted, reason, 0)
+		return
+	}
+	c.answerJob(j, Refused, reason, transientRetryDelay)
+}
--- a/core/dispatch/completion.go
+++ b/core/dispatch/completion.go
@@ -50,10 +50,12 @@
 	}
 	delete(c.openOffers, e.Seq)
 	delete(a.openOffers, e.Seq)
+	a.endProving()
 	id := t.job.spec.ID
 	switch e.Result {
 	case message.RunDone:
 		c.faults.Observe(c.now.Mono, a.ref.ID, id, false)
+		c.crashes.Acquit(t.name())
 		c.recordTaskDone(t)
 	case message.RunFailed:
 		c.faults.Observe(c.now.Mono, a.ref.ID, id, true)
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/containment"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/pressure"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/quarantine"
 	"github.com/dogwoodgauge/dogwoodgauge/core/site"
@@ -75,6 +76,11 @@
 	// agentsCheckedAt is when the agents were last checked for unresponsive ones.
 	agentsCheckedAt time.Duration
 	faults          *quarantine.Detector
+	// crashes holds the recent crashes of upstreams, isolation the agents that run the tasks
+	// that may have caused them, and provingEndsAt the last agent.provingUntil.
+	crashes       *containment.Tracker
+	isolation     map[isolationGroup][]node.ID
+	provingEndsAt time.Duration
 	// placementNeeded is set when a new placement may place tasks that the last one could
 	// not place.
 	placementNeeded bool
@@ -124,6 +130,8 @@
 		byID:       make(map[string]*job),
 		openOffers: make(map[uint64]*task),
 		faults:     quarantine.New(),
+		crashes:    containment.New(),
+		isolation:  make(map[isolationGroup][]node.ID),
 
 		domainDoubtedAt: make(map[string]time.Duration),
 	}
@@ -150,6 +158,7 @@
 	c.checkAgents()
 	c.updateKnownWorkers()
 	c.checkDeadlines()
+	c.updateContainment()
 	c.place()
 	c.refuseInfeasible()
 	c.notifyWaiting()
@@ -277,5 +286,8 @@
 	if due, ok := c.deadlines.Next(); ok {
 		at = min(at, due)
 	}
+	if c.provingEndsAt > 0 {
+		at = min(at, c.provingEndsAt)
+	}
 	return max(at, c.now.Mono+time.Millisecond)
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -10,21 +10,6 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/pressure"
 )
 
-// Reasons of answers, for logs and metrics.
-const (
-	reasonDraining     = "draining"
-	reasonTooManyJobs  = "too_many_jobs"
-	reasonTooLarge     = "larger_than_every_upstream"
-	reasonNoUpstream   = "no_upstream"
-	reasonOverloaded   = "overloaded"
-	reasonDeadline     = "deadline_passed"
-	reasonAttemptsUsed = "attempts_used_up"
-	reasonCallerGone   = "caller_gone"
-	reasonCancelled    = "cancelled"
-	reasonPaused       = "process_was_paused"
-	reasonTakenOver    = "submitted_again_elsewhere"
-)
-
 const (
 	// transientRetryDelay is the retry delay after a refusal for a state that soon passes. It
 	// is about the time in which a drained or restarted process is replaced.
@@ -108,6 +93,10 @@
 		c.answerJob(j, Interrupted, reasonPaused, 0)
 		return
 	}
+	if c.crashes.JobCondemned(j.spec.ID) {
+		c.answerJob(j, Failed, reasonCrashes, 0)
+		return
+	}
 	delay := c.queueDelay(e)
 	reason, retry := c.refusalReason(j)
 	if c.shouldShed(j, delay) {
@@ -318,33 +307,6 @@
 	c.placementNeeded = true
 }
 
-// answerJob answers a job and revokes its open offers.
-func (c *Core) answerJob(j *job, outcome Outcome, reason string, retry time.Duration) {
-	for _, t := range j.tasks {
-		if t.state == offered {
-			c.revoke(t)
-		}
-	}
-	c.dequeue(j)
-	delete(c.jobs, j.call)
-	if c.byID[j.spec.ID] == j {
-		delete(c.byID, j.spec.ID)
-	}
-	c.logEvent("job_ended", j.spec.ID, "request", j.spec.Request, "outcome", outcome, "reason", reason, "route", j.spec.Route.Name,
-		"tasks", len(j.tasks), "offers", j.offerCount, "unplaced", j.unplaced, "took_ms", (c.now.Mono - j.arrivedAt).Milliseconds(),
-		"objective_ms", (j.objective - j.arrivedAt).Milliseconds(), "revision", c.site.Revision)
-	c.out = append(c.out, Answer{Call: j.call, Outcome: outcome, Reason: reason, RetryAfter: retry})
-}
-
-// giveUp answers Interrupted for a job of which a task may have run, otherwise Refused.
-func (c *Core) giveUp(j *job, reason string) {
-	if j.mayHaveRun {
-		c.answerJob(j, Interrupted, reason, 0)
-		return
-	}
-	c.answerJob(j, Refused, reason, transientRetryDelay)
-}
-
 func (c *Core) handleCallerGone(e CallerGone) {
 	if j, ok := c.jobs[e.Call]; ok {
 		c.giveUp(j, cmp.Or(e.Cause, reasonCallerGone))
--- a/core/dispatch/notify.go
+++ b/core/dispatch/notify.go
@@ -28,20 +28,47 @@
 	leastUrgent = math.MaxInt
 )
 
-// firstWaitingTask returns the first task that waits for capacity, or nil.
+// firstWaitingTask returns the first task that waits for capacity, or nil. Confined tasks
+// come last, since most agents cannot run them.
 func (c *Core) firstWaitingTask() *task {
+	var firstConfined *task
 	for _, j := range c.waiting {
-		if i := slices.IndexFunc(j.tasks, func(t *task) bool { return t.state == unplaced }); i >= 0 {
-			return j.tasks[i]
+		t := j.firstUnplaced()
+		if t == nil {
+			continue
 		}
+		if !c.crashes.Active() || !c.confined(t) {
+			return t
+		}
+		if firstConfined == nil {
+			firstConfined = t
+		}
+	}
+	return firstConfined
+}
+
+// firstWaitingOn returns the first task that waits for capacity and is allowed on the agent,
+// or nil.
+func (c *Core) firstWaitingOn(a *agent) *task {
+	for _, j := range c.waiting {
+		if t := j.firstUnplaced(); t != nil && c.allowed(t, a) {
+			return t
+		}
+	}
+	return nil
+}
+
+// firstUnplaced returns the first unplaced task of the job, or nil.
+func (j *job) firstUnplaced() *task {
+	if i := slices.IndexFunc(j.tasks, func(t *task) bool { return t.state == unplaced }); i >= 0 {
+		return j.tasks[i]
 	}
 	return nil
 }
 
-// firstWaiting describes the first task that waits for capacity. It returns nil if there
-// is none.
-func (c *Core) firstWaiting() *message.WaitingTask {
-	t := c.firstWaitingTask()
+// firstWaiting describes firstWaitingOn(a). It returns nil if there is no such task.
+func (c *Core) firstWaiting(a *agent) *message.WaitingTask {
+	t := c.firstWaitingOn(a)
 	if t == nil {
 		return nil
 	}
@@ -61,9 +88,9 @@
 	switch {
 	case c.now.Mono >= c.notifyAt:
 		c.notifyAt = c.now.Mono + notifyInterval
-		c.notifyNextAgents(first, notifyCount)
+		c.notifyNextAgents(notifyCount)
 	case priority < c.notifiedPriority && c.now.Mono >= c.notifyUrgentAt:
-		c.notifyNextAgents(first, urgentNotifyCount)
+		c.notifyNextAgents(urgentNotifyCount)
 	default:
 		return
 	}
@@ -71,15 +98,19 @@
 	c.notifyUrgentAt = c.now.Mono + urgentNotifyInterval
 }
 
-// notifyNextAgents notifies the next count usable agents that may run t, in round-robin
-// order.
-func (c *Core) notifyNextAgents(t *task, count int) {
+// notifyNextAgents notifies the next count usable agents that may run a waiting task, in
+// round-robin order.
+func (c *Core) notifyNextAgents(count int) {
 	for range c.sortedAgents {
 		if count == 0 {
 			return
 		}
 		c.notifyIndex = (c.notifyIndex + 1) % len(c.sortedAgents)
-		if a := c.sortedAgents[c.notifyIndex]; c.usable(a) && eligible(t, a) {
+		a := c.sortedAgents[c.notifyIndex]
+		if !c.usable(a) {
+			continue
+		}
+		if t := c.firstWaitingOn(a); t != nil && eligible(t, a) {
 			c.sendHeartbeat(a)
 			count--
 		}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -38,9 +38,31 @@
 	free  message.Resources
 }
 
-// placementOrder returns the jobs with unplaced tasks by priority. Within a priority,
-// jobs that have started or can still meet their objectives come before the others. Both
-// groups are ordered by objective. When the demand exceeds the capacity, an order by
+// urgency ranks the jobs of one priority.
+type urgency uint8
+
+const (
+	// onTime: the job has started, or can still meet its objective.
+	onTime urgency = iota
+	late
+	// suspect: a task of the job may have crashed an upstream.
+	suspect
+)
+
+// urgency returns the urgency of a job with unplaced tasks.
+func (c *Core) urgency(j *job) urgency {
+	switch {
+	case c.suspectJob(j):
+		return suspect
+	case c.missesObjective(j):
+		return late
+	default:
+		return onTime
+	}
+}
+
+// placementOrder returns the jobs with unplaced tasks by priority, and within a priority by
+// urgency. Jobs of the same urgency are ordered by objective. When the demand exceeds the capacity, an order by
 // objective alone would make all jobs late. The returned slice is valid until the next
 // call.
 func (c *Core) placementOrder() []*job {
@@ -50,9 +72,9 @@
 		for end < len(c.waiting) && c.waiting[end].spec.Route.Priority == c.waiting[begin].spec.Route.Priority {
 			end++
 		}
-		for _, late := range []bool{false, true} {
+		for _, urgency := range []urgency{onTime, late, suspect} {
 			for _, j := range c.waiting[begin:end] {
-				if c.missesObjective(j) == late {
+				if c.urgency(j) == urgency {
 					list = append(list, j)
 				}
 			}
@@ -133,6 +155,9 @@
 				continue
 			}
 			best := c.chooseCandidate(t, candidates)
+			if best == nil && c.confined(t) {
+				continue // Others of its tasks may run elsewhere.
+			}
 			if best == nil {
 				misses++
 				break
@@ -158,7 +183,7 @@
 	c.stats.AgentsExamined += uint64(len(candidates))
 	for i := range candidates {
 		o := &candidates[i]
-		if !demand.Fits(o.free) || !eligible(t, o.agent) {
+		if !demand.Fits(o.free) || !eligible(t, o.agent) || !c.allowed(t, o.agent) {
 			continue
 		}
 		if score := c.score(t, o.agent, o.free); best == nil || score > bestScore {
@@ -215,6 +240,9 @@
 	}
 	c.openOffers[t.seq] = t
 	a.openOffers[t.seq] = t
+	if c.confined(t) {
+		c.recordConfinedOffer(t, a)
+	}
 	a.addUnreported(t.seq, t.stepSpec().Demand)
 	c.faults.RecordSent(c.now.Mono, a.ref.ID)
 	c.stats.Offers++
@@ -235,6 +263,6 @@
 	c.send(t.agent.ref, message.Message{Offer: &message.Offer{
 		Seq: t.seq, Task: t.name(), RunNumber: t.starts, Service: t.job.spec.Route.Service, Route: t.job.spec.Route.Name, Spec: t.job.spec.Spec,
 		Demand: spec.Demand, ExpectedDuration: expected, EchoedTimestamp: t.agent.lastTimestamp, EchoAge: c.now.Mono - t.agent.lastHeartbeatAt,
-		FirstWaiting: c.firstWaiting(),
+		FirstWaiting: c.firstWaiting(t.agent),
 	}})
 }
--- a/core/lessee/crash.go
+++ b/core/lessee/crash.go
@@ -13,7 +13,7 @@
 	// acknowledged it, such as new ones: several times the pause before a resubmission.
 	crashRetention = 10 * time.Second
 	// maxCrashedRuns limits the runs that a report of a crash lists.
-	maxCrashedRuns = 64
+	maxCrashedRuns = 24
 )
 
 // crash is an unplanned end of the upstream while it had runs.
