--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -9,6 +9,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/pace"
+	"github.com/dogwoodgauge/dogwoodgauge/core/rendezvous"
 )
 
 const (
@@ -58,9 +59,15 @@
 	unreportedSum message.Resources
 	// knownCrash is the Number of the last crash of its upstream that was reported.
 	knownCrash uint64
-	// proving is the job of the last confined task that was offered to it, until provingUntil.
-	proving      *job
-	provingUntil time.Duration
+	// isolationRank is its rank among the agents that may run isolated tasks, and isolated is
+	// set if it is one of those that do.
+	isolationRank uint64
+	isolated      bool
+	// isolatedJob is the job of the isolated task that was last offered to it, at isolatedAt.
+	// Until aloneUntil, it gets no tasks of other jobs than aloneJob. Until retryAt it gets no
+	// tasks, and until aloneRetryAt none that must start alone, since it has refused one.
+	isolatedJob, aloneJob                         *job
+	isolatedAt, aloneUntil, retryAt, aloneRetryAt time.Duration
 	// dead is set at deadAt, when the agent's process was found to have ended.
 	dead bool
 	// heartbeatSentAt is when the last heartbeat was sent to the agent.
@@ -81,7 +88,8 @@
 	}
 	a := &agent{
 		ref: e.Agent, domain: e.Domain, lastHeartbeatAt: c.now.Mono, lastMessageAt: c.now.Mono, idleInterval: lease.HeartbeatInterval,
-		openOffers: make(map[uint64]*task), revokedAt: make(map[uint64]time.Duration), unreported: make(map[uint64]message.Resources),
+		isolationRank: rendezvous.Rank(isolationKey, e.Agent.ID),
+		openOffers:    make(map[uint64]*task), revokedAt: make(map[uint64]time.Duration), unreported: make(map[uint64]message.Resources),
 	}
 	c.agents[a.ref] = a
 	i, _ := slices.BinarySearchFunc(c.sortedAgents, a, func(x, y *agent) int { return compareRefs(x.ref, y.ref) })
--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -12,6 +12,7 @@
 	reasonDeadline     = "deadline_passed"
 	reasonAttemptsUsed = "attempts_used_up"
 	reasonCrashes      = "upstreams_crashed"
+	reasonConfined     = "route_confined"
 	reasonCallerGone   = "caller_gone"
 	reasonCancelled    = "cancelled"
 	reasonPaused       = "process_was_paused"
--- a/core/dispatch/completion.go
+++ b/core/dispatch/completion.go
@@ -50,7 +50,7 @@
 	}
 	delete(c.openOffers, e.Seq)
 	delete(a.openOffers, e.Seq)
-	a.endProving()
+	a.endAlone()
 	id := t.job.spec.ID
 	switch e.Result {
 	case message.RunDone:
@@ -89,7 +89,9 @@
 // handleRefusal requeues a task that the agent has refused to start.
 func (c *Core) handleRefusal(t *task, a *agent, reason message.RefuseReason) {
 	t.starts--
-	if reason != message.RefusedNoCapacity && reason != message.RefusedStopping {
+	if reason == message.RefusedProving {
+		c.recordProving(t, a)
+	} else if reason != message.RefusedNoCapacity && reason != message.RefusedStopping {
 		t.avoidAgent(a.ref.ID)
 	}
 	j := t.job
--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -7,20 +7,13 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
-	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/containment"
-	"github.com/dogwoodgauge/dogwoodgauge/core/rendezvous"
 )
 
 const (
-	// isolationDivisor is the number of upstreams of a service for each one that runs
-	// suspect tasks.
-	isolationDivisor = 4
-	// provingTime is how long after the offer of a suspect task its upstream gets no tasks of
-	// other jobs: the time within which the task is a suspect, and that of the start.
-	provingTime = containment.StartWindow + 20*time.Millisecond
-	// isolationKey is the key by which all dispatchers rank agents alike.
-	isolationKey = "isolation"
+	// contentionTime is how long after the refusal of a job of a confined route the isolated
+	// upstreams count as contended.
+	contentionTime = time.Second
 	// maxLoggedRuns limits the runs that the log line of a crash lists.
 	maxLoggedRuns = 6
 )
@@ -35,15 +28,39 @@
 		}
 		a.knownCrash = crash.Number
 		c.stats.Crashes++
-		c.placementNeeded = true
+		findings := c.crashes.Record(c.now.Mono, a.info.Service, crash)
 		c.logEvent("upstream_crashed", "", "agent", a.ref.String(), "crash", crash.Number, "runs", len(crash.Runs),
-			"last_started", describeRuns(crash.Runs))
-		for _, name := range c.crashes.Record(c.now.Mono, crash) {
-			c.logEvent("task_condemned", name.Job, "task", name.String(), "agent", a.ref.String(), "open", c.byID[name.Job] != nil)
+			"last_started", describeRuns(crash.Runs), "blamed", fmt.Sprint(findings.Blamed[:min(len(findings.Blamed), maxLoggedRuns)]))
+		c.refreshIsolation()
+		c.logFindings(a, findings)
+		for _, name := range findings.Condemned {
 			if j, ok := c.byID[name.Job]; ok {
 				c.answerJob(j, Failed, reasonCrashes, 0)
 			}
 		}
+		c.placementNeeded = true
+	}
+}
+
+func (c *Core) logFindings(a *agent, f containment.Findings) {
+	for _, name := range f.Condemned {
+		c.logEvent("task_condemned", name.Job, "task", name.String(), "agent", a.ref.String(), "open", c.byID[name.Job] != nil)
+	}
+	for _, route := range f.Confined {
+		var agents []string
+		for _, o := range c.sortedAgents {
+			if o.isolated && o.info.Service == a.info.Service {
+				agents = append(agents, string(o.ref.ID))
+			}
+		}
+		c.logEvent("route_confined", "", "route", route, "service", a.info.Service, "agents", strings.Join(agents, " "))
+	}
+	c.logReleased(f.Released)
+}
+
+func (c *Core) logReleased(routes []string) {
+	for _, route := range routes {
+		c.logEvent("route_released", "", "route", route)
 	}
 }
 
@@ -56,113 +73,47 @@
 	return strings.TrimSpace(b.String())
 }
 
-// isolationGroup identifies upstreams that can stand in for each other.
-type isolationGroup struct{ service, label string }
-
-// isolated reports whether an agent is among those that run the suspect tasks of a group.
-func (c *Core) isolated(a *agent, g isolationGroup) bool {
-	set, ok := c.isolation[g]
-	if !ok {
-		set = c.isolationSet(g)
-		c.isolation[g] = set
-	}
-	return slices.Contains(set, a.ref.ID)
-}
-
-// isolationSet returns the agents of a group that run suspect tasks: those with the highest
-// ranks in a fixed order. An agent whose upstream is down stays among them, so that
-// crashes do not pass on to the others.
-func (c *Core) isolationSet(g isolationGroup) []node.ID {
-	if g.label != "" {
-		if set := c.withLabel(c.isolationSet(isolationGroup{service: g.service}), g.label); len(set) > 0 {
-			return set
-		}
-	}
-	var ids []node.ID
-	for _, a := range c.sortedAgents {
-		if a.info.Service == g.service && hasLabel(a, g.label) && !a.dead && !a.suspect && !c.site.IsDomainOut(a.info.Domain) {
-			ids = append(ids, a.ref.ID)
-		}
-	}
-	ids = slices.Compact(ids)
-	slices.SortFunc(ids, func(x, y node.ID) int {
-		if rendezvous.Rank(isolationKey, x) > rendezvous.Rank(isolationKey, y) {
-			return -1
-		}
-		return 1
+// suspectJob reports whether an unplaced task of the job may have crashed an upstream.
+func (c *Core) suspectJob(j *job) bool {
+	return c.crashes.Active() && slices.ContainsFunc(j.tasks, func(t *task) bool {
+		return t.state == unplaced && c.crashes.Verdict(t.name()) == containment.Suspect
 	})
-	return ids[:(len(ids)+isolationDivisor-1)/isolationDivisor]
 }
 
-// withLabel returns the agents whose upstreams have a label.
-func (c *Core) withLabel(ids []node.ID, label string) []node.ID {
-	var list []node.ID
-	for _, a := range c.sortedAgents {
-		if hasLabel(a, label) && slices.Contains(ids, a.ref.ID) {
-			list = append(list, a.ref.ID)
-		}
-	}
-	return list
-}
-
-// confined reports whether a task may only run on isolated upstreams.
-func (c *Core) confined(t *task) bool {
-	return c.crashes.Verdict(t.name()) != containment.Clear
+// routeConfined reports whether the route of a job is confined.
+func (c *Core) routeConfined(j *job) bool {
+	return c.crashes.RouteConfined(c.now.Mono, j.spec.Route.Name)
 }
 
-// allowed reports whether the crashes permit t on the agent: a confined task only on an
-// isolated one that proves no other job, any other task on those that prove none.
-func (c *Core) allowed(t *task, a *agent) bool {
-	if !c.crashes.Active() {
-		return true
-	}
-	if proving := c.provingJob(a); proving != nil && proving != t.job {
+// confinedOut reports whether a job of a confined route cannot be served soon: no isolated
+// upstream is up, or as many jobs as there are such upstreams wait for their first start.
+func (c *Core) confinedOut(j *job) bool {
+	if !c.routeConfined(j) {
 		return false
 	}
-	return !c.confined(t) || c.isolated(a, isolationGroup{t.job.spec.Route.Service, t.stepSpec().RequiredLabel})
-}
-
-// provingJob returns the job whose suspect tasks have just been started by the agent, or
-// nil. If the upstream crashes now, no other job is to blame.
-func (c *Core) provingJob(a *agent) *job {
-	if a.proving != nil && c.now.Mono < a.provingUntil {
-		return a.proving
-	}
-	return nil
-}
-
-// recordConfinedOffer begins the proving time of a confined task.
-func (c *Core) recordConfinedOffer(t *task, a *agent) {
-	a.proving, a.provingUntil = t.job, c.now.Mono+provingTime
-	c.provingEndsAt = max(c.provingEndsAt, a.provingUntil)
-}
-
-// endProving ends the proving time of an agent once the tasks of the job there have
-// completed.
-func (a *agent) endProving() {
-	for _, t := range a.openOffers {
-		if t.job == a.proving {
-			return
+	service, waiting := j.spec.Route.Service, 0
+	for _, o := range c.waiting {
+		if !o.mayHaveRun && o.spec.Route.Service == service && c.routeConfined(o) {
+			waiting++
 		}
 	}
-	a.proving = nil
+	return waiting >= c.isolatedUsable(service)
 }
 
-// updateContainment drops what is outdated in the state that depends on crashes.
-func (c *Core) updateContainment() {
-	clear(c.isolation)
+// giveUpConfined gives up jobs of confined routes that wait: those of which no task may have
+// run, once no isolated upstream is up, and suspects, while other jobs of confined routes
+// are refused. Starting a suspect again would cost those more than it can gain.
+func (c *Core) giveUpConfined() {
 	if !c.crashes.Active() {
 		return
 	}
-	c.crashes.Expire(c.now.Mono)
-	if c.provingEndsAt > 0 && c.now.Mono >= c.provingEndsAt {
-		c.provingEndsAt, c.placementNeeded = 0, true
+	contended := c.confinedRefusedAt > 0 && c.now.Mono-c.confinedRefusedAt < contentionTime
+	for _, j := range slices.Clone(c.waiting) {
+		if !c.routeConfined(j) {
+			continue
+		}
+		if contended && c.suspectJob(j) || !j.mayHaveRun && c.isolatedUsable(j.spec.Route.Service) == 0 {
+			c.giveUp(j, reasonConfined)
+		}
 	}
 }
-
-// suspectJob reports whether an unplaced task of the job may have crashed an upstream.
-func (c *Core) suspectJob(j *job) bool {
-	return c.crashes.Active() && slices.ContainsFunc(j.tasks, func(t *task) bool {
-		return t.state == unplaced && c.crashes.Verdict(t.name()) == containment.Suspect
-	})
-}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -76,11 +76,12 @@
 	// agentsCheckedAt is when the agents were last checked for unresponsive ones.
 	agentsCheckedAt time.Duration
 	faults          *quarantine.Detector
-	// crashes holds the recent crashes of upstreams, isolation the agents that run the tasks
-	// that may have caused them, and provingEndsAt the last agent.provingUntil.
-	crashes       *containment.Tracker
-	isolation     map[isolationGroup][]node.ID
-	provingEndsAt time.Duration
+	// crashes holds the recent crashes of upstreams, and isolation which agents run the tasks
+	// that may have caused them.
+	crashes   *containment.Tracker
+	isolation isolationState
+	// confinedRefusedAt is when a job of a confined route was last refused, or zero.
+	confinedRefusedAt time.Duration
 	// placementNeeded is set when a new placement may place tasks that the last one could
 	// not place.
 	placementNeeded bool
@@ -131,7 +132,7 @@
 		openOffers: make(map[uint64]*task),
 		faults:     quarantine.New(),
 		crashes:    containment.New(),
-		isolation:  make(map[isolationGroup][]node.ID),
+		isolation:  newIsolationState(),
 
 		domainDoubtedAt: make(map[string]time.Duration),
 	}
@@ -158,9 +159,10 @@
 	c.checkAgents()
 	c.updateKnownWorkers()
 	c.checkDeadlines()
-	c.updateContainment()
+	c.updateIsolation()
 	c.place()
 	c.refuseInfeasible()
+	c.giveUpConfined()
 	c.notifyWaiting()
 	c.reportOverload()
 	if c.draining && len(c.jobs) == 0 {
@@ -286,8 +288,8 @@
 	if due, ok := c.deadlines.Next(); ok {
 		at = min(at, due)
 	}
-	if c.provingEndsAt > 0 {
-		at = min(at, c.provingEndsAt)
+	if c.crashes.Active() && len(c.waiting) > 0 {
+		at = min(at, c.isolation.refreshedAt+isolationRefresh)
 	}
 	return max(at, c.now.Mono+time.Millisecond)
 }
--- /dev/null
+++ b/core/dispatch/isolation.go
@@ -0,0 +1,203 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/containment"
+)
+
+const (
+	// isolationDivisor is the number of upstreams of a service for each one that runs
+	// isolated tasks.
+	isolationDivisor = 4
+	// isolationKey is the key by which all dispatchers rank agents alike.
+	isolationKey = "isolation"
+	// isolationRefresh is how often the isolated upstreams are chosen again, and the waiting
+	// tasks placed: time alone may permit what the last placement did not.
+	isolationRefresh = 20 * time.Millisecond
+	// provingTime is how long after the offer of a suspect task its upstream gets no tasks of
+	// other jobs: the time within which the task is a suspect, and that of the start.
+	provingTime = containment.StartWindow + 20*time.Millisecond
+	// provingRetry is the pause after an agent has refused a task because an isolated task of
+	// another dispatcher had just started there.
+	provingRetry = 20 * time.Millisecond
+)
+
+// labelGroup identifies the upstreams of a service that have a label.
+type labelGroup struct{ service, label string }
+
+// isolationState is the part of a dispatcher's state that depends on crashes of upstreams.
+type isolationState struct {
+	refreshedAt time.Duration
+	// reserved holds the services whose isolated upstreams are kept for confined routes.
+	reserved map[string]bool
+	// byLabel holds the isolated agents of label groups that have none of those of their
+	// service. It is filled on demand.
+	byLabel map[labelGroup][]*agent
+}
+
+func newIsolationState() isolationState {
+	return isolationState{reserved: make(map[string]bool), byLabel: make(map[labelGroup][]*agent)}
+}
+
+// updateIsolation drops what is outdated in the state that depends on crashes.
+func (c *Core) updateIsolation() {
+	if !c.crashes.Active() {
+		return
+	}
+	if released := c.crashes.Expire(c.now.Mono); len(released) > 0 {
+		c.placementNeeded = true
+		c.logReleased(released)
+	}
+	if c.now.Mono-c.isolation.refreshedAt >= isolationRefresh {
+		c.refreshIsolation()
+		c.placementNeeded = true
+	}
+}
+
+// refreshIsolation chooses the isolated upstreams of each service: a share of those with the
+// highest ranks. An upstream that is down stays among them, so that crashes do not pass on
+// to the others.
+func (c *Core) refreshIsolation() {
+	c.isolation.refreshedAt = c.now.Mono
+	clear(c.isolation.byLabel)
+	clear(c.isolation.reserved)
+	services := make(map[string][]*agent)
+	for _, a := range c.sortedAgents {
+		a.isolated = false
+		if c.mayIsolate(a) {
+			services[a.info.Service] = append(services[a.info.Service], a)
+		}
+	}
+	for service, agents := range services {
+		confined := c.crashes.ServiceConfined(c.now.Mono, service)
+		for _, a := range c.isolatedAmong(agents, !confined) {
+			a.isolated = true
+		}
+		// The isolated upstreams are of use to all routes while no other can get work.
+		c.isolation.reserved[service] = confined &&
+			slices.ContainsFunc(agents, func(a *agent) bool { return !a.isolated && c.expectedUsable(a) })
+	}
+}
+
+// isolatedAmong returns those of the agents that run isolated tasks. If none of them can get
+// work, it adds the next one that can if extend is set: no route is confined, so the
+// isolated tasks are few.
+func (c *Core) isolatedAmong(agents []*agent, extend bool) []*agent {
+	ranked := slices.Clone(agents)
+	slices.SortFunc(ranked, func(a, b *agent) int {
+		return cmp.Or(cmp.Compare(b.isolationRank, a.isolationRank), compareRefs(a.ref, b.ref))
+	})
+	count := (len(ranked) + isolationDivisor - 1) / isolationDivisor
+	if i := slices.IndexFunc(ranked, c.expectedUsable); extend && i >= count {
+		return append(ranked[:count:count], ranked[i])
+	}
+	return ranked[:count]
+}
+
+// mayIsolate reports whether an agent can be among those that run isolated tasks.
+func (c *Core) mayIsolate(a *agent) bool {
+	return !a.dead && !a.suspect && !c.site.IsDomainOut(a.info.Domain)
+}
+
+// isolatedUsable returns the number of isolated upstreams of the service that can get work.
+func (c *Core) isolatedUsable(service string) int {
+	n := 0
+	for _, a := range c.sortedAgents {
+		if a.isolated && a.info.Service == service && c.expectedUsable(a) {
+			n++
+		}
+	}
+	return n
+}
+
+// isolatedFor reports whether an agent runs the isolated tasks that require a label.
+func (c *Core) isolatedFor(a *agent, g labelGroup) bool {
+	if g.label == "" {
+		return a.isolated
+	}
+	group, ok := c.isolation.byLabel[g]
+	if !ok {
+		for _, o := range c.sortedAgents {
+			if o.info.Service == g.service && hasLabel(o, g.label) && c.mayIsolate(o) {
+				group = append(group, o)
+			}
+		}
+		if isolated := slices.DeleteFunc(slices.Clone(group), func(o *agent) bool { return !o.isolated }); len(isolated) > 0 {
+			group = isolated
+		} else {
+			group = c.isolatedAmong(group, !c.crashes.ServiceConfined(c.now.Mono, g.service))
+		}
+		c.isolation.byLabel[g] = group
+	}
+	return slices.Contains(group, a)
+}
+
+// isolationOf returns the isolation of the offers of a task.
+func (c *Core) isolationOf(t *task) message.Isolation {
+	switch {
+	case !c.crashes.Active():
+		return message.NotIsolated
+	case c.crashes.Verdict(t.name()) != containment.Clear:
+		return message.Alone
+	case c.routeConfined(t.job):
+		return message.Isolated
+	default:
+		return message.NotIsolated
+	}
+}
+
+// allowed reports whether the crashes permit a task of this isolation on the agent: an
+// isolated task only on an isolated upstream, any other task on those that no confined route
+// needs. No task may follow one that starts alone.
+func (c *Core) allowed(t *task, isolation message.Isolation, a *agent) bool {
+	if !c.crashes.Active() {
+		return true
+	}
+	if a.aloneJob != nil && a.aloneJob != t.job && c.now.Mono < a.aloneUntil || c.now.Mono < a.retryAt {
+		return false
+	}
+	if isolation == message.NotIsolated {
+		return !a.isolated || !c.isolation.reserved[a.info.Service]
+	}
+	if isolation == message.Alone && (c.now.Mono < a.aloneRetryAt || a.isolatedJob != t.job && c.now.Mono < a.isolatedAt+provingTime) {
+		return false
+	}
+	return c.isolatedFor(a, labelGroup{t.job.spec.Route.Service, t.stepSpec().RequiredLabel})
+}
+
+// recordIsolatedOffer records the offer of an isolated task.
+func (c *Core) recordIsolatedOffer(t *task, a *agent, isolation message.Isolation) {
+	a.isolatedJob, a.isolatedAt = t.job, c.now.Mono
+	if isolation == message.Alone {
+		a.aloneJob, a.aloneUntil = t.job, c.now.Mono+provingTime
+	}
+}
+
+// recordProving records that an agent has refused t since an isolated task of another
+// dispatcher has just started there.
+func (c *Core) recordProving(t *task, a *agent) {
+	retryAt := c.now.Mono + provingRetry
+	if c.isolationOf(t) == message.Alone {
+		a.aloneRetryAt = retryAt
+	} else {
+		a.retryAt = retryAt
+	}
+}
+
+// endAlone ends the time in which other tasks are kept from an agent, once the tasks of the
+// job that started alone there have completed.
+func (a *agent) endAlone() {
+	if a.aloneJob == nil {
+		return
+	}
+	for _, t := range a.openOffers {
+		if t.job == a.aloneJob {
+			return
+		}
+	}
+	a.aloneJob = nil
+}
--- /dev/null
+++ b/core/dispatch/isolation_test.go
@@ -0,0 +1,228 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/site"
+)
+
+// crash lets an agent report that its upstream has crashed right after it had started the
+// first tasks of these jobs, all of the route, and that it is down.
+func (b *testBed) crash(agent int, route string, jobs ...string) {
+	b.t.Helper()
+	a := b.core.agents[ref(agent)]
+	x := message.Crash{Number: a.knownCrash + 1}
+	for _, j := range jobs {
+		x.Runs = append(x.Runs, message.CrashedRun{Task: message.TaskName{Job: j}, Route: route, Age: 10 * time.Millisecond})
+	}
+	b.receive(agent, message.Message{Heartbeat: &message.Heartbeat{
+		Timestamp: b.now, Revision: 1, Crashes: []message.Crash{x}, Capacity: &message.CapacityReport{Version: uint64(b.now), InfoVersion: 1},
+	}})
+	for _, t := range a.openOffers {
+		b.complete(message.Offer{Seq: t.seq}, message.RunLost, message.LostUpstreamCrashed)
+	}
+}
+
+// confine lets two jobs of the route crash two upstreams each, and returns the isolated
+// agents.
+func (b *testBed) confine(route string) []node.ID {
+	b.t.Helper()
+	for i, job := range []string{"bad1", "bad2"} {
+		b.crash(2*i, route, job)
+		b.now += 100 * time.Millisecond
+		b.crash(2*i+1, route, job)
+		b.now += 100 * time.Millisecond
+	}
+	if !b.core.crashes.RouteConfined(b.now, route) {
+		b.t.Fatalf("route %s is not confined after the crashes of two jobs", route)
+	}
+	return b.isolated()
+}
+
+func (b *testBed) isolated() []node.ID {
+	var list []node.ID
+	for _, a := range b.core.sortedAgents {
+		if a.isolated {
+			list = append(list, a.ref.ID)
+		}
+	}
+	return list
+}
+
+// submitOn submits a job of a route, whose tasks have one core each, and returns its call.
+func (b *testBed) submitOn(route, id string, tasks int, label string) uint64 {
+	b.calls++
+	b.step(Submit{Call: b.calls, Job: Job{
+		ID: id, Wait: 1500 * time.Millisecond,
+		Route: &site.Route{Name: route, Service: "s", MaxAttempts: 2, Stretch: 1.6, Margin: 60 * time.Millisecond},
+		Steps: []Step{{Count: tasks, Demand: message.Resources{MilliCPU: oneCore}, Estimate: 60 * time.Millisecond, RequiredLabel: label}},
+	}})
+	return b.calls
+}
+
+// offeredAgents returns the agents of the offers since the last call, without repetitions.
+func (b *testBed) offeredAgents() []node.ID {
+	var list []node.ID
+	for _, o := range b.takeOffers() {
+		list = append(list, b.offeredTo[o.Seq])
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// TestConfinedRouteKeepsToItsUpstreams guards against a route whose tasks crash upstreams
+// all over the fleet, and against tasks of other routes beside them.
+func TestConfinedRouteKeepsToItsUpstreams(t *testing.T) {
+	const agents = 12
+	b := newTestBed(t)
+	b.connectAgents(agents, 10)
+	isolated := b.confine("bad")
+	if len(isolated) != agents/isolationDivisor {
+		t.Fatalf("isolated agents %v, want a share of 1/%d of %d", isolated, isolationDivisor, agents)
+	}
+	b.reportIdle(agents, 10)
+	b.submitOn("other", "o", 60, "")
+	for _, id := range b.offeredAgents() {
+		if slices.Contains(isolated, id) {
+			t.Errorf("a task of another route was offered to %s, which is isolated", id)
+		}
+	}
+	b.submitOn("bad", "b", 6, "")
+	offered := b.offeredAgents()
+	for _, id := range offered {
+		if !slices.Contains(isolated, id) {
+			t.Errorf("a task of the confined route was offered to %s, want only %v", id, isolated)
+		}
+	}
+	if len(offered) != 1 {
+		t.Errorf("the tasks of the confined job were offered to %v, want them together on one", offered)
+	}
+}
+
+// TestConfinedRouteIsRefusedAtOnce checks that jobs of a confined route do not wait for
+// upstreams that are down, neither new ones nor those that wait already, and that other
+// routes are served.
+func TestConfinedRouteIsRefusedAtOnce(t *testing.T) {
+	const agents = 12
+	b := newTestBed(t)
+	b.connectAgents(agents, 1)
+	isolated := b.confine("bad")
+	b.reportIdle(agents, 1)
+	b.submitOn("bad", "running", len(isolated), "")
+	waiting := b.submitOn("bad", "waiting", 1, "")
+	if a, answered := b.answers[waiting]; answered {
+		t.Fatalf("the waiting job was answered with %+v while isolated upstreams are up", a)
+	}
+	for i := range agents {
+		if slices.Contains(isolated, ref(i).ID) {
+			b.crash(i, "bad", fmt.Sprintf("next%d", i))
+		}
+	}
+	late := b.submitOn("bad", "late", 1, "")
+	for name, call := range map[string]uint64{"waiting": waiting, "late": late} {
+		if a := b.answers[call]; a.Outcome != Refused || a.Reason != reasonConfined || a.RetryAfter == 0 {
+			t.Errorf("%s job: answered with %+v, want it refused at once with a retry delay", name, a)
+		}
+	}
+	b.takeOffers()
+	b.submitOn("other", "o", 1, "")
+	if len(b.takeOffers()) != 1 {
+		t.Error("the job of another route was not placed")
+	}
+}
+
+// TestSuspectStartsAlone checks that a suspect is offered to an isolated upstream that gets
+// no other job until the suspect has completed.
+func TestSuspectStartsAlone(t *testing.T) {
+	const agents = 4 // One of them is isolated.
+	b := newTestBed(t)
+	b.connectAgents(agents, 10)
+	b.submitOn("r", "suspect", 1, "")
+	first := b.takeOffers()[0]
+	at := slices.IndexFunc([]int{0, 1, 2, 3}, func(i int) bool { return ref(i).ID == b.offeredTo[first.Seq] })
+	b.crash(at, "r", "suspect", "beside")
+	offers := b.takeOffers()
+	if len(offers) != 1 || offers[0].Isolation != message.Alone || !slices.Contains(b.isolated(), b.offeredTo[offers[0].Seq]) {
+		t.Fatalf("got offers %+v, want one that starts alone on one of %v", offers, b.isolated())
+	}
+	alone := b.offeredTo[offers[0].Seq]
+	b.submitOn("r", "other", 20, "")
+	if ids := b.offeredAgents(); slices.Contains(ids, alone) {
+		t.Errorf("tasks of another job were offered to %s, where a suspect has just started", alone)
+	}
+	b.complete(offers[0], message.RunDone, "")
+	b.submitOn("r", "third", 9, "")
+	if ids := b.offeredAgents(); !slices.Contains(ids, alone) {
+		t.Errorf("tasks were offered to %v, want %s too after the suspect has completed", ids, alone)
+	}
+}
+
+// TestJobOfCondemnedTaskFails checks that the job is answered as soon as its task is
+// condemned, and again when its caller submits it again.
+func TestJobOfCondemnedTaskFails(t *testing.T) {
+	b := newTestBed(t)
+	b.connectAgents(8, 10)
+	call := b.submitOn("r", "bad", 1, "")
+	b.crash(0, "r", "bad")
+	b.now += 20 * time.Millisecond
+	b.crash(1, "r", "bad")
+	if a := b.answers[call]; a.Outcome != Failed || a.Reason != reasonCrashes {
+		t.Errorf("answered with %+v, want failed", a)
+	}
+	b.takeOffers()
+	again := b.submitOn("r", "bad", 1, "")
+	if a := b.answers[again]; a.Outcome != Failed || len(b.takeOffers()) != 0 {
+		t.Errorf("submitted again: answered with %+v, want failed without another offer", a)
+	}
+}
+
+// TestIsolatedLabelGroup checks that confined tasks run on the upstreams that have their
+// label, even if none of the isolated upstreams of the service has it.
+func TestIsolatedLabelGroup(t *testing.T) {
+	const agents = 12
+	b := newTestBed(t)
+	b.connectAgents(agents, 10)
+	isolated := b.confine("bad")
+	b.reportIdle(agents, 10)
+	labelled := slices.IndexFunc(slices.Collect(func(yield func(node.ID) bool) {
+		for i := range agents {
+			if !yield(ref(i).ID) {
+				return
+			}
+		}
+	}), func(id node.ID) bool { return !slices.Contains(isolated, id) })
+	b.receive(labelled, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now, Revision: 1, Capacity: &message.CapacityReport{
+		Version: uint64(b.now) + 1, Ready: true, InfoVersion: 2,
+		Info: &message.UpstreamInfo{Service: "s", Labels: []string{"rare"}, Capacity: message.Resources{MilliCPU: 10 * oneCore}},
+	}}})
+	b.submitOn("bad", "b", 1, "rare")
+	if ids := b.offeredAgents(); !slices.Equal(ids, []node.ID{ref(labelled).ID}) {
+		t.Errorf("offered to %v, want %s, the only one with the label", ids, ref(labelled).ID)
+	}
+}
+
+// TestIsolatedUpstreamsServeAllAlone checks that the isolated upstreams run the tasks of all
+// routes while no other upstream can get work.
+func TestIsolatedUpstreamsServeAllAlone(t *testing.T) {
+	const agents = 8
+	b := newTestBed(t)
+	b.connectAgents(agents, 10)
+	isolated := b.confine("bad")
+	for i := range agents {
+		if up := slices.Contains(isolated, ref(i).ID); up {
+			b.receive(i, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now, Revision: 1, Capacity: &message.CapacityReport{Version: uint64(b.now) + 1, Ready: true, InfoVersion: 1}}})
+		} else {
+			b.receive(i, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now, Revision: 1, Capacity: &message.CapacityReport{Version: uint64(b.now) + 1, InfoVersion: 1}}})
+		}
+	}
+	b.advance(isolationRefresh)
+	b.submitOn("other", "o", 1, "")
+	if ids := b.offeredAgents(); len(ids) != 1 || !slices.Contains(isolated, ids[0]) {
+		t.Errorf("offered to %v, want one of %v", ids, isolated)
+	}
+}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -106,6 +106,9 @@
 		c.logEvent("job_refused", j.spec.ID, "request", j.spec.Request, "reason", reason, "route", j.spec.Route.Name, "open_jobs", len(c.jobs),
 			"agents", len(c.agents), "delay_ms", delay.Milliseconds(), "revision", c.site.Revision)
 		c.stats.Refusals++
+		if reason == reasonConfined {
+			c.confinedRefusedAt = c.now.Mono
+		}
 		c.out = append(c.out, Answer{
 			Call: j.call, Outcome: Refused, Reason: reason, RetryAfter: retry,
 			TryOtherDispatcher: reason == reasonOverloaded || reason == reasonNoUpstream,
@@ -188,6 +191,8 @@
 		return reasonTooManyJobs, transientRetryDelay
 	case c.draining && len(c.jobs) == 0:
 		return reasonDraining, transientRetryDelay
+	case c.confinedOut(j):
+		return reasonConfined, transientRetryDelay
 	}
 	for s := range j.spec.Steps {
 		known, fits := c.couldRun(j.spec.Route.Service, &j.spec.Steps[s])
--- a/core/dispatch/notify.go
+++ b/core/dispatch/notify.go
@@ -28,30 +28,30 @@
 	leastUrgent = math.MaxInt
 )
 
-// firstWaitingTask returns the first task that waits for capacity, or nil. Confined tasks
+// firstWaitingTask returns the first task that waits for capacity, or nil. Isolated tasks
 // come last, since most agents cannot run them.
 func (c *Core) firstWaitingTask() *task {
-	var firstConfined *task
+	var firstIsolated *task
 	for _, j := range c.waiting {
 		t := j.firstUnplaced()
 		if t == nil {
 			continue
 		}
-		if !c.crashes.Active() || !c.confined(t) {
+		if c.isolationOf(t) == message.NotIsolated {
 			return t
 		}
-		if firstConfined == nil {
-			firstConfined = t
+		if firstIsolated == nil {
+			firstIsolated = t
 		}
 	}
-	return firstConfined
+	return firstIsolated
 }
 
 // firstWaitingOn returns the first task that waits for capacity and is allowed on the agent,
 // or nil.
 func (c *Core) firstWaitingOn(a *agent) *task {
 	for _, j := range c.waiting {
-		if t := j.firstUnplaced(); t != nil && c.allowed(t, a) {
+		if t := j.firstUnplaced(); t != nil && c.allowed(t, c.isolationOf(t), a) {
 			return t
 		}
 	}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -17,6 +17,9 @@
 	// affinityBonus is added to the score of an agent whose upstream has the label in
 	// Step.PreferredLabel. On other upstreams the task takes up to twice as long.
 	affinityBonus = 0.75
+	// togetherBonus keeps the isolated tasks of a job together, so that a crash takes few jobs
+	// along.
+	togetherBonus = 2.0
 	// avoidPenalty ranks the agents that the task avoids behind all others.
 	avoidPenalty = 4.0
 	// maxTooSlowRuns is how often a task moves to another upstream for lack of progress. A
@@ -155,7 +158,7 @@
 				continue
 			}
 			best := c.chooseCandidate(t, candidates)
-			if best == nil && c.confined(t) {
+			if best == nil && c.isolationOf(t) != message.NotIsolated {
 				continue // Others of its tasks may run elsewhere.
 			}
 			if best == nil {
@@ -179,14 +182,14 @@
 func (c *Core) chooseCandidate(t *task, candidates []candidate) *candidate {
 	var best *candidate
 	var bestScore float64
-	demand := t.stepSpec().Demand
+	demand, isolation := t.stepSpec().Demand, c.isolationOf(t)
 	c.stats.AgentsExamined += uint64(len(candidates))
 	for i := range candidates {
 		o := &candidates[i]
-		if !demand.Fits(o.free) || !eligible(t, o.agent) || !c.allowed(t, o.agent) {
+		if !demand.Fits(o.free) || !eligible(t, o.agent) || !c.allowed(t, isolation, o.agent) {
 			continue
 		}
-		if score := c.score(t, o.agent, o.free); best == nil || score > bestScore {
+		if score := c.score(t, o.agent, o.free, isolation != message.NotIsolated); best == nil || score > bestScore {
 			best, bestScore = o, score
 		}
 	}
@@ -213,7 +216,7 @@
 
 // score rates an agent that has enough free capacity; the highest score is chosen. It is
 // the share of free capacity, plus the bonuses, minus the penalty if t avoids the agent.
-func (c *Core) score(t *task, a *agent, free message.Resources) float64 {
+func (c *Core) score(t *task, a *agent, free message.Resources, isolated bool) float64 {
 	score := float64(free.MilliCPU) / float64(max(a.info.Capacity.MilliCPU, 1))
 	if a.info.Domain == c.cfg.Domain {
 		score += sameDomainBonus
@@ -224,6 +227,9 @@
 	if slices.Contains(t.avoided, a.ref.ID) {
 		score -= avoidPenalty
 	}
+	if isolated && a.isolatedJob == t.job {
+		score += togetherBonus
+	}
 	return score
 }
 
@@ -240,15 +246,16 @@
 	}
 	c.openOffers[t.seq] = t
 	a.openOffers[t.seq] = t
-	if c.confined(t) {
-		c.recordConfinedOffer(t, a)
+	isolation := c.isolationOf(t)
+	if isolation != message.NotIsolated {
+		c.recordIsolatedOffer(t, a, isolation)
 	}
 	a.addUnreported(t.seq, t.stepSpec().Demand)
 	c.faults.RecordSent(c.now.Mono, a.ref.ID)
 	c.stats.Offers++
 	c.logEvent("task_offered", t.job.spec.ID, "task", t.name().String(), "seq", t.seq, "run", t.starts, "agent", a.ref.String(),
 		"room_version", a.lastReport.Version, "heard_ms_ago", (c.now.Mono - a.lastHeartbeatAt).Milliseconds(),
-		"waited_ms", (c.now.Mono - t.job.arrivedAt).Milliseconds())
+		"waited_ms", (c.now.Mono - t.job.arrivedAt).Milliseconds(), "isolation", isolation.String())
 	c.sendOffer(t)
 }
 
@@ -261,7 +268,7 @@
 	}
 	t.agent.lastOfferAt = c.now.Mono
 	c.send(t.agent.ref, message.Message{Offer: &message.Offer{
-		Seq: t.seq, Task: t.name(), RunNumber: t.starts, Service: t.job.spec.Route.Service, Route: t.job.spec.Route.Name, Spec: t.job.spec.Spec,
+		Seq: t.seq, Task: t.name(), RunNumber: t.starts, Service: t.job.spec.Route.Service, Route: t.job.spec.Route.Name, Isolation: c.isolationOf(t), Spec: t.job.spec.Spec,
 		Demand: spec.Demand, ExpectedDuration: expected, EchoedTimestamp: t.agent.lastTimestamp, EchoAge: c.now.Mono - t.agent.lastHeartbeatAt,
 		FirstWaiting: c.firstWaiting(t.agent),
 	}})
--- a/core/leasemodel/load_test.go
+++ b/core/leasemodel/load_test.go
@@ -42,6 +42,13 @@
 // outcomes counts the jobs of a kind by outcome.
 type outcomes struct{ onTime, late, refused, lost int }
 
+func (o *outcomes) add(other *outcomes) {
+	o.onTime += other.onTime
+	o.late += other.late
+	o.refused += other.refused
+	o.lost += other.lost
+}
+
 func (o outcomes) onTimeShare() float64 {
 	return float64(o.onTime) / float64(max(o.onTime+o.late+o.refused+o.lost, 1))
 }
--- a/core/lessee/crash.go
+++ b/core/lessee/crash.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/containment"
 )
 
 const (
@@ -56,6 +57,18 @@
 	}
 }
 
+// proves reports whether an isolated run of another job excludes the offer: if the upstream
+// crashed, either could be to blame.
+func (c *Core) proves(m *message.Offer) bool {
+	for _, r := range c.runs {
+		excludes := r.isolation == message.Alone || m.Isolation == message.Alone && r.isolation == message.Isolated
+		if excludes && r.name.Job != m.Task.Job && c.now.Mono-r.acceptedAt <= containment.StartWindow {
+			return true
+		}
+	}
+	return false
+}
+
 // unknownCrashes returns the recent crashes that h has not acknowledged.
 func (c *Core) unknownCrashes(h *leaseHolder) []message.Crash {
 	var list []message.Crash
--- a/core/lessee/crash_test.go
+++ b/core/lessee/crash_test.go
@@ -97,3 +97,40 @@
 		t.Errorf("got ages %+v, want those at the last answer", runs)
 	}
 }
+
+// TestNothingStartsRightAfterAnAloneTask guards against a crash for which either of two
+// tasks, offered by two dispatchers, could be to blame.
+func TestNothingStartsRightAfterAnAloneTask(t *testing.T) {
+	b := newTestBed(t)
+	b.open()
+	offer := func(d node.Ref, job string, isolation message.Isolation) message.RefuseReason {
+		b.seq++
+		b.step(received(d, message.Message{Offer: &message.Offer{
+			Seq: b.seq, Task: message.TaskName{Job: job, Index: int(b.seq)}, RunNumber: 1, Service: "s",
+			Demand: message.Resources{MilliCPU: 100}, EchoedTimestamp: b.now, Isolation: isolation,
+		}}))
+		if e := b.lastCompletion(); e.Seq == b.seq {
+			return e.Reason
+		}
+		return ""
+	}
+	if got := offer(d0, "bad", message.Alone); got != "" {
+		t.Fatalf("refused with %q on an idle upstream", got)
+	}
+	if got := offer(d0, "bad", message.Alone); got != "" {
+		t.Errorf("refused another task of the same job with %q", got)
+	}
+	for _, isolation := range []message.Isolation{message.NotIsolated, message.Isolated, message.Alone} {
+		if got := offer(d1, "other", isolation); got != message.RefusedProving {
+			t.Errorf("offer with isolation %v right after a task that started alone: got %q, want %q", isolation, got, message.RefusedProving)
+		}
+	}
+	b.now += 200 * time.Millisecond
+	b.heartbeat(d0)
+	if got := offer(d1, "other", message.Isolated); got != "" {
+		t.Errorf("refused with %q long after the task that started alone", got)
+	}
+	if got := offer(d0, "bad2", message.Alone); got != message.RefusedProving {
+		t.Errorf("a task that must start alone right after an isolated one: got %q, want %q", got, message.RefusedProving)
+	}
+}
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -32,7 +32,10 @@
 	route  string
 	spec   string
 	demand message.Resources
-	state  runState
+	// isolation is Offer.Isolation, and acceptedAt when the offer was accepted.
+	isolation  message.Isolation
+	acceptedAt time.Duration
+	state      runState
 	// expectedDuration is the estimated duration, or zero if there is no estimate.
 	expectedDuration time.Duration
 	// stopReason is why the run is being stopped, if the completion reports the reason.
@@ -88,10 +91,15 @@
 		c.refuseOffer(h, m, message.RefusedNoCapacity)
 		return
 	}
+	if c.proves(m) {
+		c.refuseOffer(h, m, message.RefusedProving)
+		return
+	}
 	c.lastHandle++
 	r := &run{
 		handle: c.lastHandle, holder: h, seq: m.Seq, name: m.Task, number: m.RunNumber,
 		route: m.Route, spec: m.Spec, demand: m.Demand, expectedDuration: m.ExpectedDuration, startedAt: c.now.Mono,
+		isolation: m.Isolation, acceptedAt: c.now.Mono,
 	}
 	c.runs[r.handle] = r
 	c.runsByTask[r.name] = r
--- a/core/message/offer.go
+++ b/core/message/offer.go
@@ -20,6 +20,8 @@
 	Route  string    `json:"route,omitempty"`
 	Spec   string    `json:"spec,omitempty"`
 	Demand Resources `json:"need"`
+	// Isolation is set for a task that may crash its upstream.
+	Isolation Isolation `json:"iso,omitempty"`
 	// ExpectedDuration is the estimated duration of the task. The agent stops a run that
 	// takes several times as long, so that the task can run elsewhere. Zero disables the
 	// check.
@@ -33,6 +35,32 @@
 	FirstWaiting *WaitingTask `json:"wait,omitempty"`
 }
 
+// Isolation limits which other tasks may start on an upstream together with a task. If the
+// upstream crashes, the limits show which task is to blame.
+type Isolation uint8
+
+// The isolations of a task.
+const (
+	// NotIsolated: the task must not start right after an Alone task of another job.
+	NotIsolated Isolation = iota
+	// Isolated: the same, and no Alone task of another job starts right after it.
+	Isolated
+	// Alone: no task of another job starts right after it.
+	Alone
+)
+
+// String returns "none", "isolated" or "alone".
+func (i Isolation) String() string {
+	switch i {
+	case Isolated:
+		return "isolated"
+	case Alone:
+		return "alone"
+	default:
+		return "none"
+	}
+}
+
 // TaskName identifies a task in the whole fleet.
 type TaskName struct {
 	Job   string `json:"j"`
@@ -114,6 +142,8 @@
 	// RefusedTakenOver: the run continues for another dispatcher, to which the caller has
 	// submitted the job again.
 	RefusedTakenOver RefuseReason = "taken_over"
+	// RefusedProving: an isolated task of another job has just started.
+	RefusedProving RefuseReason = "other_isolated_task"
 	// LostUpstreamCrashed: the upstream crashed while the run was there.
 	LostUpstreamCrashed RefuseReason = "upstream_crashed"
 )
--- a/core/policy/containment/containment.go
+++ b/core/policy/containment/containment.go
@@ -1,12 +1,16 @@
 // Package containment decides, from reported crashes of upstreams, which tasks are given up
-// because upstreams crash under them.
+// because upstreams crash under them, and which routes are confined to a few upstreams
+// because such tasks keep coming with their jobs.
 //
 // The runs that were started right before a crash are its suspects. A crash has several of
-// them as a rule, so a task is given up only after a further crash in which it was a suspect
-// too. All dispatchers get the same reports and come to the same verdicts.
+// them as a rule, so a task is given up only after a further crash that it is blamed for.
+// All dispatchers get the same reports and come to the same verdicts.
 package containment
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
@@ -19,14 +23,36 @@
 	// memory is how long a crash counts against the tasks that were there: several times the
 	// pause before a caller submits a job again.
 	memory = 10 * time.Second
-	// maxCrashes is the number of crashes under a task after which it is given up in any
-	// case.
-	maxCrashes = 3
-	// blameThreshold is the sum of the shares of blame that a task under which two upstreams
-	// have crashed must exceed to be given up. Each crash is shared among the suspect jobs.
+	// confinement is how long a route is confined after the last crash that a task of it is
+	// blamed for: longer than an upstream takes to come back.
+	confinement = 10 * time.Second
+	// maxCrashes is the number of crashes under a task after which it is given up, whoever is
+	// to blame.
+	maxCrashes = 4
+	// blameThreshold is the sum of the shares of blame that a task must exceed to be given
+	// up. Each crash is shared among the blamed jobs, by halfLife.
 	blameThreshold = 1.0
-	// maxTasks limits the tasks that are remembered.
-	maxTasks = 16384
+	// halfLife is the age at which the share of a job's blame is half of that of a new one.
+	halfLife = 20 * time.Millisecond
+	// formerShare is the share of those that were blamed before, if others were started at
+	// about the same time.
+	formerShare = 0.8
+	// minShare is the least share of blame that makes a task a suspect.
+	minShare = 0.05
+	// A crash of which a route has relevantShare of the blame confines it or extends its
+	// confinement. To be confined, the sum of its shares must exceed confiningBlame and be
+	// confiningShare of the blame for all crashes, or tasks of confiningJobs jobs of it must
+	// have been condemned.
+	relevantShare  = 0.35
+	confiningBlame = 1.25
+	confiningShare = 0.6
+	confiningJobs  = 2
+	// sameEvent is the time within which crashes count as one towards the blame of routes: a
+	// failure of several hosts is no evidence against what they ran.
+	sameEvent = 50 * time.Millisecond
+	// maxTasks and maxCrashRecords limit what is remembered.
+	maxTasks        = 16384
+	maxCrashRecords = 512
 )
 
 // Verdict is what is known of a task.
@@ -49,15 +75,39 @@
 	order []entry
 	// condemnedJobs counts the condemned tasks of each job.
 	condemnedJobs map[string]int
+	// crashes holds the crashes that count towards the blame of routes, condemnations the
+	// condemned tasks, both in order of time.
+	crashes       []crashRecord
+	condemnations []condemnation
+	// confined holds the confined routes.
+	confined map[string]confinedRoute
 }
 
 // record is what is remembered of a task.
 type record struct {
-	// crashes counts the crashes that the task was there for, suspected those in which it
-	// was a suspect.
-	crashes, suspected int
-	blame              float64
-	lastAt             time.Duration
+	// crashes counts the crashes that the task was there for, blamed those that it is blamed
+	// for, alone or with others.
+	crashes, blamed int
+	blame           float64
+	lastAt          time.Duration
+}
+
+// crashRecord is what a crash counts towards the blame of routes.
+type crashRecord struct {
+	at time.Duration
+	// shares holds the shares of the routes, and jobs the blamed jobs.
+	shares map[string]float64
+	jobs   map[string]bool
+}
+
+type condemnation struct {
+	at         time.Duration
+	route, job string
+}
+
+type confinedRoute struct {
+	service string
+	until   time.Duration
 }
 
 type entry struct {
@@ -67,58 +117,194 @@
 
 // New returns a tracker without crashes.
 func New() *Tracker {
-	return &Tracker{tasks: make(map[message.TaskName]*record), condemnedJobs: make(map[string]int)}
+	return &Tracker{tasks: make(map[message.TaskName]*record), condemnedJobs: make(map[string]int), confined: make(map[string]confinedRoute)}
 }
 
 func (r *record) verdict() Verdict {
 	switch {
-	case r.crashes >= maxCrashes, r.suspected >= 2 && r.blame > blameThreshold:
+	case r.crashes >= maxCrashes, r.blamed >= 2 && r.blame > blameThreshold:
 		return Condemned
-	case r.suspected > 0:
+	case r.blamed > 0:
 		return Suspect
 	default:
 		return Clear
 	}
 }
 
-// Record records the crash of an upstream. It returns the tasks that are condemned because
-// of it.
-func (t *Tracker) Record(now time.Duration, crash *message.Crash) (condemned []message.TaskName) {
-	t.Expire(now)
-	suspects := suspects(crash.Runs)
-	jobs := make(map[string]bool)
-	for _, r := range suspects {
-		jobs[r.Task.Job] = true
-	}
-	for i, run := range crash.Runs {
+// Findings are the conclusions from a crash.
+type Findings struct {
+	// Blamed are the tasks that are blamed for the crash, and Condemned those that are given
+	// up because of it.
+	Blamed, Condemned []message.TaskName
+	// Confined are the names of the routes that are confined from now on.
+	Confined []string
+	// Released are the names of the routes whose confinement has proved to be wrong.
+	Released []string
+}
+
+// Record records the crash of an upstream of the service.
+func (t *Tracker) Record(now time.Duration, service string, crash *message.Crash) Findings {
+	t.expire(now)
+	var f Findings
+	candidates, former := t.candidates(now, crash.Runs)
+	shares := shareBlame(candidates, former)
+	x := crashRecord{at: now, shares: make(map[string]float64), jobs: make(map[string]bool)}
+	for _, run := range crash.Runs {
 		r := t.record(run, now)
 		if r == nil {
 			continue
 		}
 		before := r.verdict()
 		r.crashes++
-		if i < len(suspects) {
-			r.suspected++
-			r.blame += 1 / float64(len(jobs))
+		if share := shares[run.Task.Job]; share >= minShare && slices.Contains(candidates, run) {
+			f.Blamed = append(f.Blamed, run.Task)
+			r.blamed++
+			r.blame += share
+			if !x.jobs[run.Task.Job] {
+				x.jobs[run.Task.Job] = true
+				x.shares[run.Route] += share
+			}
 		}
 		if r.verdict() == Condemned && before != Condemned {
-			condemned = append(condemned, run.Task)
-			t.condemnedJobs[run.Task.Job]++
+			f.Condemned = append(f.Condemned, run.Task)
+			t.condemn(now, run, r.blamed > 0)
 		}
 	}
-	return condemned
+	if former == 0 {
+		t.crashes = append(t.crashes, x)
+		t.crashes = slices.Delete(t.crashes, 0, max(0, len(t.crashes)-maxCrashRecords))
+	}
+	f.Confined = t.confineRoutes(now, service, x.shares)
+	if len(f.Condemned) > 0 {
+		f.Released = t.releaseUnblamed(now)
+	}
+	return f
 }
 
-// suspects returns the suspects among the runs, which are ordered by age.
-func suspects(runs []message.CrashedRun) []message.CrashedRun {
-	n := 0
-	for n < len(runs) && runs[n].Age <= StartWindow {
-		n++
+// condemn records that a task is given up. If it was blamed, the crashes that its job was
+// blamed for with others are now explained, and count against its route alone.
+func (t *Tracker) condemn(now time.Duration, run message.CrashedRun, blamed bool) {
+	t.condemnedJobs[run.Task.Job]++
+	if !blamed {
+		return
+	}
+	t.condemnations = append(t.condemnations, condemnation{now, run.Route, run.Task.Job})
+	for i := range t.crashes {
+		if x := &t.crashes[i]; x.jobs[run.Task.Job] {
+			x.shares = map[string]float64{run.Route: 1}
+		}
+	}
+}
+
+// candidates returns the runs that share the blame for a crash. The runs are ordered by age;
+// those that were started right before it are its suspects. If some of them were blamed
+// before, the blame falls on these, with the share former, else on those of confined routes,
+// if any.
+func (t *Tracker) candidates(now time.Duration, runs []message.CrashedRun) (list []message.CrashedRun, former float64) {
+	list = runs
+	if n := slices.IndexFunc(runs, func(r message.CrashedRun) bool { return r.Age > StartWindow }); n > 0 {
+		list = runs[:n]
+	}
+	blamed := func(r message.CrashedRun) bool { return t.Verdict(r.Task) != Clear }
+	confined := func(r message.CrashedRun) bool { return t.RouteConfined(now, r.Route) }
+	switch {
+	case slices.ContainsFunc(list, blamed):
+		if kept := filter(list, blamed); len(kept) < len(list) {
+			return kept, formerShare
+		}
+		return list, 1
+	case slices.ContainsFunc(list, confined):
+		return filter(list, confined), 0
+	default:
+		return list, 0
+	}
+}
+
+func filter(runs []message.CrashedRun, keep func(message.CrashedRun) bool) []message.CrashedRun {
+	return slices.DeleteFunc(slices.Clone(runs), func(r message.CrashedRun) bool { return !keep(r) })
+}
+
+// shareBlame returns the share of blame of each job, by the age of its newest run. The runs
+// are ordered by age. The shares add up to 1, or to former unless that is zero.
+func shareBlame(runs []message.CrashedRun, former float64) map[string]float64 {
+	shares := make(map[string]float64)
+	sum := 0.0
+	for _, r := range runs {
+		if _, ok := shares[r.Task.Job]; !ok {
+			weight := math.Exp2(-float64(r.Age-runs[0].Age) / float64(halfLife))
+			shares[r.Task.Job] = weight
+			sum += weight
+		}
+	}
+	for job := range shares {
+		shares[job] *= cmp.Or(former, 1) / sum
 	}
-	if n == 0 {
-		return runs
+	return shares
+}
+
+// confineRoutes confines or extends the confinement of those routes that have shares of the
+// blame for a crash, and returns the newly confined ones.
+func (t *Tracker) confineRoutes(now time.Duration, service string, shares map[string]float64) (confined []string) {
+	for route, share := range shares {
+		isConfined := t.RouteConfined(now, route)
+		if share < relevantShare || !isConfined && !t.mustConfine(route) {
+			continue
+		}
+		if !isConfined {
+			confined = append(confined, route)
+		}
+		t.confined[route] = confinedRoute{service, now + confinement}
+	}
+	slices.Sort(confined)
+	return confined
+}
+
+// mustConfine reports whether the blame for recent crashes suffices to confine the route.
+func (t *Tracker) mustConfine(route string) bool {
+	if t.condemnedJobsOf(route) >= confiningJobs {
+		return true
 	}
-	return runs[:n]
+	blame, events := t.blameOf(route)
+	return blame > confiningBlame && blame >= confiningShare*float64(events)
+}
+
+// condemnedJobsOf returns the number of jobs of the route with a condemned task.
+func (t *Tracker) condemnedJobsOf(route string) int {
+	jobs := make(map[string]bool)
+	for _, x := range t.condemnations {
+		if x.route == route {
+			jobs[x.job] = true
+		}
+	}
+	return len(jobs)
+}
+
+// blameOf returns the sum of a route's shares of blame, and the number of events. An event
+// is one crash, or several within sameEvent, of which the mean share counts.
+func (t *Tracker) blameOf(route string) (blame float64, events int) {
+	for begin := 0; begin < len(t.crashes); events++ {
+		end, sum := begin, 0.0
+		for end < len(t.crashes) && t.crashes[end].at-t.crashes[begin].at <= sameEvent {
+			sum += t.crashes[end].shares[route]
+			end++
+		}
+		blame += sum / float64(end-begin)
+		begin = end
+	}
+	return blame, events
+}
+
+// releaseUnblamed ends the confinement of the routes that the blame does not justify any
+// more, now that other jobs have been condemned.
+func (t *Tracker) releaseUnblamed(now time.Duration) (released []string) {
+	for route := range t.confined {
+		if t.RouteConfined(now, route) && t.condemnedJobsOf(route) == 0 && !t.mustConfine(route) {
+			delete(t.confined, route)
+			released = append(released, route)
+		}
+	}
+	slices.Sort(released)
+	return released
 }
 
 // record returns the record of a task, or nil if no more can be remembered.
@@ -136,8 +322,23 @@
 	return r
 }
 
-// Expire forgets the crashes that are older than the memory.
-func (t *Tracker) Expire(now time.Duration) {
+// Expire forgets what is older than the memory and returns the routes whose confinement has
+// ended.
+func (t *Tracker) Expire(now time.Duration) (released []string) {
+	t.expire(now)
+	for route, r := range t.confined {
+		if now >= r.until {
+			delete(t.confined, route)
+			released = append(released, route)
+		}
+	}
+	slices.Sort(released)
+	return released
+}
+
+func (t *Tracker) expire(now time.Duration) {
+	t.crashes = slices.DeleteFunc(t.crashes, func(x crashRecord) bool { return now-x.at > memory })
+	t.condemnations = slices.DeleteFunc(t.condemnations, func(x condemnation) bool { return now-x.at > memory })
 	n := 0
 	for n < len(t.order) && now-t.order[n].at > memory {
 		if r, ok := t.tasks[t.order[n].task]; ok && now-r.lastAt > memory {
@@ -145,7 +346,7 @@
 		}
 		n++
 	}
-	t.order = append(t.order[:0], t.order[n:]...)
+	t.order = slices.Delete(t.order, 0, n)
 }
 
 func (t *Tracker) forget(name message.TaskName, r *record) {
@@ -176,5 +377,21 @@
 // JobCondemned reports whether a task of the job is condemned.
 func (t *Tracker) JobCondemned(job string) bool { return t.condemnedJobs[job] > 0 }
 
-// Active reports whether there is any recent crash.
-func (t *Tracker) Active() bool { return len(t.tasks) > 0 }
+// RouteConfined reports whether the tasks of a route are confined to a few upstreams.
+func (t *Tracker) RouteConfined(now time.Duration, route string) bool {
+	r, ok := t.confined[route]
+	return ok && now < r.until
+}
+
+// ServiceConfined reports whether a route of the service is confined.
+func (t *Tracker) ServiceConfined(now time.Duration, service string) bool {
+	for _, r := range t.confined {
+		if r.service == service && now < r.until {
+			return true
+		}
+	}
+	return false
+}
+
+// Active reports whether there is a recent crash or a confined route.
+func (t *Tracker) Active() bool { return len(t.tasks) > 0 || len(t.confined) > 0 }
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -47,6 +47,7 @@
 	"deadline_passed":            "the job was not done when its caller stopped waiting; see how long its tasks waited and ran",
 	"attempts_used_up":           "a task was reported as failed by as many upstreams as the route permits",
 	"upstreams_crashed":          "upstreams crashed under a task of the job, so it was given up; see upstream_crashed and task_condemned lines",
+	"route_confined":             "tasks of the route keep crashing upstreams, so it was confined to a few, which were down or contended; see route_confined and upstream_crashed lines",
 	"caller_gone":                "the caller closed its connection",
 	"cancelled":                  "the caller cancelled the job",
 	"process_was_paused":         "the dispatcher did not run for so long that its leases were about to lapse",
