dispatch: cheaper placement while crashes are remembered

Cause: while a crash is remembered, each placement looked up every task of all waiting jobs among the suspects, and went through a copy of the waiting jobs.

Change: jobs know whether upstreams crashed under them, so that only their tasks are looked up; nothing is gone through while no route is confined.

With it TestShrunkCapacity: nothing starts above a capacity that has shrunk.

--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -79,34 +79,58 @@
 	}
 }
 
+// crash lets an agent report a crash of its upstream right after the start of tasks of one
+// job of the route "bad".
+func (l *loadBed) crash(agent int, job string) {
+	a := l.core.agents[ref(agent)]
+	x := message.Crash{Number: a.knownCrash + 1}
+	for i := range 8 {
+		x.Runs = append(x.Runs, message.CrashedRun{Task: message.TaskName{Job: job, Index: i}, Route: "bad", Age: time.Duration(i) * time.Millisecond})
+	}
+	l.step(step.Received{Envelope: message.Envelope{From: ref(agent), Messages: []message.Message{{Heartbeat: &message.Heartbeat{
+		Timestamp: l.now, Revision: 1, Crashes: []message.Crash{x},
+	}}}}})
+}
+
 // BenchmarkJob measures one job of four tasks from submission to answer, for several
-// fleet sizes, with and without a backlog of waiting jobs.
+// fleet sizes, with and without a backlog of waiting jobs, and while upstreams crash under
+// the tasks of another route.
 func BenchmarkJob(b *testing.B) {
 	for _, agents := range []int{11, 67, 300} {
 		for _, backlog := range []int{0, 300} {
-			b.Run(fmt.Sprintf("agents=%d/backlog=%d", agents, backlog), func(b *testing.B) {
-				l := newLoadBed(agents, 0)
-				for range backlog {
-					l.calls++
-					l.step(Submit{Call: l.calls, Job: Job{
-						ID: fmt.Sprintf("%016x", l.calls), Wait: time.Hour,
-						Route: &site.Route{Name: "r", Service: "s", Priority: 3, MaxAttempts: 2, Stretch: 1.6, Margin: 60 * time.Millisecond},
-						Steps: []Step{{Count: 4, Demand: message.Resources{MilliCPU: 8 * oneCore}, Estimate: 100 * time.Millisecond}},
-					}})
-				}
-				l.offers = nil
-				next := l.now
-				for b.Loop() {
-					l.now += 2 * time.Millisecond
-					if l.now >= next {
-						next = l.now + 200*time.Millisecond
-						l.reportFree(agents, 4)
-						l.offers = nil
-					}
-					l.submit(0)
-					l.completeAll()
-				}
-			})
+			for _, crashes := range []bool{false, true} {
+				b.Run(fmt.Sprintf("agents=%d/backlog=%d/crashes=%v", agents, backlog, crashes), func(b *testing.B) {
+					benchmarkJob(b, agents, backlog, crashes)
+				})
+			}
+		}
+	}
+}
+
+func benchmarkJob(b *testing.B, agents, backlog int, crashes bool) {
+	l := newLoadBed(agents, 0)
+	for range backlog {
+		l.calls++
+		l.step(Submit{Call: l.calls, Job: Job{
+			ID: fmt.Sprintf("%016x", l.calls), Wait: time.Hour,
+			Route: &site.Route{Name: "r", Service: "s", Priority: 3, MaxAttempts: 2, Stretch: 1.6, Margin: 60 * time.Millisecond},
+			Steps: []Step{{Count: 4, Demand: message.Resources{MilliCPU: 8 * oneCore}, Estimate: 100 * time.Millisecond}},
+		}})
+	}
+	l.offers = nil
+	next, lastCrash := l.now, 0
+	for b.Loop() {
+		l.now += 2 * time.Millisecond
+		if l.now >= next {
+			next = l.now + 200*time.Millisecond
+			l.reportFree(agents, 4)
+			l.offers = nil
+			if crashes {
+				lastCrash++
+				l.crash(lastCrash%agents, fmt.Sprintf("bad%d", lastCrash))
+			}
 		}
+		l.submit(0)
+		l.completeAll()
 	}
 }
--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -31,6 +31,11 @@
 		findings := c.crashes.Record(c.now.Mono, a.info.Service, crash)
 		c.logEvent("upstream_crashed", "", "agent", a.ref.String(), "crash", crash.Number, "runs", len(crash.Runs),
 			"last_started", describeRuns(crash.Runs), "blamed", fmt.Sprint(findings.Blamed[:min(len(findings.Blamed), maxLoggedRuns)]))
+		for _, r := range crash.Runs {
+			if j, ok := c.byID[r.Task.Job]; ok {
+				j.crashed = true
+			}
+		}
 		c.refreshIsolation()
 		c.logFindings(a, findings)
 		for _, name := range findings.Condemned {
@@ -75,7 +80,7 @@
 
 // suspectJob reports whether an unplaced task of the job may have crashed an upstream.
 func (c *Core) suspectJob(j *job) bool {
-	return c.crashes.Active() && slices.ContainsFunc(j.tasks, func(t *task) bool {
+	return j.crashed && slices.ContainsFunc(j.tasks, func(t *task) bool {
 		return t.state == unplaced && c.crashes.Verdict(t.name()) == containment.Suspect
 	})
 }
@@ -104,16 +109,17 @@
 // run, once no isolated upstream is up, and suspects, while other jobs of confined routes
 // are refused. Starting a suspect again would cost those more than it can gain.
 func (c *Core) giveUpConfined() {
-	if !c.crashes.Active() {
+	if !c.crashes.AnyConfined() {
 		return
 	}
 	contended := c.confinedRefusedAt > 0 && c.now.Mono-c.confinedRefusedAt < contentionTime
-	for _, j := range slices.Clone(c.waiting) {
-		if !c.routeConfined(j) {
-			continue
-		}
-		if contended && c.suspectJob(j) || !j.mayHaveRun && c.isolatedUsable(j.spec.Route.Service) == 0 {
-			c.giveUp(j, reasonConfined)
+	var list []*job
+	for _, j := range c.waiting {
+		if c.routeConfined(j) && (contended && c.suspectJob(j) || !j.mayHaveRun && c.isolatedUsable(j.spec.Route.Service) == 0) {
+			list = append(list, j)
 		}
 	}
+	for _, j := range list {
+		c.giveUp(j, reasonConfined)
+	}
 }
--- a/core/dispatch/isolation.go
+++ b/core/dispatch/isolation.go
@@ -141,7 +141,7 @@
 	switch {
 	case !c.crashes.Active():
 		return message.NotIsolated
-	case c.crashes.Verdict(t.name()) != containment.Clear:
+	case t.job.crashed && c.crashes.Verdict(t.name()) != containment.Clear:
 		return message.Alone
 	case c.routeConfined(t.job):
 		return message.Isolated
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -41,7 +41,9 @@
 	// mayHaveRun is set once a task has been offered, unless all such offers were refused.
 	mayHaveRun bool
 	// queued is set while the job is in Core.waiting.
-	queued     bool
+	queued bool
+	// crashed is set if upstreams have crashed while they had tasks of the job.
+	crashed    bool
 	offerCount int
 }
 
@@ -117,6 +119,7 @@
 	}
 	c.logEvent("job_accepted", j.spec.ID, "request", j.spec.Request, "route", j.spec.Route.Name, "tasks", len(j.tasks),
 		"wait_ms", j.spec.Wait.Milliseconds(), "delay_ms", delay.Milliseconds(), "revision", c.site.Revision)
+	j.crashed = c.crashes.JobKnown(j.spec.ID)
 	c.jobs[j.call] = j
 	c.byID[j.spec.ID] = j
 	c.deadlines.Add(j.deadline, j.call)
--- a/core/lessee/crash_test.go
+++ b/core/lessee/crash_test.go
@@ -134,3 +134,30 @@
 		t.Errorf("a task that must start alone right after an isolated one: got %q, want %q", got, message.RefusedProving)
 	}
 }
+
+// TestShrunkCapacity checks that nothing starts above a capacity that has shrunk while runs
+// that fitted before go on, and that tasks start again once it has grown.
+func TestShrunkCapacity(t *testing.T) {
+	b := newTestBed(t)
+	b.open() // with capacity for two tasks
+	announce := func(seq int64, milliCPU int) {
+		b.step(Announced{Announcement: Announcement{
+			ID: "u", Incarnation: 1, Seq: seq, Clock: b.now, Service: "s", Domain: "z0", Capacity: message.Resources{MilliCPU: milliCPU},
+		}})
+	}
+	b.startRun(d0, "a")
+	announce(2, 500)
+	b.offer(d0, "b")
+	if e := b.lastCompletion(); e.Result != message.RunRefused || e.Reason != message.RefusedNoCapacity {
+		t.Errorf("offer above the shrunk capacity: got %+v, want it refused for lack of capacity", e)
+	}
+	if e := b.lastCompletion(); e.Capacity == nil || e.Capacity.Info == nil || e.Capacity.Info.Capacity.MilliCPU != 500 {
+		t.Errorf("the refusal reports %+v, want the shrunk capacity", e.Capacity)
+	}
+	announce(3, 2000)
+	starts := len(b.starts)
+	b.offer(d0, "c")
+	if len(b.starts) != starts+1 {
+		t.Error("nothing started after the capacity had grown again")
+	}
+}
--- a/core/policy/containment/containment.go
+++ b/core/policy/containment/containment.go
@@ -73,8 +73,8 @@
 	tasks map[message.TaskName]*record
 	// order holds the crashes of all tasks in order of time, for expiry.
 	order []entry
-	// condemnedJobs counts the condemned tasks of each job.
-	condemnedJobs map[string]int
+	// taskCount and condemnedJobs count the remembered and the condemned tasks of each job.
+	taskCount, condemnedJobs map[string]int
 	// crashes holds the crashes that count towards the blame of routes, condemnations the
 	// condemned tasks, both in order of time.
 	crashes       []crashRecord
@@ -117,7 +117,7 @@
 
 // New returns a tracker without crashes.
 func New() *Tracker {
-	return &Tracker{tasks: make(map[message.TaskName]*record), condemnedJobs: make(map[string]int), confined: make(map[string]confinedRoute)}
+	return &Tracker{tasks: make(map[message.TaskName]*record), taskCount: make(map[string]int), condemnedJobs: make(map[string]int), confined: make(map[string]confinedRoute)}
 }
 
 func (r *record) verdict() Verdict {
@@ -316,6 +316,7 @@
 		}
 		r = &record{}
 		t.tasks[run.Task] = r
+		t.taskCount[run.Task.Job]++
 	}
 	r.lastAt = now
 	t.order = append(t.order, entry{run.Task, now})
@@ -351,11 +352,16 @@
 
 func (t *Tracker) forget(name message.TaskName, r *record) {
 	delete(t.tasks, name)
-	if r.verdict() != Condemned {
-		return
+	decrement(t.taskCount, name.Job)
+	if r.verdict() == Condemned {
+		decrement(t.condemnedJobs, name.Job)
 	}
-	if t.condemnedJobs[name.Job]--; t.condemnedJobs[name.Job] <= 0 {
-		delete(t.condemnedJobs, name.Job)
+}
+
+// decrement subtracts one from the count of a job, and deletes it at zero.
+func decrement(counts map[string]int, job string) {
+	if counts[job]--; counts[job] <= 0 {
+		delete(counts, job)
 	}
 }
 
@@ -374,11 +380,17 @@
 	return Clear
 }
 
+// JobKnown reports whether a task of the job was there for a crash.
+func (t *Tracker) JobKnown(job string) bool { return t.taskCount[job] > 0 }
+
 // JobCondemned reports whether a task of the job is condemned.
 func (t *Tracker) JobCondemned(job string) bool { return t.condemnedJobs[job] > 0 }
 
 // RouteConfined reports whether the tasks of a route are confined to a few upstreams.
 func (t *Tracker) RouteConfined(now time.Duration, route string) bool {
+	if len(t.confined) == 0 {
+		return false
+	}
 	r, ok := t.confined[route]
 	return ok && now < r.until
 }
@@ -393,5 +405,8 @@
 	return false
 }
 
+// AnyConfined reports whether any route may be confined.
+func (t *Tracker) AnyConfined() bool { return len(t.confined) > 0 }
+
 // Active reports whether there is a recent crash or a confined route.
 func (t *Tracker) Active() bool { return len(t.tasks) > 0 || len(t.confined) > 0 }
--- a/core/policy/containment/containment_test.go
+++ b/core/policy/containment/containment_test.go
@@ -101,7 +101,7 @@
 		t.Error("forgotten too early")
 	}
 	tr.Expire(time.Second + memory + ms)
-	if tr.JobCondemned("bad") || tr.Verdict(name("bad")) != Clear || len(tr.tasks)+len(tr.order) > 0 {
+	if tr.JobCondemned("bad") || tr.Verdict(name("bad")) != Clear || len(tr.tasks)+len(tr.order)+len(tr.taskCount) > 0 {
 		t.Errorf("not forgotten: %d tasks, %d entries", len(tr.tasks), len(tr.order))
 	}
 	for i := range maxTasks + 10 {
