lessee: runs that lapse while the agent is paused are no crash

Cause: an agent that resumes after a pause finds its upstream without an answered poll and reports its runs as lost. That was recorded as a crash of the upstream, with the runs started last as suspects, though the lease had lapsed because the agent did not renew it.

Change: no crash is recorded when the last long pause of the process is newer than the last answered poll. TestOwnPauseIsNoCrash fails without it (crash of ["j"], reason upstream_crashed).

--- a/core/lessee/crash_test.go
+++ b/core/lessee/crash_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 )
 
 // crashedJobs returns the jobs of the runs in the crashes that the last heartbeat to d
@@ -161,3 +162,18 @@
 		t.Error("nothing started after the capacity had grown again")
 	}
 }
+
+// TestOwnPauseIsNoCrash guards against blaming tasks for runs that lapsed while the agent
+// itself was paused.
+func TestOwnPauseIsNoCrash(t *testing.T) {
+	b := newTestBed(t)
+	b.open()
+	b.startRun(d0, "j")
+	b.now += 50 * time.Millisecond
+	b.step(PollCompleted{Renewal: true, SentAt: b.now, Incarnation: 1, Clock: b.now, Running: []ActiveRun{{Name: message.TaskName{Job: "j"}, RunNumber: 1}}})
+	b.now += 5 * time.Second
+	b.step(step.Tick{})
+	if got := b.crashedJobs(d0); len(got) != 0 || b.lastCompletion().Result != message.RunLost || b.lastCompletion().Reason != "" {
+		t.Errorf("crash of %q and completion %+v after a pause, want no crash and a lost run", got, b.lastCompletion())
+	}
+}
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -64,6 +64,8 @@
 	// one in this incarnation of the agent.
 	crashes   []crash
 	lastCrash uint64
+	// resumedAt is when the last long pause of the process ended, or zero.
+	resumedAt time.Duration
 	// orphansUntil is the time after which no orphaned run can be alive, since the longest
 	// lease of the calls sent to the previous incarnation of the upstream has lapsed.
 	orphansUntil time.Duration
@@ -101,6 +103,9 @@
 
 // Step processes one event. The returned slice is valid until the next call.
 func (c *Core) Step(now clock.Now, event step.Event) []step.Action {
+	if c.now.Mono > 0 && now.Mono-c.now.Mono > suspectAfter {
+		c.resumedAt = now.Mono
+	}
 	c.now = now
 	c.out = c.out[:0]
 	// After a pause of the process, leases may have lapsed. The core stops their runs before
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -238,7 +238,10 @@
 func (c *Core) handleUnresponsiveUpstream() {
 	c.logEvent("upstream_silent", "", "upstream", c.upstream.id, "runs", len(c.runs),
 		"held_ms_ago", (c.now.Mono - c.upstream.lastAnsweredSentAt).Milliseconds())
-	reason := c.recordCrash(c.upstream.lastAnsweredSentAt)
+	var reason message.RefuseReason
+	if c.resumedAt <= c.upstream.lastAnsweredSentAt {
+		reason = c.recordCrash(c.upstream.lastAnsweredSentAt)
+	}
 	c.upstream.phase = probing
 	c.upstream.nextProbeAt = c.now.Mono
 	c.upstream.longPollInFlight, c.upstream.renewalInFlight = false, false
