--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -109,7 +109,7 @@
 // run, once no isolated upstream is up, and suspects, while other jobs of confined routes
 // are refused. Starting a suspect again would cost those more than it can gain.
 func (c *Core) giveUpConfined() {
-	if !c.crashes.AnyConfined() {
+	if c.crashes.ConfinedRoutes() == 0 {
 		return
 	}
 	contended := c.confinedRefusedAt > 0 && c.now.Mono-c.confinedRefusedAt < contentionTime
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -114,6 +114,8 @@
 	// Crashes counts the crashes of upstreams that agents have reported, and CrashedRuns the
 	// runs of this dispatcher that were lost to them.
 	Crashes, CrashedRuns uint64
+	// ConfinedRoutes is the number of routes whose tasks run on isolated upstreams only.
+	ConfinedRoutes int
 	// Overloaded is set while the process falls behind its work, and for a short time
 	// after that.
 	Overloaded bool
@@ -226,6 +228,7 @@
 func (c *Core) Stats() Stats {
 	s := c.stats
 	s.Overloaded = c.reportedOverload
+	s.ConfinedRoutes = c.crashes.ConfinedRoutes()
 	s.OpenJobs, s.WaitingJobs, s.Agents, s.Revision = len(c.jobs), len(c.waiting), len(c.agents), c.site.Revision
 	for _, a := range c.sortedAgents {
 		if c.usable(a) {
--- a/core/policy/containment/containment.go
+++ b/core/policy/containment/containment.go
@@ -405,8 +405,8 @@
 	return false
 }
 
-// AnyConfined reports whether any route may be confined.
-func (t *Tracker) AnyConfined() bool { return len(t.confined) > 0 }
+// ConfinedRoutes returns the number of confined routes, as of the last call of Expire.
+func (t *Tracker) ConfinedRoutes() int { return len(t.confined) }
 
 // Active reports whether there is a recent crash or a confined route.
 func (t *Tracker) Active() bool { return len(t.tasks) > 0 || len(t.confined) > 0 }
--- a/internal/dispatchd/service.go
+++ b/internal/dispatchd/service.go
@@ -194,6 +194,7 @@
 		d.metrics.SetGauge(telemetry.RunsLostTotal, float64(s.LostRuns))
 		d.metrics.SetGauge(telemetry.UpstreamCrashesTotal, float64(s.Crashes))
 		d.metrics.SetGauge(telemetry.RunsCrashedTotal, float64(s.CrashedRuns))
+		d.metrics.SetGauge(telemetry.RoutesConfined, float64(s.ConfinedRoutes))
 		process.CopyCounters(d.metrics, nil, d.transport.Stats())
 	})
 }
