dispatch: confined routes get the upstreams that the other routes leave

What callers would see: the only route of a service was confined to a quarter of the upstreams, and its jobs refused, while three quarters were idle.

Change: while a route is confined, the number of isolated upstreams grows by one every 50 ms as long as the other routes use less than 0.4 of the other upstreams, on average, and shrinks back to the quarter above 0.6.

--- a/core/dispatch/isolation.go
+++ b/core/dispatch/isolation.go
@@ -13,6 +13,16 @@
 	// isolationDivisor is the number of upstreams of a service for each one that runs
 	// isolated tasks.
 	isolationDivisor = 4
+	// isolationResize is the pause between two changes of the number of isolated upstreams of
+	// a service with confined routes. It grows while the tasks of all other routes use less
+	// than growBelow of the capacity of the other upstreams, and shrinks while they use more
+	// than shrinkAbove, each time by one or by 1/resizeDivisor of the upstreams. useWeight is
+	// the weight of the newest value in the mean use.
+	isolationResize = 50 * time.Millisecond
+	growBelow       = 0.4
+	shrinkAbove     = 0.6
+	resizeDivisor   = 20
+	useWeight       = 0.2
 	// isolationKey is the key by which all dispatchers rank agents alike.
 	isolationKey = "isolation"
 	// isolationRefresh is how often the isolated upstreams are chosen again, and the waiting
@@ -37,10 +47,21 @@
 	// byLabel holds the isolated agents of label groups that have none of those of their
 	// service. It is filled on demand.
 	byLabel map[labelGroup][]*agent
+	// sizes holds the sizes of the isolated sets of services with confined routes, as of
+	// resizedAt.
+	sizes     map[string]isolationSize
+	resizedAt time.Duration
+}
+
+// isolationSize is the number of isolated upstreams of a service beyond the usual share, and
+// the mean share of the capacity of all others that is in use.
+type isolationSize struct {
+	extra int
+	use   float64
 }
 
 func newIsolationState() isolationState {
-	return isolationState{reserved: make(map[string]bool), byLabel: make(map[labelGroup][]*agent)}
+	return isolationState{reserved: make(map[string]bool), byLabel: make(map[labelGroup][]*agent), sizes: make(map[string]isolationSize)}
 }
 
 // updateIsolation drops what is outdated in the state that depends on crashes.
@@ -72,26 +93,63 @@
 			services[a.info.Service] = append(services[a.info.Service], a)
 		}
 	}
+	resize := c.now.Mono-c.isolation.resizedAt >= isolationResize
+	if resize {
+		c.isolation.resizedAt = c.now.Mono
+	}
 	for service, agents := range services {
 		confined := c.crashes.ServiceConfined(c.now.Mono, service)
-		for _, a := range c.isolatedAmong(agents, !confined) {
+		if !confined {
+			delete(c.isolation.sizes, service)
+		}
+		for _, a := range c.isolatedAmong(agents, c.isolation.sizes[service].extra, !confined) {
 			a.isolated = true
 		}
 		// The isolated upstreams are of use to all routes while no other can get work.
 		c.isolation.reserved[service] = confined &&
 			slices.ContainsFunc(agents, func(a *agent) bool { return !a.isolated && c.expectedUsable(a) })
+		if confined && resize {
+			c.resizeIsolation(service, agents)
+		}
+	}
+}
+
+// resizeIsolation adapts the number of isolated upstreams of a service to the capacity that
+// its other routes use.
+func (c *Core) resizeIsolation(service string, agents []*agent) {
+	used, capacity, others := 0, 0, 0
+	for _, a := range agents {
+		if !a.isolated && c.expectedUsable(a) {
+			used += a.lastReport.Used.MilliCPU + a.unreportedSum.MilliCPU
+			capacity += a.info.Capacity.MilliCPU
+			others++
+		}
+	}
+	use := float64(used) / float64(max(capacity, 1))
+	size, known := c.isolation.sizes[service]
+	if !known {
+		size.use = use
+	}
+	size.use += useWeight * (use - size.use)
+	change := max(1, len(agents)/resizeDivisor)
+	switch {
+	case size.use < growBelow && others > change:
+		size.extra += change
+	case size.use > shrinkAbove:
+		size.extra = max(0, size.extra-change)
 	}
+	c.isolation.sizes[service] = size
 }
 
-// isolatedAmong returns those of the agents that run isolated tasks. If none of them can get
-// work, it adds the next one that can if extend is set: no route is confined, so the
-// isolated tasks are few.
-func (c *Core) isolatedAmong(agents []*agent, extend bool) []*agent {
+// isolatedAmong returns those of the agents that run isolated tasks: the usual share and extra
+// ones. If none of them can get work, it adds the next one that can if extend is set: no
+// route is confined, so the isolated tasks are few.
+func (c *Core) isolatedAmong(agents []*agent, extra int, extend bool) []*agent {
 	ranked := slices.Clone(agents)
 	slices.SortFunc(ranked, func(a, b *agent) int {
 		return cmp.Or(cmp.Compare(b.isolationRank, a.isolationRank), compareRefs(a.ref, b.ref))
 	})
-	count := (len(ranked) + isolationDivisor - 1) / isolationDivisor
+	count := min((len(ranked)+isolationDivisor-1)/isolationDivisor+extra, len(ranked))
 	if i := slices.IndexFunc(ranked, c.expectedUsable); extend && i >= count {
 		return append(ranked[:count:count], ranked[i])
 	}
@@ -129,7 +187,7 @@
 		if isolated := slices.DeleteFunc(slices.Clone(group), func(o *agent) bool { return !o.isolated }); len(isolated) > 0 {
 			group = isolated
 		} else {
-			group = c.isolatedAmong(group, !c.crashes.ServiceConfined(c.now.Mono, g.service))
+			group = c.isolatedAmong(group, 0, !c.crashes.ServiceConfined(c.now.Mono, g.service))
 		}
 		c.isolation.byLabel[g] = group
 	}
--- a/core/leasemodel/crash_test.go
+++ b/core/leasemodel/crash_test.go
@@ -177,6 +177,27 @@
 	}
 }
 
+// TestCrashingTasksOfTheOnlyRoute guards against a confined route that leaves most of the
+// fleet idle, as no other route needs it. It names the load: a fleet at 20% load runs one
+// kind of job, and for 10 s a tenth of the jobs have a task that crashes each upstream. That
+// takes fewer upstreams away than there are.
+func TestCrashingTasksOfTheOnlyRoute(t *testing.T) {
+	const agents = 11
+	total := outcomes{}
+	kinds := jobKindsAtLoad(0.6, agents)[:1]
+	for seed := range uint64(8) {
+		l := newCrashLoad(t, seed, 3, agents)
+		l.sim.after(time.Second, func() { l.submitCrashingAtRate(kinds[0].rate/10, 10*time.Second) })
+		o := l.run(11*time.Second, kinds)[kinds[0].name]
+		t.Logf("seed %d: %+v, on time %.3f, %d crashes", seed, *o, o.onTimeShare(), l.upstreamCrashes)
+		total.add(o)
+		l.check(t)
+	}
+	if total.onTimeShare() < 0.5 {
+		t.Errorf("got %+v for the other jobs, want at least half of them on time", total)
+	}
+}
+
 // TestCrashingTaskMovesToAnotherDispatcher guards against crashes that are forgotten with a
 // dispatcher: the caller submits the job again to another one when the first is killed.
 func TestCrashingTaskMovesToAnotherDispatcher(t *testing.T) {
