soak: tasks that crash the upstreams they start on

Change: a fault of some seconds in which a tenth of the jobs have a task that crashes each stand-in upstream 10 ms after its start. The check "budget" reports a task that is started three times or more after three upstreams have crashed under it. A job may be answered as failed also if two upstreams have crashed under one of its tasks, as the users' pages say: the check of failed answers permits just that.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -82,8 +82,9 @@
 		// The task stays short, so that all its attempts fit into the caller's wait.
 		task.FailingIndexes = []int{0}
 	}
+	task.Crashes = c.rnd.Float64() < c.soak.crashingShareNow()
 	for range maxSubmissions {
-		c.soak.checks.recordSubmission(id, tasks, len(task.FailingIndexes) > 0)
+		c.soak.checks.recordSubmission(id, tasks, task)
 		sent := time.Now()
 		answer := c.send(id, tasks, task)
 		c.soak.checks.checkAnswer(id, answer)
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -21,6 +21,13 @@
 	configBound = 2 * time.Second
 	// maxAnswerDelay is how long after its caller's deadline a job may be answered.
 	maxAnswerDelay = 500 * time.Millisecond
+	// maxTaskCrashes is the number of upstreams that may crash under one task, and
+	// maxLateStarts the number of its starts after that.
+	maxTaskCrashes = 3
+	maxLateStarts  = 2
+	// failedAfterCrashes is the number of upstreams that must have crashed under a task
+	// before its job may be answered as failed.
+	failedAfterCrashes = 2
 	// maxDetails bounds the number of violations that are kept with their texts.
 	maxDetails = 50
 )
@@ -34,8 +41,13 @@
 	submissions, refusals int
 	starts                int
 	doneTasks             map[string]bool
-	// failures counts the failed runs of each task.
-	failures map[string]int
+	// failures counts the failed runs of each task, and crashes the upstreams that crashed
+	// under it.
+	failures, crashes map[string]int
+	// crashing is set if the first task crashes its upstreams, and lateStarts counts its
+	// starts after maxTaskCrashes of them.
+	crashing   bool
+	lateStarts int
 }
 
 // upstreamIncarnation is one incarnation of an upstream.
@@ -116,6 +128,11 @@
 		return
 	}
 	j.starts++
+	if j.crashing && strings.HasSuffix(task, ".0") && j.crashes[task] >= maxTaskCrashes {
+		if j.lateStarts++; j.lateStarts > maxLateStarts {
+			c.addViolationLocked("budget", "task %s was started again after %d upstreams had crashed under it", task, j.crashes[task])
+		}
+	}
 	if len(others) > 0 {
 		c.addViolationLocked("twice", "run %d of task %s started at %s while the task was running at %v", run, task, c.agents[u].name, others)
 	}
@@ -159,16 +176,21 @@
 		j.doneTasks[task] = true
 	case lessee.CompletionFailed:
 		j.failures[task]++
+	case platform.StandinCrashed:
+		j.crashes[task]++
 	}
 }
 
 // recordSubmission records a submission just before it is sent.
-func (c *checks) recordSubmission(id string, tasks int, failing bool) {
+func (c *checks) recordSubmission(id string, tasks int, task platform.StandinTask) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	j, ok := c.jobs[id]
 	if !ok {
-		j = &jobRecord{tasks: tasks, failing: failing, doneTasks: map[string]bool{}, failures: map[string]int{}}
+		j = &jobRecord{
+			tasks: tasks, failing: len(task.FailingIndexes) > 0, crashing: task.Crashes,
+			doneTasks: map[string]bool{}, failures: map[string]int{}, crashes: map[string]int{},
+		}
 		c.jobs[id] = j
 	}
 	j.submissions++
@@ -193,7 +215,13 @@
 				return
 			}
 		}
-		c.addViolationLocked("failed_without_cause", "job %s was answered as failed, but no task has used up its attempts; failed runs of each task: %v", id, j.failures)
+		for _, n := range j.crashes {
+			if n >= failedAfterCrashes {
+				return
+			}
+		}
+		c.addViolationLocked("failed_without_cause", "job %s was answered as failed, but no task has used up its attempts or crashed upstreams; failed runs and crashes of each task: %v, %v",
+			id, j.failures, j.crashes)
 	}
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -22,6 +22,10 @@
 	// drainServeTime is how long a draining upstream continues to serve before it stops. It
 	// is longer than drainBound, so that late starts are seen.
 	drainServeTime = drainBound + 2*time.Second
+	// crashingJobShare is the share of jobs whose first task crashes its upstreams, while such
+	// jobs come, and crashDelay the time from the start of the task to the crash.
+	crashingJobShare = 0.1
+	crashDelay       = 10 * time.Millisecond
 	// maxRestartDelay is the longest delay before a process that has exited is started
 	// again.
 	maxRestartDelay = time.Second
@@ -106,6 +110,11 @@
 		defer a.beginLinkFault()()
 		s.replaceUpstream(a, randomDuration(rnd, maxFaultDuration), stop)
 	}},
+	{"crashing_tasks", func(s *Soak, rnd *rand.Rand, stop <-chan struct{}) {
+		s.setCrashingShare(crashingJobShare)
+		lifecycle.Wait(randomDuration(rnd, maxFaultDuration), stop)
+		s.setCrashingShare(0)
+	}},
 	{"upstream_leaves", func(s *Soak, rnd *rand.Rand, stop <-chan struct{}) {
 		a := s.randomAgent(rnd)
 		a.upstream.Drain()
@@ -269,3 +278,45 @@
 		s.checks.addViolation("start", "restart the upstream of %s: %v", a.name, err)
 	}
 }
+
+func (s *Soak) setCrashingShare(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashingShare = share
+}
+
+// crashingShareNow returns the share of jobs whose first task crashes its upstreams.
+func (s *Soak) crashingShareNow() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashingShare
+}
+
+// requestCrash asks for the crash of an upstream on which a crashing task has just started.
+func (s *Soak) requestCrash(u *platform.StandinUpstream, incarnation int64) {
+	for _, a := range s.agents {
+		if a.upstream == u {
+			select {
+			case a.crashes <- incarnation:
+			default: // The upstream is about to crash already.
+			}
+		}
+	}
+}
+
+// crashOnRequest lets the upstream of an agent crash soon after each start of a crashing task.
+func (s *Soak) crashOnRequest(a *agent, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case incarnation := <-a.crashes:
+			lifecycle.Wait(crashDelay, stop)
+			if current, _ := a.upstream.Incarnation(); current == incarnation {
+				end := a.beginLinkFault()
+				s.replaceUpstream(a, maxRestartDelay, stop)
+				end()
+			}
+		}
+	}
+}
--- a/internal/soak/hosts.go
+++ b/internal/soak/hosts.go
@@ -64,6 +64,8 @@
 	announcementsAddr string
 	upstream          *platform.StandinUpstream
 	upstreamAddr      string
+	// crashes has the incarnation of the upstream that a task is about to crash.
+	crashes chan int64
 
 	mu       sync.Mutex
 	server   *http.Server
@@ -178,7 +180,7 @@
 // the upstream, but does not start the process.
 func (s *Soak) addAgent(i int) error {
 	ip := fmt.Sprintf("127.%d.2.%d", s.loopbackNet, i+1)
-	a := &agent{transportAddr: ip + ":7200", announcementsAddr: ip + ":8166", upstreamAddr: ip + ":8090", links: map[string]*link{}}
+	a := &agent{transportAddr: ip + ":7200", announcementsAddr: ip + ":8166", upstreamAddr: ip + ":8090", crashes: make(chan int64, 1), links: map[string]*link{}}
 	a.name = fmt.Sprintf("agent-%d", i+1)
 	rate := 1.0
 	if i%2 == 1 {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -90,6 +90,8 @@
 	faults      map[string]int
 
 	mu sync.Mutex
+	// crashingShare is the share of jobs whose first task crashes its upstreams.
+	crashingShare float64
 	// configVersion is the newest published version of the configuration.
 	configVersion     int
 	configPublishedAt time.Time
@@ -107,6 +109,7 @@
 		store: platform.NewStandinStore(), fleet: &platform.StandinFleet{}, checks: newChecks(cfg.Slack), faults: map[string]int{},
 	}
 	s.fleet.RunStarted, s.fleet.RunCompleted = s.checks.checkStart, s.checks.recordCompletion
+	s.fleet.CrashingStarted = s.requestCrash
 	s.store.RewriteAgentRecord = s.rewriteAgentAddr
 	defer s.stop()
 	if err := s.deploy(); err != nil {
@@ -118,6 +121,7 @@
 	defer cancel()
 	for _, a := range s.agents {
 		wg.Go(func() { a.announce(ctx, s.checks) })
+		wg.Go(func() { s.crashOnRequest(a, ctx.Done()) })
 	}
 	if err := s.waitUntilServing(ctx); err != nil {
 		return Report{}, err
@@ -224,7 +228,7 @@
 		for i := range s.dispatchers {
 			c.nextDispatcher = i
 			id := fmt.Sprintf("%016x", s.rnd.Uint64())
-			s.checks.recordSubmission(id, 1, false)
+			s.checks.recordSubmission(id, 1, platform.StandinTask{})
 			answer := c.send(id, 1, platform.StandinTask{Duration: 10 * time.Millisecond})
 			s.checks.checkAnswer(id, answer)
 			if answer == answerCompleted {
