--- a/core/dispatch/fuzz_test.go
+++ b/core/dispatch/fuzz_test.go
@@ -14,6 +14,10 @@
 func FuzzMessage(f *testing.F) {
 	for _, m := range []message.Message{
 		{Heartbeat: &message.Heartbeat{Timestamp: 1, IdleInterval: -1, WantSite: true, Capacity: &message.CapacityReport{Version: 9, InfoVersion: 7}}},
+		{Heartbeat: &message.Heartbeat{Timestamp: 1, Crashes: []message.Crash{{}, {Number: 1 << 63, Age: -1, Runs: []message.CrashedRun{
+			{Age: 1 << 62}, {Age: -1 << 62}, {Task: message.TaskName{Job: "j", Step: -1, Index: -1}},
+		}}}}},
+		{RunCompletion: &message.RunCompletion{Seq: 1, Result: message.RunLost, Reason: message.LostUpstreamCrashed}},
 		{RunCompletion: &message.RunCompletion{Seq: 1, Result: message.RunRefused, Reason: message.RefusedStale}},
 		{RunCompletion: &message.RunCompletion{Seq: 1, Result: message.RunDone}},
 		{Offer: &message.Offer{Seq: 1}},
--- a/core/lessee/fuzz_test.go
+++ b/core/lessee/fuzz_test.go
@@ -16,6 +16,7 @@
 		{Heartbeat: &message.Heartbeat{Timestamp: -1, EchoedTimestamp: 1 << 62, WantReply: true, FirstWaiting: &message.WaitingTask{}}},
 		{Offer: &message.Offer{Seq: 9, EchoedTimestamp: 1, EchoAge: -1 << 63, Demand: message.Resources{MilliCPU: -1}}},
 		{RevokeOffer: &message.RevokeOffer{Seq: 1}},
+		{Heartbeat: &message.Heartbeat{KnownCrash: 1 << 63}},
 		{RunCompletion: &message.RunCompletion{}},
 		{},
 	} {
--- a/core/policy/containment/containment.go
+++ b/core/policy/containment/containment.go
@@ -29,13 +29,12 @@
 	// maxCrashes is the number of crashes under a task after which it is given up, whoever is
 	// to blame.
 	maxCrashes = 4
-	// blameThreshold is the sum of the shares of blame that a task must exceed to be given
-	// up. Each crash is shared among the blamed jobs, by halfLife.
+	// blameThreshold is the sum of shares of blame above which a task is given up.
 	blameThreshold = 1.0
-	// halfLife is the age at which the share of a job's blame is half of that of a new one.
+	// halfLife is the difference in age that halves a job's share of the blame for a crash.
 	halfLife = 20 * time.Millisecond
-	// formerShare is the share of those that were blamed before, if others were started at
-	// about the same time.
+	// formerShare is the share of the jobs that were blamed before, if tasks of other jobs were
+	// started at about the same time.
 	formerShare = 0.8
 	// minShare is the least share of blame that makes a task a suspect.
 	minShare = 0.05
@@ -100,6 +99,7 @@
 	jobs   map[string]bool
 }
 
+// condemnation is when a task of a job was condemned that was blamed for crashes.
 type condemnation struct {
 	at         time.Duration
 	route, job string
@@ -110,6 +110,7 @@
 	until   time.Duration
 }
 
+// entry is one crash under a task.
 type entry struct {
 	task message.TaskName
 	at   time.Duration
@@ -117,7 +118,10 @@
 
 // New returns a tracker without crashes.
 func New() *Tracker {
-	return &Tracker{tasks: make(map[message.TaskName]*record), taskCount: make(map[string]int), condemnedJobs: make(map[string]int), confined: make(map[string]confinedRoute)}
+	return &Tracker{
+		tasks: make(map[message.TaskName]*record), taskCount: make(map[string]int), condemnedJobs: make(map[string]int),
+		confined: make(map[string]confinedRoute),
+	}
 }
 
 func (r *record) verdict() Verdict {
@@ -256,12 +260,15 @@
 
 // mustConfine reports whether the blame for recent crashes suffices to confine the route.
 func (t *Tracker) mustConfine(route string) bool {
-	condemned := t.condemnedJobsOf(route)
-	if condemned == 0 || condemned >= confiningJobs {
-		return condemned > 0
+	switch condemned := t.condemnedJobsOf(route); {
+	case condemned == 0:
+		return false
+	case condemned >= confiningJobs:
+		return true
+	default:
+		blame, events := t.blameOf(route)
+		return blame > confiningBlame && blame >= confiningShare*float64(events)
 	}
-	blame, events := t.blameOf(route)
-	return blame > confiningBlame && blame >= confiningShare*float64(events)
 }
 
 // condemnedJobsOf returns the number of jobs of the route with a condemned task.
