dispatch: suspects of other routes do not wait for isolated upstreams

Cause: a suspect starts alone on an isolated upstream, also when the route that crashes them is known by then and has those upstreams down.

Change: while a route of the service is confined, suspects of the others are placed like any task. They still count, so a second route with such tasks is found too.

Test: TestSuspectOfOtherRouteIsFreed failed before.

--- a/core/dispatch/isolation.go
+++ b/core/dispatch/isolation.go
@@ -199,7 +199,7 @@
 	switch {
 	case !c.crashes.Active():
 		return message.NotIsolated
-	case t.job.crashed && c.crashes.Verdict(t.name()) != containment.Clear:
+	case t.job.crashed && c.crashes.Verdict(t.name()) != containment.Clear && !c.clearedByOthers(t.job):
 		return message.Alone
 	case c.routeConfined(t.job):
 		return message.Isolated
@@ -208,6 +208,12 @@
 	}
 }
 
+// clearedByOthers reports whether the suspects of a job need not start alone, since another
+// route is known to crash the upstreams of its service.
+func (c *Core) clearedByOthers(j *job) bool {
+	return !c.routeConfined(j) && c.crashes.ServiceConfined(c.now.Mono, j.spec.Route.Service)
+}
+
 // allowed reports whether the crashes permit a task of this isolation on the agent: an
 // isolated task only on an isolated upstream, any other task on those that no confined route
 // needs. No task may follow one that starts alone.
--- a/core/dispatch/isolation_test.go
+++ b/core/dispatch/isolation_test.go
@@ -268,3 +268,22 @@
 		}
 	}
 }
+
+// TestSuspectOfOtherRouteIsFreed guards against innocent tasks that wait for the isolated
+// upstreams, which are down, although the route that crashes upstreams is known by then.
+func TestSuspectOfOtherRouteIsFreed(t *testing.T) {
+	const agents = 12
+	b := newTestBed(t)
+	b.connectAgents(agents, 10)
+	b.reportBusy(agents, 10, 9)
+	isolated := b.confine("bad")
+	b.reportBusy(agents, 10, 9)
+	b.submitOn("other", "innocent", 1, "")
+	offers := b.takeOffers()
+	at := slices.IndexFunc(b.core.sortedAgents, func(a *agent) bool { return a.ref.ID == b.offeredTo[offers[0].Seq] })
+	b.crash(at, "other", "innocent")
+	again := b.takeOffers()
+	if len(again) != 1 || again[0].Isolation != message.NotIsolated || slices.Contains(isolated, b.offeredTo[again[0].Seq]) {
+		t.Errorf("got offers %+v after the crash, want the task placed at once on an upstream that is not isolated", again)
+	}
+}
