--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -65,9 +65,9 @@
 }
 
 // placementOrder returns the jobs with unplaced tasks by priority, and within a priority by
-// urgency. Jobs of the same urgency are ordered by objective. When the demand exceeds the capacity, an order by
-// objective alone would make all jobs late. The returned slice is valid until the next
-// call.
+// urgency. Jobs of the same urgency are ordered by objective. When the demand exceeds the
+// capacity, an order by objective alone would make all jobs late. The returned slice is valid
+// until the next call.
 func (c *Core) placementOrder() []*job {
 	list := c.placementList[:0]
 	for begin := 0; begin < len(c.waiting); {
