settings, dispatch: switches of placement and overload, all off by default

Cause: what is new for uneven upstreams and contended capacity must leave deployments that do not ask for it as they are. Change: sections placement and overload of a dispatcher's settings, checked and passed to the core, which does not use them yet.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -37,6 +37,19 @@
 type Config struct {
 	// Domain is the failure domain of this process.
 	Domain string
+	// LearnSpeed makes placement take the measured speed of upstreams into account.
+	LearnSpeed bool
+	// SeparateInterfering makes placement prefer upstreams without tasks that were measured
+	// to slow the new one down.
+	SeparateInterfering bool
+	// UsefulFactor times its objective is the time after which a job's answer is of no use.
+	// Zero means that it is of use until the deadline.
+	UsefulFactor float64
+	// Predict refuses jobs at once that are predicted to start too late.
+	Predict bool
+	// MinShare is the least share of the placed capacity for each priority with waiting jobs,
+	// from 0 to 1. Zero means strict order of priority.
+	MinShare float64
 }
 
 // Core is the state machine of the dispatcher role. It implements step.Core except for
--- a/internal/dispatchd/daemon.go
+++ b/internal/dispatchd/daemon.go
@@ -104,7 +104,11 @@
 	}
 	d.site.Store(&site.State{})
 	d.Apply(cfg.Settings)
-	d.core = dispatch.New(dispatch.Config{Domain: cfg.Settings.Node.Domain})
+	d.core = dispatch.New(dispatch.Config{
+		Domain:     cfg.Settings.Node.Domain,
+		LearnSpeed: cfg.Settings.Placement.LearnSpeed, SeparateInterfering: cfg.Settings.Placement.SeparateInterfering,
+		UsefulFactor: float64(cfg.Settings.Overload.UsefulFactor), Predict: cfg.Settings.Overload.Predict, MinShare: cfg.Settings.Overload.MinShare,
+	})
 	d.loop = process.NewLoop(loop.Config[step.Event, step.Action]{
 		Step: d.core.Handle, EndBatch: d.core.EndBatch, Execute: d.execute, Clock: loop.BootClock(),
 	})
--- a/internal/settings/leased.go
+++ b/internal/settings/leased.go
@@ -13,12 +13,14 @@
 
 // Dispatcher holds the settings of a dispatcher.
 type Dispatcher struct {
-	Node   Node             `ini:"node"`
-	Listen DispatcherListen `ini:"listen"`
-	Store  Store            `ini:"store"`
-	Peers  SeedHosts        `ini:"peers"`
-	Limits LeasedLimits     `ini:"limits"`
-	Timing LeasedTiming     `ini:"timing"`
+	Node      Node             `ini:"node"`
+	Listen    DispatcherListen `ini:"listen"`
+	Store     Store            `ini:"store"`
+	Peers     SeedHosts        `ini:"peers"`
+	Limits    LeasedLimits     `ini:"limits"`
+	Timing    LeasedTiming     `ini:"timing"`
+	Placement LeasedPlacement  `ini:"placement"`
+	Overload  Overload         `ini:"overload"`
 }
 
 // Lessee holds the settings of an agent whose local upstream runs tasks under leases.
@@ -59,6 +61,35 @@
 	Address netip.AddrPort `ini:"address,required"`
 }
 
+// LeasedPlacement selects what a dispatcher considers when it chooses an upstream, besides free
+// capacity, failure domain and labels.
+type LeasedPlacement struct {
+	// LearnSpeed takes the measured speed of upstreams into account.
+	LearnSpeed bool `ini:"learn_speed" default:"false"`
+	// SeparateInterfering keeps tasks apart that were measured to slow each other down on
+	// one upstream, where there is capacity elsewhere.
+	SeparateInterfering bool `ini:"separate_interfering" default:"false"`
+}
+
+// Factor is 0, or a number of at least 1.
+type Factor float64
+
+// maxFactor is the largest Factor.
+const maxFactor = 100
+
+// Overload selects what a dispatcher does when its callers ask for more than the upstreams
+// can run.
+type Overload struct {
+	// UsefulFactor is the multiple of its objective after which an answer is of no use to
+	// the caller. Zero means that answers are of use until the caller's deadline.
+	UsefulFactor Factor `ini:"useful_factor" default:"0"`
+	// Predict refuses jobs at once that are predicted to start too late.
+	Predict bool `ini:"predict" default:"false"`
+	// MinShare is the least share of the placed capacity for each priority with waiting
+	// jobs. Zero means strict order of priority.
+	MinShare float64 `ini:"min_share" default:"0"`
+}
+
 // Store locates the platform's store.
 type Store struct {
 	Address netip.AddrPort `ini:"address,required"`
@@ -113,6 +144,7 @@
 		d.Peers.Seeds[i] = netip.AddrPortFrom(seed.Addr(), d.Listen.Transport.Port())
 	}
 	c.transport(d.Listen.Transport)
+	c.overload(d.Overload)
 	c.distinct(d.Listen.Callers, "ready", d.Listen.Ready)
 	c.distinct(d.Listen.Callers, "transport", d.Listen.Transport)
 	c.distinct(d.Listen.Transport, "metrics", d.Listen.Metrics)
@@ -141,3 +173,10 @@
 	delay := time.Duration(t.ReadinessDelay)
 	c.require(t.Grace > delay, "timing", "grace", "grace %v is not longer than readiness_delay %v", t.Grace, delay)
 }
+
+// maxMinShare is the largest min_share: three priorities and the first one still get shares.
+const maxMinShare = 0.25
+
+func (c checker) overload(o Overload) {
+	c.require(o.MinShare <= maxMinShare, "overload", "min_share", "min_share %v is more than %v", o.MinShare, maxMinShare)
+}
--- a/internal/settings/leased_test.go
+++ b/internal/settings/leased_test.go
@@ -83,3 +83,21 @@
 		})
 	}
 }
+
+// TestLoadOverload checks that a dispatcher gets its settings for overload and placement, that
+// all are off by default, and that values out of range are reported.
+func TestLoadOverload(t *testing.T) {
+	d, err := LoadDispatcher(file(t, dispatcherFile))
+	if err != nil || d.Overload != (Overload{}) || d.Placement != (LeasedPlacement{}) {
+		t.Errorf("defaults: got %+v and %+v, error %v, want all off", d.Overload, d.Placement, err)
+	}
+	d, err = LoadDispatcher(file(t, dispatcherFile+"[placement]\nlearn_speed = true\n[overload]\nuseful_factor = 2.5\npredict = true\nmin_share = 0.1\n"))
+	if want := (Overload{UsefulFactor: 2.5, Predict: true, MinShare: 0.1}); err != nil || d.Overload != want || !d.Placement.LearnSpeed {
+		t.Errorf("got %+v and %+v, error %v, want %+v and learn_speed", d.Overload, d.Placement, err, want)
+	}
+	for _, bad := range []string{"useful_factor = 0.5", "useful_factor = NaN", "predict = yes", "min_share = 0.3"} {
+		if _, err := LoadDispatcher(file(t, dispatcherFile+"[overload]\n"+bad+"\n")); err == nil {
+			t.Errorf("%s was accepted", bad)
+		}
+	}
+}
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -68,6 +68,10 @@
 		*p, err = parseCount(text)
 	case *float64:
 		*p, err = parseFraction(text)
+	case *Factor:
+		*p, err = parseFactor(text)
+	case *bool:
+		*p, err = parseBool(text)
 	case *time.Duration:
 		*p, err = parseDuration(text)
 	case *Delay:
@@ -124,6 +128,25 @@
 	return f, nil
 }
 
+func parseFactor(text string) (Factor, error) {
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil || f != 0 && !(f >= 1 && f <= maxFactor) {
+		return 0, fmt.Errorf("want 0 or a number from 1 to %d", maxFactor)
+	}
+	return Factor(f), nil
+}
+
+func parseBool(text string) (bool, error) {
+	switch text {
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	default:
+		return false, errors.New("want true or false")
+	}
+}
+
 func parseDuration(text string) (time.Duration, error) {
 	d, err := time.ParseDuration(text)
 	if err != nil || d <= 0 {
