lessee, dispatch: waiting tasks of all dispatchers in one order

Agents reserved freed capacity for each dispatcher in turn, so that one with three times the callers got as much as the others, and a dispatcher without a backlog gave capacity to less urgent tasks than those that waited elsewhere. Change: with order_across, waiting tasks and offers carry their priority and the time until their objective; agents reserve in that order, hide reserved capacity from all others, and refuse an offer that a waiting task of another dispatcher precedes. Off by default. TestOfferYieldsToMoreUrgentWaiter fails without the change in its first and third case.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -42,6 +42,9 @@
 	// SeparateInterfering makes placement prefer upstreams without tasks that were measured
 	// to slow the new one down.
 	SeparateInterfering bool
+	// OrderAcross makes agents serve the waiting tasks of all dispatchers in one order, by
+	// priority and objective.
+	OrderAcross bool
 	// UsefulFactor times its objective is the time after which a job's answer is of no use.
 	// Zero means that it is of use until the deadline.
 	UsefulFactor float64
@@ -110,6 +113,11 @@
 	notifiedPriority int
 	notifyUrgentAt   time.Duration
 	notifyIndex      int
+	// onTimeFirst is the result of firstOnTime at this time.
+	onTimeFirst struct {
+		at  time.Duration
+		job *job
+	}
 	// resumedAt is when the last long pause of the process ended, or zero.
 	resumedAt time.Duration
 	// pressure measures how long submissions wait before this process handles them.
--- a/core/dispatch/notify.go
+++ b/core/dispatch/notify.go
@@ -50,6 +50,11 @@
 // firstWaitingOn returns the first task that waits for capacity and is allowed on the agent,
 // or nil.
 func (c *Core) firstWaitingOn(a *agent) *task {
+	if j := c.firstOnTime(); j != nil {
+		if t := j.firstUnplaced(); t != nil && c.allowed(t, c.isolationOf(t), a) {
+			return t
+		}
+	}
 	for _, j := range c.waiting {
 		if t := j.firstUnplaced(); t != nil && c.allowed(t, c.isolationOf(t), a) {
 			return t
@@ -58,6 +63,30 @@
 	return nil
 }
 
+// firstOnTime returns the first job of the most urgent waiting priority that can still meet its
+// objective. It returns nil if there is none, or if agents do not order tasks by objective. It
+// is looked up once for each time, since each offer and heartbeat needs it.
+func (c *Core) firstOnTime() *job {
+	if !c.cfg.OrderAcross || len(c.waiting) == 0 {
+		return nil
+	}
+	if j := c.onTimeFirst.job; c.onTimeFirst.at == c.now.Mono && j != nil && j.queued && j.unplaced > 0 {
+		return j
+	}
+	c.onTimeFirst.at, c.onTimeFirst.job = c.now.Mono, nil
+	priority := c.waiting[0].spec.Route.Priority
+	for _, j := range c.waiting {
+		if j.spec.Route.Priority != priority {
+			break
+		}
+		if j.unplaced > 0 && c.urgency(j) == onTime {
+			c.onTimeFirst.job = j
+			break
+		}
+	}
+	return c.onTimeFirst.job
+}
+
 // firstUnplaced returns the first unplaced task of the job, or nil.
 func (j *job) firstUnplaced() *task {
 	if i := slices.IndexFunc(j.tasks, func(t *task) bool { return t.state == unplaced }); i >= 0 {
@@ -66,13 +95,26 @@
 	return nil
 }
 
-// firstWaiting describes firstWaitingOn(a). It returns nil if there is no such task.
+// firstWaiting describes the first task that waits for capacity and is allowed on the agent.
+// It returns nil if there is no such task.
 func (c *Core) firstWaiting(a *agent) *message.WaitingTask {
 	t := c.firstWaitingOn(a)
 	if t == nil {
 		return nil
 	}
-	return &message.WaitingTask{Priority: t.job.spec.Route.Priority, Demand: t.stepSpec().Demand}
+	w := &message.WaitingTask{Priority: t.job.spec.Route.Priority, Demand: t.stepSpec().Demand}
+	if c.cfg.OrderAcross {
+		w.Due, w.Late = c.due(t.job), c.missesObjective(t.job)
+	}
+	return w
+}
+
+// due returns the time until the objective of a job, but never zero, which means unknown.
+func (c *Core) due(j *job) time.Duration {
+	if d := j.objective - c.now.Mono; d != 0 {
+		return d
+	}
+	return -1
 }
 
 // notifyWaiting notifies some agents of the first waiting task, so that they report freed
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -267,9 +267,13 @@
 		expected = 0
 	}
 	t.agent.lastOfferAt = c.now.Mono
-	c.send(t.agent.ref, message.Message{Offer: &message.Offer{
+	offer := &message.Offer{
 		Seq: t.seq, Task: t.name(), RunNumber: t.starts, Service: t.job.spec.Route.Service, Route: t.job.spec.Route.Name, Isolation: c.isolationOf(t), Spec: t.job.spec.Spec,
 		Demand: spec.Demand, ExpectedDuration: expected, EchoedTimestamp: t.agent.lastTimestamp, EchoAge: c.now.Mono - t.agent.lastHeartbeatAt,
 		FirstWaiting: c.firstWaiting(t.agent),
-	}})
+	}
+	if c.cfg.OrderAcross {
+		offer.Priority, offer.Due = t.job.spec.Route.Priority, c.due(t.job)
+	}
+	c.send(t.agent.ref, message.Message{Offer: offer})
 }
--- a/core/leasemodel/load_test.go
+++ b/core/leasemodel/load_test.go
@@ -22,6 +22,9 @@
 	rate         float64
 	tasks        int
 	taskDuration time.Duration
+	// dispatcher is the number of the dispatcher that gets the jobs, from 1, or zero for a
+	// random one.
+	dispatcher int
 }
 
 // load submits jobs at random times to a simulation of dispatchers and agents, regardless of
@@ -70,9 +73,9 @@
 // rates are scaled so that the jobs use the share targetLoad of the agents' capacity.
 func jobKindsAtLoad(targetLoad float64, agents int) []jobKind {
 	kinds := []jobKind{
-		{"check", 0, 34.4, 8, 60 * time.Millisecond},
-		{"pull", 1, 100, 2, 200 * time.Millisecond},
-		{"closeout", 2, 6.25, 4, 900 * time.Millisecond},
+		{"check", 0, 34.4, 8, 60 * time.Millisecond, 0},
+		{"pull", 1, 100, 2, 200 * time.Millisecond, 0},
+		{"closeout", 2, 6.25, 4, 900 * time.Millisecond, 0},
 	}
 	totalWork := 0.0
 	for _, k := range kinds {
@@ -161,6 +164,9 @@
 	l.jobs[sim.lastCall] = loadJob{k.name, sim.now, sim.now + objective(longest)}
 	dispatchers := sim.liveDispatchers()
 	p := dispatchers[sim.rnd.IntN(len(dispatchers))]
+	if k.dispatcher > 0 {
+		p = dispatchers[k.dispatcher-1]
+	}
 	sim.deliver(p, dispatch.Submit{Call: sim.lastCall, Job: l.newJob(fmt.Sprintf("%016x", sim.lastCall), k, durations)})
 	sim.after(time.Duration(sim.rnd.ExpFloat64()/k.rate*float64(time.Second)), func() { l.submitNext(k) })
 }
--- a/core/leasemodel/simulation_test.go
+++ b/core/leasemodel/simulation_test.go
@@ -95,6 +95,8 @@
 	onAnswer func(a dispatch.Answer)
 	// estimate is the task duration that callers state; runs actually take 40 to 900 ms.
 	estimate time.Duration
+	// dispatchConfig is the configuration of dispatchers that are started.
+	dispatchConfig dispatch.Config
 	// idleRate is lessee.Config.IdleRate of all agents.
 	idleRate float64
 	// sent and received count the messages of each process, and refusedOffers the offers that
@@ -121,7 +123,8 @@
 
 func newFleet(t testing.TB, seed uint64, dispatchers, agents, capacity int, idleRate float64) *simulation {
 	sim := &simulation{
-		idleRate: idleRate, sent: make(map[node.ID]int), received: make(map[node.ID]int),
+		dispatchConfig: dispatch.Config{Domain: "z0"},
+		idleRate:       idleRate, sent: make(map[node.ID]int), received: make(map[node.ID]int),
 		estimate: lowEstimate, capacity: capacity, dispatcherCount: dispatchers,
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)),
 		loggedJobs: make(map[string]bool), processes: make(map[node.ID]*process), cutUntil: make(map[[2]node.ID]time.Duration),
@@ -193,7 +196,7 @@
 }
 
 func (sim *simulation) startDispatcher(id node.ID) {
-	p := sim.spawn(id, dispatch.New(dispatch.Config{Domain: "z0"}))
+	p := sim.spawn(id, dispatch.New(sim.dispatchConfig))
 	sim.deliver(p, dispatch.SiteChanged{State: sim.site})
 	for _, u := range sim.upstreams {
 		sim.connect(p, u.agent)
--- a/core/lessee/leaseholder.go
+++ b/core/lessee/leaseholder.go
@@ -50,7 +50,9 @@
 	// unless it reports a waiting task again or more capacity is free than skippedFree.
 	// lastReservedAt is when its last reservation began, and offeredSinceReserved is set by
 	// its first offer after that.
+	// waitingDue is when the objective of the first waiting task's job ends, if it is known.
 	firstWaiting                                   *message.WaitingTask
+	waitingDue                                     time.Duration
 	waitingExpiresAt, skippedUntil, lastReservedAt time.Duration
 	skippedFree                                    message.Resources
 	offeredSinceReserved                           bool
@@ -101,9 +103,8 @@
 	h.lastTimestamp = hb.Timestamp
 	h.knownInfoVersion, h.acceptsIdleInterval = hb.KnownInfoVersion, hb.AcceptsIdleInterval
 	h.knownCrash = hb.KnownCrash
-	h.firstWaiting = hb.FirstWaiting
-	if hb.FirstWaiting != nil {
-		h.waitingExpiresAt, h.skippedUntil = c.now.Mono+waitingTTL, 0
+	if c.setWaiting(h, hb.FirstWaiting) {
+		h.skippedUntil = 0
 	}
 	if hb.EchoedTimestamp > 0 {
 		h.renewLease(hb.EchoedTimestamp)
--- a/core/lessee/reservation.go
+++ b/core/lessee/reservation.go
@@ -15,6 +15,14 @@
 	// skipTime is how long a dispatcher that has not used its reservation gets no other,
 	// unless more capacity becomes free or the dispatcher reports a waiting task again.
 	skipTime = 100 * time.Millisecond
+	// orderedSkipTime is the same for a dispatcher whose task is ordered by objective. The one
+	// with the longest backlog is first at many agents at once and cannot use all of their
+	// capacity; skipped for longer, it would get less than the others.
+	orderedSkipTime = 20 * time.Millisecond
+	// orderMargin is the difference of two objectives below which an offer is accepted before
+	// the task that waits elsewhere. Reports of waiting tasks may be as old as that, and each
+	// refused offer costs two messages.
+	orderMargin = waitingTTL / 2
 )
 
 // reservation holds scarce free capacity for one dispatcher at a time. If all dispatchers
@@ -37,16 +45,15 @@
 }
 
 // updateReservation ends a reservation that was used, has expired or no longer fits, and
-// begins the next. It picks the dispatcher with the most urgent waiting task, and among
-// equals the one that has gone without a reservation for longest. It reports whether there
-// is a new holder.
+// begins the next, for the first dispatcher by compareWaiting. It reports whether there is a
+// new holder.
 func (c *Core) updateReservation() bool {
 	free := c.upstream.capacity.Sub(c.used)
 	if holder := c.reservation.holder; holder != nil {
 		switch {
 		case holder.offeredSinceReserved:
 		case c.now.Mono >= c.reservation.until:
-			holder.skippedUntil, holder.skippedFree = c.now.Mono+skipTime, c.reservation.free
+			holder.skippedUntil, holder.skippedFree = c.now.Mono+holder.skipTime(), c.reservation.free
 		case c.hasFittingTask(holder, free):
 			return false
 		}
@@ -69,8 +76,75 @@
 	return true
 }
 
+func (h *leaseHolder) skipTime() time.Duration {
+	if h.ordered() {
+		return orderedSkipTime
+	}
+	return skipTime
+}
+
+// ordered reports whether the first waiting task of the dispatcher is ordered by objective.
+func (h *leaseHolder) ordered() bool { return h.firstWaiting != nil && h.firstWaiting.Due != 0 }
+
+// setWaiting records the first waiting task that a dispatcher has reported, or that it has
+// none, and reports whether it has one.
+func (c *Core) setWaiting(h *leaseHolder, w *message.WaitingTask) bool {
+	h.firstWaiting = w
+	if w == nil {
+		return false
+	}
+	h.waitingExpiresAt = c.now.Mono + waitingTTL
+	h.waitingDue = c.now.Mono + w.Due
+	return true
+}
+
+// compareWaiting orders dispatchers by their first waiting tasks: by priority, then those that
+// can meet their objective, then by objective, as one dispatcher orders its own. By turns
+// alone, a dispatcher with more callers than the others would get too little capacity.
+// Dispatchers that do not report objectives take turns.
 func compareWaiting(a, b *leaseHolder) int {
-	return cmp.Or(cmp.Compare(a.firstWaiting.Priority, b.firstWaiting.Priority), cmp.Compare(a.lastReservedAt, b.lastReservedAt))
+	if byPriority := cmp.Compare(a.firstWaiting.Priority, b.firstWaiting.Priority); byPriority != 0 {
+		return byPriority
+	}
+	if a.ordered() && b.ordered() {
+		return cmp.Or(compareBool(a.firstWaiting.Late, b.firstWaiting.Late), cmp.Compare(a.waitingDue, b.waitingDue),
+			cmp.Compare(a.lastReservedAt, b.lastReservedAt))
+	}
+	return cmp.Compare(a.lastReservedAt, b.lastReservedAt)
+}
+
+// precededOffer reports whether an offer would take capacity for which the waiting task of
+// another dispatcher comes first. A dispatcher does not know the tasks that wait elsewhere, so
+// it would give capacity that was reserved for an urgent task to a less urgent one, once the
+// urgent one has been placed on another upstream.
+func (c *Core) precededOffer(h *leaseHolder, m *message.Offer) bool {
+	if m.Due == 0 {
+		return false
+	}
+	free := c.upstream.capacity.Sub(c.used)
+	left := free.Sub(m.Demand)
+	for _, o := range c.holderOrder {
+		if o == h || !o.ordered() || !c.hasFittingTask(o, free) || o.firstWaiting.Demand.Fits(left) {
+			continue
+		}
+		w := o.firstWaiting
+		if w.Priority < m.Priority || w.Priority == m.Priority && !w.Late && o.waitingDue+orderMargin < c.now.Mono+m.Due {
+			return true
+		}
+	}
+	return false
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
 }
 
 // endReservation ends the current reservation. The other dispatchers get a new capacity
@@ -84,8 +158,16 @@
 // capacity is reserved for another dispatcher, a dispatcher with waiting tasks gets a report
 // that all capacity is in use. A dispatcher without waiting tasks rarely competes for the
 // reserved capacity, so it gets the actual value.
+//
+// If the holder's task is ordered by objective, the capacity is hidden from all others: a
+// dispatcher that has just placed all its tasks would give the capacity to newer ones.
 func (c *Core) reportedUse(h *leaseHolder) message.Resources {
-	if c.reservation.holder == nil || c.reservation.holder == h || h.firstWaiting == nil || c.now.Mono >= h.waitingExpiresAt {
+	holder := c.reservation.holder
+	if holder == nil || holder == h {
+		return c.used
+	}
+	waiting := h.firstWaiting != nil && c.now.Mono < h.waitingExpiresAt
+	if !waiting && !holder.ordered() {
 		return c.used
 	}
 	return c.upstream.capacity
--- a/core/lessee/reservation_test.go
+++ b/core/lessee/reservation_test.go
@@ -152,3 +152,40 @@
 		t.Error("freed capacity was reported to d1, although no task of it waits any more")
 	}
 }
+
+// TestOfferYieldsToMoreUrgentWaiter guards against capacity that a dispatcher without a backlog
+// gives to a less urgent task than one that waits at another dispatcher, and against the same
+// when offers and reports do not state objectives, as from earlier versions: then any offer
+// that fits is accepted.
+func TestOfferYieldsToMoreUrgentWaiter(t *testing.T) {
+	const due = 200 * time.Millisecond
+	tests := []struct {
+		name     string
+		waiting  message.WaitingTask
+		offer    message.Offer
+		accepted bool
+	}{
+		{"less urgent offer", message.WaitingTask{Priority: 1, Due: due}, message.Offer{Priority: 2, Due: due}, false},
+		{"more urgent offer", message.WaitingTask{Priority: 1, Due: due}, message.Offer{Priority: 0, Due: due}, true},
+		{"later objective", message.WaitingTask{Due: due}, message.Offer{Due: due + 2*orderMargin}, false},
+		{"about the same objective", message.WaitingTask{Due: due}, message.Offer{Due: due + orderMargin/2}, true},
+		{"late task waits", message.WaitingTask{Due: -due, Late: true}, message.Offer{Due: due}, true},
+		{"no objectives", message.WaitingTask{Priority: 1}, message.Offer{Priority: 2}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newTestBed(t)
+			b.open()
+			b.startRun(d0, "j1")
+			tt.waiting.Demand = message.Resources{MilliCPU: 1000}
+			b.step(received(d1, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now, EchoedTimestamp: b.now, FirstWaiting: &tt.waiting}}))
+			tt.offer.Seq, tt.offer.Task, tt.offer.RunNumber, tt.offer.Service = 99, message.TaskName{Job: "j9"}, 1, "s"
+			tt.offer.Demand, tt.offer.EchoedTimestamp = message.Resources{MilliCPU: 1000}, b.now
+			starts := len(b.starts)
+			b.step(received(d0, message.Message{Offer: &tt.offer}))
+			if got := len(b.starts) > starts; got != tt.accepted {
+				t.Errorf("got accepted = %v, want %v", got, tt.accepted)
+			}
+		})
+	}
+}
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -71,10 +71,7 @@
 	}
 	h.maxOfferSeq = max(h.maxOfferSeq, m.Seq)
 	h.offeredSinceReserved = true
-	h.firstWaiting = m.FirstWaiting
-	if m.FirstWaiting != nil {
-		h.waitingExpiresAt = c.now.Mono + waitingTTL
-	}
+	c.setWaiting(h, m.FirstWaiting)
 	if reason := c.offerRefusal(m); reason != "" {
 		if reason == message.RefusedStale {
 			c.sendHeartbeat(h) // The next offer needs a newer timestamp.
@@ -87,7 +84,7 @@
 		c.adoptOrRefuse(h, m, other)
 		return
 	}
-	if !m.Demand.Fits(c.upstream.capacity.Sub(c.used)) {
+	if !m.Demand.Fits(c.upstream.capacity.Sub(c.used)) || c.precededOffer(h, m) {
 		c.refuseOffer(h, m, message.RefusedNoCapacity)
 		return
 	}
--- a/core/message/offer.go
+++ b/core/message/offer.go
@@ -33,6 +33,10 @@
 	EchoAge         time.Duration `json:"age,omitempty"`
 	// FirstWaiting is the first of the sender's other tasks that wait for free capacity.
 	FirstWaiting *WaitingTask `json:"wait,omitempty"`
+	// Priority and Due are those of a WaitingTask, for this task. They are set only if the
+	// sender orders tasks across dispatchers.
+	Priority int           `json:"prio,omitempty"`
+	Due      time.Duration `json:"due,omitempty"`
 }
 
 // Isolation limits which other tasks may start on an upstream together with a task. If the
@@ -206,6 +210,11 @@
 	// Priority is the priority of the task's route; 0 comes first.
 	Priority int       `json:"prio,omitempty"`
 	Demand   Resources `json:"need"`
+	// Due is the time until the objective of the task's job. It is negative after the
+	// objective, and zero if the sender does not order tasks across dispatchers.
+	Due time.Duration `json:"due,omitempty"`
+	// Late is set if the job can no longer meet its objective.
+	Late bool `json:"late,omitempty"`
 }
 
 // CapacityReport describes the readiness and capacity in use of an agent's local
--- a/internal/dispatchd/daemon.go
+++ b/internal/dispatchd/daemon.go
@@ -107,6 +107,7 @@
 	d.core = dispatch.New(dispatch.Config{
 		Domain:     cfg.Settings.Node.Domain,
 		LearnSpeed: cfg.Settings.Placement.LearnSpeed, SeparateInterfering: cfg.Settings.Placement.SeparateInterfering,
+		OrderAcross:  cfg.Settings.Overload.OrderAcross,
 		UsefulFactor: float64(cfg.Settings.Overload.UsefulFactor), Predict: cfg.Settings.Overload.Predict, MinShare: cfg.Settings.Overload.MinShare,
 	})
 	d.loop = process.NewLoop(loop.Config[step.Event, step.Action]{
--- a/internal/settings/leased.go
+++ b/internal/settings/leased.go
@@ -80,6 +80,9 @@
 // Overload selects what a dispatcher does when its callers ask for more than the upstreams
 // can run.
 type Overload struct {
+	// OrderAcross makes agents serve the waiting tasks of all dispatchers in one order, by
+	// priority and objective, instead of each dispatcher in turn.
+	OrderAcross bool `ini:"order_across" default:"false"`
 	// UsefulFactor is the multiple of its objective after which an answer is of no use to
 	// the caller. Zero means that answers are of use until the caller's deadline.
 	UsefulFactor Factor `ini:"useful_factor" default:"0"`
