dispatch, lessee: learn the speed of upstreams and place by it

Cause: upstreams of one fleet differ by a factor of two in speed, and placement rates them all alike. Change: the agent measures the ratio of run durations to expectations and reports it as CapacityReport.Slowdown. With learn_speed, the dispatcher divides it by the median of the service and subtracts a penalty from the score by the share of the remaining time that the task takes. It states the slowdown of slow upstreams in offers, so that the check for lack of progress allows more time; ExpectedDuration stays the caller's estimate, since the agent measures by it.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -68,6 +68,9 @@
 	// tasks, and until aloneRetryAt none that must start alone, since it has refused one.
 	isolatedJob, aloneJob                         *job
 	isolatedAt, aloneUntil, retryAt, aloneRetryAt time.Duration
+	// relativeSlowdown is the slowdown of its upstream divided by the median of the service,
+	// or zero before the first comparison.
+	relativeSlowdown float64
 	// dead is set at deadAt, when the agent's process was found to have ended.
 	dead bool
 	// heartbeatSentAt is when the last heartbeat was sent to the agent.
@@ -197,6 +200,7 @@
 			"used_mcpu", r.Used.MilliCPU, "version", r.Version)
 	}
 	a.lastReport = *r
+	c.recordSlowdown(a, r.Slowdown)
 	for seq := range a.unreported {
 		if seq <= r.MaxIncludedSeq {
 			a.removeUnreported(seq)
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -93,6 +93,7 @@
 	// that may have caused them.
 	crashes   *containment.Tracker
 	isolation isolationState
+	speeds    speedState
 	// confinedRefusedAt is when a job of a confined route was last refused, or zero.
 	confinedRefusedAt time.Duration
 	// placementNeeded is set when a new placement may place tasks that the last one could
@@ -132,6 +133,9 @@
 	// Overloaded is set while the process falls behind its work, and for a short time
 	// after that.
 	Overloaded bool
+	// FastAgents and SlowAgents count the agents whose upstreams are much faster or slower than
+	// the median of their service, as far as known.
+	FastAgents, SlowAgents int
 	// AgentsExamined counts the agents that placements have examined.
 	AgentsExamined uint64
 }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -91,7 +91,7 @@
 // missesObjective reports whether a job of which no task may have run cannot meet its
 // objective.
 func (c *Core) missesObjective(j *job) bool {
-	return !j.mayHaveRun && c.now.Mono+j.longestEstimate > j.objective
+	return !j.mayHaveRun && c.now.Mono+c.expectedLongest(j) > j.objective
 }
 
 // findCandidates returns the agents that may get work now.
@@ -150,6 +150,7 @@
 	if len(c.waiting) == 0 {
 		return
 	}
+	c.refreshSpeeds()
 	candidates := c.findCandidates()
 	misses := 0
 	for _, j := range c.placementOrder() {
@@ -215,7 +216,8 @@
 }
 
 // score rates an agent that has enough free capacity; the highest score is chosen. It is
-// the share of free capacity, plus the bonuses, minus the penalty if t avoids the agent.
+// the share of free capacity, plus the bonuses, minus the penalties if t avoids the agent or
+// its upstream is slow.
 func (c *Core) score(t *task, a *agent, free message.Resources, isolated bool) float64 {
 	score := float64(free.MilliCPU) / float64(max(a.info.Capacity.MilliCPU, 1))
 	if a.info.Domain == c.cfg.Domain {
@@ -230,7 +232,7 @@
 	if isolated && a.isolatedJob == t.job {
 		score += togetherBonus
 	}
-	return score
+	return score - c.speedPenalty(t, a)
 }
 
 // offerTask places t on a with a new offer.
@@ -270,6 +272,6 @@
 	c.send(t.agent.ref, message.Message{Offer: &message.Offer{
 		Seq: t.seq, Task: t.name(), RunNumber: t.starts, Service: t.job.spec.Route.Service, Route: t.job.spec.Route.Name, Isolation: c.isolationOf(t), Spec: t.job.spec.Spec,
 		Demand: spec.Demand, ExpectedDuration: expected, EchoedTimestamp: t.agent.lastTimestamp, EchoAge: c.now.Mono - t.agent.lastHeartbeatAt,
-		FirstWaiting: c.firstWaiting(t.agent),
+		FirstWaiting: c.firstWaiting(t.agent), Slowdown: c.offeredSlowdown(t.agent),
 	}})
 }
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -7,6 +7,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/speed"
 	"github.com/dogwoodgauge/dogwoodgauge/core/site"
 	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 )
@@ -78,7 +79,9 @@
 	// upstream info. Each rises with every change.
 	capacityVersion, infoVersion uint64
 	// reservation holds scarce free capacity for one dispatcher.
-	reservation     reservation
+	reservation reservation
+	// speed estimates the speed of the upstream, across its incarnations.
+	speed           speed.Estimator
 	draining        bool
 	nextHeartbeatAt time.Duration
 	// idleIndex is the index in holderOrder of the last dispatcher without runs here that
@@ -160,13 +163,15 @@
 	Revision          int64
 	// Crashes counts the crashes of the upstream.
 	Crashes uint64
+	// Slowdown is the measured CapacityReport.Slowdown.
+	Slowdown int
 }
 
 // Stats returns the current values for metrics.
 func (c *Core) Stats() Stats {
 	return Stats{
 		Runs: len(c.runs), Dispatchers: len(c.holders), Used: c.used, Capacity: c.upstream.capacity,
-		Ready: c.Ready(), Revision: c.site.Revision, Crashes: c.lastCrash,
+		Ready: c.Ready(), Revision: c.site.Revision, Crashes: c.lastCrash, Slowdown: c.speed.Slowdown(c.now.Mono),
 	}
 }
 
@@ -202,6 +207,7 @@
 	h.reportedVersion, h.reportedSeq, h.reportedReady = c.capacityVersion, h.maxOfferSeq, c.Ready()
 	r := &message.CapacityReport{
 		Version: c.capacityVersion, Ready: c.Ready(), Used: c.reportedUse(h), MaxIncludedSeq: h.maxOfferSeq, InfoVersion: c.infoVersion,
+		Slowdown: c.speed.Slowdown(c.now.Mono),
 	}
 	if h.knownInfoVersion != c.infoVersion {
 		r.Info = &message.UpstreamInfo{
--- a/core/lessee/progress.go
+++ b/core/lessee/progress.go
@@ -26,7 +26,7 @@
 		return
 	}
 	left := time.Duration(float64(age) * float64(100-percent) / max(float64(percent), 0.5))
-	if float64(left) <= slowFactor*float64(r.expectedDuration) {
+	if float64(left) <= slowFactor*float64(r.expectedDuration)*float64(max(r.slowdown, 100))/100 {
 		return
 	}
 	c.logEvent("run_too_slow", r.name.Job, "task", r.name.String(), "run", r.number, "age_ms", age.Milliseconds(),
@@ -34,3 +34,13 @@
 	r.stopReason = message.RefusedTooSlow
 	c.stop(r)
 }
+
+// recordDuration measures the speed of the upstream by a run that has succeeded. It ignores
+// runs whose start is not known well: those being stopped, those with an unanswered start
+// call, and those during a pause of this process.
+func (c *Core) recordDuration(r *run, duration time.Duration) {
+	if r.state != running || r.startUnanswered || r.orphaned || c.resumedAt >= r.startedAt && c.resumedAt > 0 {
+		return
+	}
+	c.speed.Record(c.now.Mono, duration, r.expectedDuration)
+}
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -38,6 +38,8 @@
 	state      runState
 	// expectedDuration is the estimated duration, or zero if there is no estimate.
 	expectedDuration time.Duration
+	// slowdown is Offer.Slowdown.
+	slowdown int
 	// stopReason is why the run is being stopped, if the completion reports the reason.
 	stopReason message.RefuseReason
 	// startCalls is the number of start calls sent.
@@ -99,7 +101,7 @@
 	r := &run{
 		handle: c.lastHandle, holder: h, seq: m.Seq, name: m.Task, number: m.RunNumber,
 		route: m.Route, spec: m.Spec, demand: m.Demand, expectedDuration: m.ExpectedDuration, startedAt: c.now.Mono,
-		isolation: m.Isolation, acceptedAt: c.now.Mono,
+		isolation: m.Isolation, acceptedAt: c.now.Mono, slowdown: m.Slowdown,
 	}
 	c.runs[r.handle] = r
 	c.runsByTask[r.name] = r
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -346,6 +346,7 @@
 		duration := c.now.Mono - r.startedAt
 		switch {
 		case completion.Completion == CompletionDone:
+			c.recordDuration(r, duration)
 			c.completeRun(r, message.RunDone, "", duration)
 		case completion.Completion == CompletionFailed:
 			c.completeRun(r, message.RunFailed, "", duration)
--- a/core/message/offer.go
+++ b/core/message/offer.go
@@ -33,6 +33,9 @@
 	EchoAge         time.Duration `json:"age,omitempty"`
 	// FirstWaiting is the first of the sender's other tasks that wait for free capacity.
 	FirstWaiting *WaitingTask `json:"wait,omitempty"`
+	// Slowdown is the CapacityReport.Slowdown of the receiver if the sender takes it into account
+	// and it exceeds 100, or zero. The check of ExpectedDuration allows that much more time.
+	Slowdown int `json:"slow,omitempty"`
 }
 
 // Isolation limits which other tasks may start on an upstream together with a task. If the
@@ -222,6 +225,9 @@
 	Info        *UpstreamInfo `json:"kind,omitempty"`
 	// MaxIncludedSeq is the highest Seq of the receiver's offers that Used includes.
 	MaxIncludedSeq uint64 `json:"seen,omitempty"`
+	// Slowdown is the ratio of the durations of recent runs to their ExpectedDuration, in
+	// percent, rounded to 5. Zero means not known.
+	Slowdown int `json:"slow,omitempty"`
 }
 
 // UpstreamInfo holds the properties of an upstream that change rarely.
