--- a/core/dispatch/speed.go
+++ b/core/dispatch/speed.go
@@ -107,7 +107,7 @@
 		slowdown, fleet := c.slowdown(a), c.speeds.fleets[a.info.Service]
 		a.relativeSlowdown = fleet.Relative(slowdown)
 		h := c.speeds.hosts[a.ref.ID]
-		if h == nil {
+		if h == nil || a.dead {
 			continue
 		}
 		if class := nextClass(h.class, a.relativeSlowdown); class != h.class && logged < maxSpeedLogs {
--- a/internal/lesseed/daemon.go
+++ b/internal/lesseed/daemon.go
@@ -275,6 +275,7 @@
 		d.metrics.SetGauge(telemetry.CapacityInUse, float64(s.Used.MilliCPU))
 		d.metrics.SetGauge(telemetry.TotalCapacity, float64(s.Capacity.MilliCPU))
 		d.metrics.SetGauge(telemetry.SiteRevision, float64(s.Revision))
+		d.metrics.SetGauge(telemetry.UpstreamSlowdown, float64(s.Slowdown))
 		process.CopyCounters(d.metrics, nil, d.transport.Stats())
 	})
 }
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -44,4 +44,8 @@
 	UpstreamCrashesTotal = "dogwoodgauge_upstream_crashes_total"
 	RunsCrashedTotal     = "dogwoodgauge_runs_crashed_total"
 	RoutesConfined       = "dogwoodgauge_routes_confined"
+
+	AgentsFast       = "dogwoodgauge_agents_fast"
+	AgentsSlow       = "dogwoodgauge_agents_slow"
+	UpstreamSlowdown = "dogwoodgauge_upstream_slowdown_percent"
 )
