lessee: lower the usable capacity when the upstream refuses starts

What is announced but not usable is reported as in use, at once to dispatchers with runs or waiting tasks at the upstream. The announced capacity stays in the upstream info, so jobs are refused as too large by announced capacity only.

Result: go test ./core/lessee passes.

--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -19,6 +19,9 @@
 	// IdleRate is the number of heartbeats sent in a second to all dispatchers without runs
 	// here. Zero means pace.IdleRate.
 	IdleRate float64
+	// LearnCapacity lowers the usable capacity when the upstream refuses a start for lack of
+	// capacity; see capacityEstimate.
+	LearnCapacity bool
 }
 
 const (
@@ -77,6 +80,8 @@
 	// capacityVersion is the version of the capacity report, and infoVersion that of the
 	// upstream info. Each rises with every change.
 	capacityVersion, infoVersion uint64
+	// startsRefused counts the start calls that the upstream refused for lack of capacity.
+	startsRefused uint64
 	// reservation holds scarce free capacity for one dispatcher.
 	reservation     reservation
 	draining        bool
@@ -136,6 +141,7 @@
 	c.stopLapsedRuns()
 	c.sendDueCalls()
 	c.sendDueHeartbeats()
+	c.reportLoweredCapacity()
 	if c.updateReservation() {
 		c.sendHeartbeat(c.reservation.holder)
 	}
@@ -155,18 +161,21 @@
 // Stats holds the values for metrics.
 type Stats struct {
 	Runs, Dispatchers int
-	Used, Capacity    message.Resources
-	Ready             bool
-	Revision          int64
+	// Used is the capacity in use, Capacity the announced and Usable the estimated one.
+	Used, Capacity, Usable message.Resources
+	Ready                  bool
+	Revision               int64
 	// Crashes counts the crashes of the upstream.
 	Crashes uint64
+	// StartsRefused counts the start calls that the upstream refused for lack of capacity.
+	StartsRefused uint64
 }
 
 // Stats returns the current values for metrics.
 func (c *Core) Stats() Stats {
 	return Stats{
-		Runs: len(c.runs), Dispatchers: len(c.holders), Used: c.used, Capacity: c.upstream.capacity,
-		Ready: c.Ready(), Revision: c.site.Revision, Crashes: c.lastCrash,
+		Runs: len(c.runs), Dispatchers: len(c.holders), Used: c.used, Capacity: c.upstream.estimate.announced, Usable: c.upstream.capacity,
+		Ready: c.Ready(), Revision: c.site.Revision, Crashes: c.lastCrash, StartsRefused: c.startsRefused,
 	}
 }
 
@@ -205,7 +214,7 @@
 	}
 	if h.knownInfoVersion != c.infoVersion {
 		r.Info = &message.UpstreamInfo{
-			Service: c.upstream.service, Domain: c.upstream.domain, Labels: c.upstream.labels, Capacity: c.upstream.capacity,
+			Service: c.upstream.service, Domain: c.upstream.domain, Labels: c.upstream.labels, Capacity: c.upstream.estimate.announced,
 		}
 	}
 	return r
--- a/core/lessee/reservation.go
+++ b/core/lessee/reservation.go
@@ -82,11 +82,11 @@
 
 // reportedUse returns the capacity in use that is reported to a dispatcher. While free
 // capacity is reserved for another dispatcher, a dispatcher with waiting tasks gets a report
-// that all capacity is in use. A dispatcher without waiting tasks rarely competes for the
+// that all capacity is in use. Capacity that is announced but not usable counts as in use. A dispatcher without waiting tasks rarely competes for the
 // reserved capacity, so it gets the actual value.
 func (c *Core) reportedUse(h *leaseHolder) message.Resources {
 	if c.reservation.holder == nil || c.reservation.holder == h || h.firstWaiting == nil || c.now.Mono >= h.waitingExpiresAt {
-		return c.used
+		return c.used.Add(c.unusable())
 	}
-	return c.upstream.capacity
+	return c.upstream.estimate.announced
 }
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -215,6 +215,9 @@
 		return
 	}
 	c.upstream.observeClock(e.Clock, c.now.Mono)
+	if e.Result == CallNoCapacity && r.state != running {
+		c.lowerCapacity(r, e.Clock)
+	}
 	if e.Result == CallOK {
 		r.confirmed = true
 		r.startedAt = c.now.Mono
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -32,8 +32,10 @@
 	service      string
 	domain       string
 	labels       []string
-	capacity     message.Resources
-	draining     bool
+	// capacity is the usable capacity: what estimate makes of the announced one.
+	capacity message.Resources
+	estimate capacityEstimate
+	draining bool
 	// announced is set once an announcement of this incarnation was received or restored;
 	// lastAnnouncedAt is when that last happened.
 	announced       bool
@@ -124,7 +126,8 @@
 	if a.Draining != u.draining {
 		c.logEvent("upstream_draining", "", "upstream", a.ID, "draining", a.Draining)
 	}
-	if u.service != a.Service || u.capacity != a.Capacity || u.domain != a.Domain || !slices.Equal(u.labels, a.Labels) {
+	resized := c.takeCapacity(a)
+	if u.service != a.Service || resized || u.domain != a.Domain || !slices.Equal(u.labels, a.Labels) {
 		c.infoVersion++
 		c.capacityChanged()
 	}
@@ -132,8 +135,7 @@
 		c.capacityChanged()
 	}
 	u.seq, u.service, u.domain, u.labels = a.Seq, a.Service, a.Domain, a.Labels
-	u.capacity, u.draining = a.Capacity, a.Draining
-	u.announced, u.lastAnnouncedAt = true, c.now.Mono
+	u.draining, u.announced, u.lastAnnouncedAt = a.Draining, true, c.now.Mono
 	u.observeClock(a.Clock, c.now.Mono)
 }
 
--- a/core/message/offer.go
+++ b/core/message/offer.go
@@ -214,8 +214,11 @@
 	// Version increases with each change within one incarnation of the agent.
 	Version uint64 `json:"v"`
 	// Ready is false while the upstream accepts no new work.
-	Ready bool      `json:"ready,omitempty"`
-	Used  Resources `json:"used"`
+	Ready bool `json:"ready,omitempty"`
+	// Used is the part of UpstreamInfo.Capacity that is in use, or that the upstream
+	// refuses to provide. It exceeds UpstreamInfo.Capacity if that has been reduced to less
+	// than what runs there.
+	Used Resources `json:"used"`
 	// InfoVersion is the version of the upstream info. Info is included until the receiver
 	// reports this version in KnownInfoVersion.
 	InfoVersion uint64        `json:"kv,omitempty"`
--- a/internal/lesseed/daemon.go
+++ b/internal/lesseed/daemon.go
@@ -115,7 +115,7 @@
 		toPersist: make(chan lessee.Announcement, 1),
 	}
 	d.Apply(cfg.Settings)
-	d.core = lessee.New(lessee.Config{Token: time.Now().UnixMilli()})
+	d.core = lessee.New(lessee.Config{Token: time.Now().UnixMilli(), LearnCapacity: cfg.Settings.Upstream.LearnCapacity})
 	d.loop = process.NewLoop(loop.Config[step.Event, step.Action]{
 		Step: d.core.Step, Execute: d.execute, Clock: loop.BootClock(),
 	})
@@ -274,6 +274,8 @@
 		d.metrics.SetGauge(telemetry.UpstreamCrashesTotal, float64(s.Crashes))
 		d.metrics.SetGauge(telemetry.CapacityInUse, float64(s.Used.MilliCPU))
 		d.metrics.SetGauge(telemetry.TotalCapacity, float64(s.Capacity.MilliCPU))
+		d.metrics.SetGauge(telemetry.UsableCapacity, float64(s.Usable.MilliCPU))
+		d.metrics.SetGauge(telemetry.StartsRefusedTotal, float64(s.StartsRefused))
 		d.metrics.SetGauge(telemetry.SiteRevision, float64(s.Revision))
 		process.CopyCounters(d.metrics, nil, d.transport.Stats())
 	})
--- a/internal/settings/leased.go
+++ b/internal/settings/leased.go
@@ -59,6 +59,9 @@
 type LeasedUpstream struct {
 	// Address is where the upstream accepts calls.
 	Address netip.AddrPort `ini:"address,required"`
+	// LearnCapacity lowers the usable capacity when the upstream refuses a start for lack of
+	// capacity.
+	LearnCapacity bool `ini:"learn_capacity" default:"false"`
 }
 
 // LeasedPlacement selects what a dispatcher considers when it chooses an upstream, besides free
--- a/internal/settings/leased_test.go
+++ b/internal/settings/leased_test.go
@@ -101,3 +101,13 @@
 		}
 	}
 }
+
+// TestLoadLearnCapacity checks that an agent lowers no capacity unless its settings say so.
+func TestLoadLearnCapacity(t *testing.T) {
+	for text, want := range map[string]bool{"address = 127.0.0.1:8090": false, "address = 127.0.0.1:8090\nlearn_capacity = true": true} {
+		l, err := LoadLessee(file(t, strings.Replace(lesseeFile, "address = 127.0.0.1:8090", text, 1)))
+		if err != nil || l.Upstream.LearnCapacity != want {
+			t.Errorf("%q: got %+v, error %v, want learn_capacity %v", text, l.Upstream, err, want)
+		}
+	}
+}
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -41,6 +41,9 @@
 	OffersTotal   = "dogwoodgauge_offers_total"
 	RunsLostTotal = "dogwoodgauge_runs_lost_total"
 
+	UsableCapacity     = "dogwoodgauge_room_usable_millicpu"
+	StartsRefusedTotal = "dogwoodgauge_starts_refused_total"
+
 	UpstreamCrashesTotal = "dogwoodgauge_upstream_crashes_total"
 	RunsCrashedTotal     = "dogwoodgauge_runs_crashed_total"
 	RoutesConfined       = "dogwoodgauge_routes_confined"
