--- a/core/lessee/reservation.go
+++ b/core/lessee/reservation.go
@@ -157,18 +157,20 @@
 // reportedUse returns the capacity in use that is reported to a dispatcher. While free
 // capacity is reserved for another dispatcher, a dispatcher with waiting tasks gets a report
 // that all capacity is in use. A dispatcher without waiting tasks rarely competes for the
-// reserved capacity, so it gets the actual value.
+// reserved capacity, so it gets the actual value. Capacity that is announced but not usable
+// counts as in use.
 //
 // If the holder's task is ordered by objective, the capacity is hidden from all others: a
 // dispatcher that has just placed all its tasks would give the capacity to newer ones.
 func (c *Core) reportedUse(h *leaseHolder) message.Resources {
+	used := c.used.Add(c.unusable())
 	holder := c.reservation.holder
 	if holder == nil || holder == h {
-		return c.used
+		return used
 	}
 	waiting := h.firstWaiting != nil && c.now.Mono < h.waitingExpiresAt
 	if !waiting && !holder.ordered() {
-		return c.used
+		return used
 	}
-	return c.upstream.capacity
+	return c.upstream.estimate.announced
 }
