dispatch: refuse jobs that cannot be answered in time, by the backlog and its rate

A job that did not fit waited until its deadline less 0.6 of its estimate, and one of which a few tasks had started until its deadline, with their capacity.

core/policy/backlog keeps the waiting demand as sums by priority, lateness and objective, and the rate at which demand was placed in the last second of backlog. With predict, the dispatcher refuses a job right after the placement that has passed it over, or at a review every 100 ms, if its predicted start is too late. With useful_factor, the latest start follows from the multiple of the objective, and a partly placed job is interrupted once its answer can be of no use.

--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -10,6 +10,8 @@
 	reasonNoUpstream   = "no_upstream"
 	reasonOverloaded   = "overloaded"
 	reasonDeadline     = "deadline_passed"
+	reasonNoUse        = "answer_of_no_use"
+	reasonPredicted    = "predicted_too_late"
 	reasonAttemptsUsed = "attempts_used_up"
 	reasonCrashes      = "upstreams_crashed"
 	reasonConfined     = "route_confined"
@@ -21,6 +23,7 @@
 
 // answerJob answers a job and revokes its open offers.
 func (c *Core) answerJob(j *job, outcome Outcome, reason string, retry time.Duration) {
+	outlook := c.forecastFields(j)
 	for _, t := range j.tasks {
 		if t.state == offered {
 			c.revoke(t)
@@ -31,9 +34,11 @@
 	if c.byID[j.spec.ID] == j {
 		delete(c.byID, j.spec.ID)
 	}
-	c.logEvent("job_ended", j.spec.ID, "request", j.spec.Request, "outcome", outcome, "reason", reason, "route", j.spec.Route.Name,
+	c.logEvent("job_ended", j.spec.ID, append([]any{
+		"request", j.spec.Request, "outcome", outcome, "reason", reason, "route", j.spec.Route.Name,
 		"tasks", len(j.tasks), "offers", j.offerCount, "unplaced", j.unplaced, "took_ms", (c.now.Mono - j.arrivedAt).Milliseconds(),
-		"objective_ms", (j.objective - j.arrivedAt).Milliseconds(), "revision", c.site.Revision)
+		"objective_ms", (j.objective - j.arrivedAt).Milliseconds(), "revision", c.site.Revision,
+	}, outlook...)...)
 	c.out = append(c.out, Answer{Call: j.call, Outcome: outcome, Reason: reason, RetryAfter: retry})
 }
 
@@ -43,5 +48,6 @@
 		c.answerJob(j, Interrupted, reason, 0)
 		return
 	}
-	c.answerJob(j, Refused, reason, transientRetryDelay)
+	c.recordWithdrawal(j)
+	c.answerJob(j, Refused, reason, c.retryDelay(j))
 }
--- /dev/null
+++ b/core/dispatch/backlog.go
@@ -0,0 +1,217 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/backlog"
+)
+
+// reviewInterval is the pause between two reviews of all waiting jobs: the longest time for
+// which the caller of a job whose outlook has worsened is not told.
+const reviewInterval = 100 * time.Millisecond
+
+// backlogState holds what predictions are made from.
+type backlogState struct {
+	// byService holds the demand that waits and its rate, by service.
+	byService map[string]*backlog.Backlog
+	// fresh lists the jobs that were accepted since the last placement.
+	fresh      []*job
+	reviewedAt time.Duration
+}
+
+func newBacklogState() backlogState {
+	return backlogState{byService: make(map[string]*backlog.Backlog)}
+}
+
+// predictable reports whether the wait of a job depends on the capacity of its service alone.
+// A job that only some upstreams may run waits for those, and others pass it.
+func (c *Core) predictable(j *job) bool {
+	return c.cfg.Predict && !j.crashed && !slices.ContainsFunc(j.spec.Steps, func(s Step) bool {
+		return s.RequiredLabel != "" || s.MaxPerUpstream > 0 || s.Demand.Accelerators > 0
+	})
+}
+
+// backlogOf returns the backlog of the job's service, or nil if its wait is not predictable.
+func (c *Core) backlogOf(j *job) *backlog.Backlog {
+	if !c.predictable(j) {
+		return nil
+	}
+	b := c.backlogs.byService[j.spec.Route.Service]
+	if b == nil {
+		b = &backlog.Backlog{}
+		c.backlogs.byService[j.spec.Route.Service] = b
+	}
+	return b
+}
+
+// recordArrival notes a job that has been accepted.
+func (c *Core) recordArrival(j *job) {
+	if b := c.backlogOf(j); b != nil {
+		b.Arrived(c.now.Mono, j.spec.Route.Priority, j.unplacedDemand())
+		c.backlogs.fresh = append(c.backlogs.fresh, j)
+	}
+}
+
+// recordWithdrawal notes that an accepted job is refused after all. Its demand is no longer
+// ahead of less urgent jobs.
+func (c *Core) recordWithdrawal(j *job) {
+	if b := c.backlogOf(j); b != nil {
+		b.Arrived(c.now.Mono, j.spec.Route.Priority, -j.unplacedDemand())
+	}
+}
+
+// recordPlaced notes that a task was placed, with sign 1, or that its agent has refused it,
+// with sign -1.
+func (c *Core) recordPlaced(t *task, sign int) {
+	if b := c.backlogOf(t.job); b != nil {
+		b.Placed(c.now.Mono, sign*t.stepSpec().Demand.MilliCPU)
+	}
+}
+
+// recount updates the sums of waiting demand after a change of the job.
+func (c *Core) recount(j *job) {
+	b := c.backlogOf(j)
+	if b == nil {
+		return
+	}
+	b.Remove(j.counted)
+	j.counted = backlog.Entry{}
+	if j.queued {
+		j.counted = backlog.Entry{
+			Priority: j.spec.Route.Priority, Late: c.missesObjective(j), Objective: j.objective, Demand: j.unplacedDemand(),
+		}
+	}
+	b.Add(j.counted)
+}
+
+// unplacedDemand returns the demand of the unplaced tasks, in thousandths of a core.
+func (j *job) unplacedDemand() int {
+	if j.unplaced == 0 {
+		return 0
+	}
+	n := 0
+	for _, t := range j.tasks {
+		if t.state == unplaced {
+			n += t.stepSpec().Demand.MilliCPU
+		}
+	}
+	return n
+}
+
+// refuseHopeless ends the waiting jobs whose answers would come too late: those that the last
+// placement has passed over since they arrived, and at each review all others.
+func (c *Core) refuseHopeless() {
+	for _, b := range c.backlogs.byService {
+		b.Update(c.now.Mono, b.Total() > 0)
+	}
+	fresh := c.backlogs.fresh
+	c.backlogs.fresh = c.backlogs.fresh[:0]
+	if c.cfg.UsefulFactor > 0 || c.cfg.Predict {
+		if c.now.Mono-c.backlogs.reviewedAt >= reviewInterval {
+			c.backlogs.reviewedAt = c.now.Mono
+			fresh = slices.Clone(c.waiting)
+		}
+	}
+	for _, j := range fresh {
+		if j.queued && c.jobs[j.call] == j {
+			c.recount(j)
+			c.reviewJob(j)
+		}
+	}
+	clear(fresh)
+}
+
+// reviewJob ends a waiting job if its answer would come too late.
+func (c *Core) reviewJob(j *job) {
+	if j.mayHaveRun && c.cfg.UsefulFactor == 0 {
+		return
+	}
+	latest := j.latestStart(c.cfg.UsefulFactor)
+	if j.mayHaveRun {
+		latest = j.latestCompletion(c.cfg.UsefulFactor)
+	}
+	if c.now.Mono > latest {
+		c.giveUp(j, j.lateReason(c.cfg.UsefulFactor))
+		return
+	}
+	if f, ok := c.forecast(j); ok && f.Exceeds(latest-c.now.Mono) {
+		c.giveUp(j, reasonPredicted)
+	}
+}
+
+// forecast predicts when the unplaced tasks of a waiting job start. It reports false if that is
+// not known.
+func (c *Core) forecast(j *job) (backlog.Forecast, bool) {
+	b := c.backlogOf(j)
+	if b == nil || !j.queued {
+		return backlog.Forecast{}, false
+	}
+	becomesLate := j.objective - j.longestEstimate - c.now.Mono
+	if j.mayHaveRun {
+		becomesLate = j.deadline - c.now.Mono // Started jobs keep their place.
+	}
+	return b.Forecast(c.now.Mono, j.counted, becomesLate)
+}
+
+// usefulUntil returns the time after which the answer is of no use to the caller, if its tasks
+// take longest. Without an estimate, that is the deadline.
+func (j *job) usefulUntil(factor float64, longest time.Duration) time.Duration {
+	objective := j.spec.Route.Objective(longest)
+	if factor == 0 || objective <= 0 || !slices.ContainsFunc(j.spec.Steps, func(s Step) bool { return s.Estimate > 0 }) {
+		return j.deadline
+	}
+	return min(j.deadline, j.submittedAt+time.Duration(factor*float64(objective)))
+}
+
+// latestCompletion returns the time from which a job that has started and has unplaced tasks
+// cannot be answered while that is of use, whatever the error of its estimate: by an estimate
+// that is too short, the objective would be too early.
+func (j *job) latestCompletion(factor float64) time.Duration {
+	var longest time.Duration
+	for _, t := range j.tasks {
+		if t.state == unplaced {
+			longest = max(longest, t.stepSpec().Estimate)
+		}
+	}
+	return j.usefulUntil(factor, time.Duration(float64(j.longestEstimate)/(1-estimateError))) - leastDuration(longest)
+}
+
+// lateReason returns why a job is given up whose answer would come too late.
+func (j *job) lateReason(factor float64) string {
+	if j.usefulUntil(factor, j.longestEstimate) < j.deadline {
+		return reasonNoUse
+	}
+	return reasonDeadline
+}
+
+// retryDelay returns the retry delay of a job that is refused while it waits.
+func (c *Core) retryDelay(j *job) time.Duration {
+	b := c.backlogOf(j)
+	if b == nil {
+		return transientRetryDelay
+	}
+	return backlog.RetryAfter(b.Drain(c.now.Mono, j.spec.Route.Priority), c.now.Mono-j.submittedAt, j.spec.ID)
+}
+
+// forecastFields returns the fields of log lines that describe the outlook of a job.
+func (c *Core) forecastFields(j *job) []any {
+	f, ok := c.forecast(j)
+	if !ok {
+		return nil
+	}
+	return []any{
+		"predicted_start_ms", f.Wait.Milliseconds(), "ahead_mcpu", f.Ahead, "rate_mcpu_s", int(f.Rate),
+		"limit_ms", (j.latestStart(c.cfg.UsefulFactor) - c.now.Mono).Milliseconds(),
+	}
+}
+
+// predictedWait returns the longest time until the waiting demand of a service will have been
+// placed. It is zero if that is not known.
+func (c *Core) predictedWait() time.Duration {
+	var longest time.Duration
+	for _, b := range c.backlogs.byService {
+		longest = max(longest, b.Drain(c.now.Mono, leastUrgent))
+	}
+	return longest
+}
--- a/core/dispatch/completion.go
+++ b/core/dispatch/completion.go
@@ -89,6 +89,7 @@
 // handleRefusal requeues a task that the agent has refused to start.
 func (c *Core) handleRefusal(t *task, a *agent, reason message.RefuseReason) {
 	t.starts--
+	c.recordPlaced(t, -1)
 	if reason == message.RefusedProving {
 		c.recordProving(t, a)
 	} else if reason != message.RefusedNoCapacity && reason != message.RefusedStopping {
@@ -98,7 +99,7 @@
 	c.requeue(t)
 	j.mayHaveRun = j.anyMayHaveRun()
 	if !j.mayHaveRun {
-		c.latestStarts.Add(j.latestStart(), j.call)
+		c.latestStarts.Add(j.latestStart(c.cfg.UsefulFactor), j.call)
 	}
 }
 
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -81,6 +81,7 @@
 	// latestStarts holds them by the time from which a job that has not started cannot meet
 	// its deadline.
 	deadlines, latestStarts timerqueue.Queue[uint64]
+	backlogs                backlogState
 	// candidates and placementList are buffers that placements reuse.
 	candidates    []candidate
 	placementList []*job
@@ -132,6 +133,9 @@
 	// Overloaded is set while the process falls behind its work, and for a short time
 	// after that.
 	Overloaded bool
+	// PredictedWait is the time until all waiting demand will have been placed, or zero if
+	// that is not known.
+	PredictedWait time.Duration
 	// AgentsExamined counts the agents that placements have examined.
 	AgentsExamined uint64
 }
@@ -148,6 +152,7 @@
 		faults:     quarantine.New(),
 		crashes:    containment.New(),
 		isolation:  newIsolationState(),
+		backlogs:   newBacklogState(),
 
 		domainDoubtedAt: make(map[string]time.Duration),
 	}
@@ -177,6 +182,7 @@
 	c.updateIsolation()
 	c.place()
 	c.refuseInfeasible()
+	c.refuseHopeless()
 	c.giveUpConfined()
 	c.notifyWaiting()
 	c.reportOverload()
@@ -241,6 +247,7 @@
 func (c *Core) Stats() Stats {
 	s := c.stats
 	s.Overloaded = c.reportedOverload
+	s.PredictedWait = c.predictedWait()
 	s.ConfinedRoutes = c.crashes.ConfinedRoutes()
 	s.OpenJobs, s.WaitingJobs, s.Agents, s.Revision = len(c.jobs), len(c.waiting), len(c.agents), c.site.Revision
 	for _, a := range c.sortedAgents {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -7,6 +7,7 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/backlog"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/pressure"
 )
 
@@ -28,6 +29,8 @@
 	spec      Job
 	tasks     []*task
 	arrivedAt time.Duration
+	// submittedAt is when the caller that waits has submitted the job, which may be later.
+	submittedAt time.Duration
 	// objective is the time at which the answer is due, deadline the time at which the
 	// caller stops waiting.
 	objective time.Duration
@@ -42,6 +45,8 @@
 	mayHaveRun bool
 	// queued is set while the job is in Core.waiting.
 	queued bool
+	// counted is the waiting demand of the job that the backlog of its service includes.
+	counted backlog.Entry
 	// crashed is set if upstreams have crashed while they had tasks of the job.
 	crashed    bool
 	offerCount int
@@ -123,9 +128,10 @@
 	c.jobs[j.call] = j
 	c.byID[j.spec.ID] = j
 	c.deadlines.Add(j.deadline, j.call)
-	c.latestStarts.Add(j.latestStart(), j.call)
+	c.latestStarts.Add(j.latestStart(c.cfg.UsefulFactor), j.call)
 	c.unblock(j)
 	c.enqueue(j)
+	c.recordArrival(j)
 	c.placementNeeded = true
 }
 
@@ -162,14 +168,15 @@
 	c.out = append(c.out, Answer{Call: j.call, Outcome: Interrupted, Reason: reasonTakenOver})
 	delete(c.jobs, j.call)
 	j.call, j.deadline, j.spec.Request = resubmitted.call, resubmitted.deadline, resubmitted.spec.Request
+	j.submittedAt = resubmitted.submittedAt
 	c.jobs[j.call] = j
 	c.deadlines.Add(j.deadline, j.call)
-	c.latestStarts.Add(j.latestStart(), j.call)
+	c.latestStarts.Add(j.latestStart(c.cfg.UsefulFactor), j.call)
 	return true
 }
 
 func newJob(now time.Duration, e Submit) *job {
-	j := &job{call: e.Call, spec: e.Job, arrivedAt: now, deadline: now + e.Job.Wait}
+	j := &job{call: e.Call, spec: e.Job, arrivedAt: now, submittedAt: now, deadline: now + e.Job.Wait}
 	var longest time.Duration
 	for s := range e.Job.Steps {
 		spec := &e.Job.Steps[s]
@@ -252,6 +259,7 @@
 
 // enqueue adds a job with unplaced tasks to the waiting jobs.
 func (c *Core) enqueue(j *job) {
+	defer c.recount(j)
 	if j.queued || j.unplaced == 0 {
 		return
 	}
@@ -273,6 +281,7 @@
 		return
 	}
 	j.queued = false
+	c.recount(j)
 	if i, ok := slices.BinarySearchFunc(c.waiting, j, compareJobs); ok && c.waiting[i] == j {
 		c.waiting = slices.Delete(c.waiting, i, i+1)
 		return
@@ -343,7 +352,7 @@
 func (c *Core) refuseInfeasible() {
 	for call, ok := c.latestStarts.Pop(c.now.Mono); ok; call, ok = c.latestStarts.Pop(c.now.Mono) {
 		if j, open := c.jobs[call]; open && j.queued && !j.mayHaveRun {
-			c.giveUp(j, reasonDeadline)
+			c.giveUp(j, j.lateReason(c.cfg.UsefulFactor))
 		}
 	}
 }
@@ -351,12 +360,15 @@
 // estimateError is the share by which a task may take less time than estimated.
 const estimateError = 0.4
 
-// latestStart returns the time from which a job that has not started misses its deadline.
-func (j *job) latestStart() time.Duration { return j.deadline - j.minDuration() }
+// latestStart returns the time from which a job that has not started misses its deadline, or
+// its answer comes too late to be of use.
+func (j *job) latestStart(usefulFactor float64) time.Duration {
+	return j.usefulUntil(usefulFactor, j.longestEstimate) - leastDuration(j.longestEstimate)
+}
 
-// minDuration returns the least time that the job takes, given the error of its estimate.
-func (j *job) minDuration() time.Duration {
-	return time.Duration(float64(j.longestEstimate) * (1 - estimateError))
+// leastDuration returns the least time that a task takes, given the error of its estimate.
+func leastDuration(estimate time.Duration) time.Duration {
+	return time.Duration(float64(estimate) * (1 - estimateError))
 }
 
 // openJobs returns the open jobs in the order of their calls.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -170,6 +170,8 @@
 		}
 		if j.unplaced == 0 {
 			c.dequeue(j)
+		} else {
+			c.recount(j)
 		}
 		if misses >= maxPlacementMisses {
 			return
@@ -253,6 +255,7 @@
 	a.addUnreported(t.seq, t.stepSpec().Demand)
 	c.faults.RecordSent(c.now.Mono, a.ref.ID)
 	c.stats.Offers++
+	c.recordPlaced(t, 1)
 	c.logEvent("task_offered", t.job.spec.ID, "task", t.name().String(), "seq", t.seq, "run", t.starts, "agent", a.ref.String(),
 		"room_version", a.lastReport.Version, "heard_ms_ago", (c.now.Mono - a.lastHeartbeatAt).Milliseconds(),
 		"waited_ms", (c.now.Mono - t.job.arrivedAt).Milliseconds(), "isolation", isolation.String())
--- /dev/null
+++ b/core/policy/backlog/backlog.go
@@ -0,0 +1,96 @@
+package backlog
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+)
+
+const (
+	// arrivalShare is the share of the measured arrivals of more urgent demand that
+	// a prediction counts as ahead. The arrivals of a burst may end at any time.
+	arrivalShare = 0.75
+	// minShare is the least share of the rate that is left for less urgent demand. It is that
+	// of the setting min_share, without which the end of the burst brings as much.
+	minShare = 0.1
+	// waitShare is the share of the predicted wait that must pass the limit: the rates of two
+	// seconds differ by about a quarter where long tasks complete in groups.
+	waitShare = 0.75
+	// maxWait bounds predictions.
+	maxWait = time.Minute
+	// minRetry and maxRetry bound the time after which refused callers are asked back.
+	// minSpread spreads them over several of the whole seconds that they are told.
+	minRetry, maxRetry = time.Second, 30 * time.Second
+	minSpread          = 3 * time.Second
+)
+
+// Forecast is a prediction of when a job starts, with its inputs.
+type Forecast struct {
+	// Wait is the time until the start.
+	Wait time.Duration
+	// Ahead is the demand that is placed before the job, in thousandths of a core, and Rate
+	// the demand placed per second.
+	Ahead int
+	Rate  float64
+}
+
+// Exceeds reports whether the start is later than limit, a time from now, even if the job waits
+// for only waitShare of the prediction.
+func (f Forecast) Exceeds(limit time.Duration) bool {
+	return time.Duration(float64(f.Wait)*waitShare) > limit
+}
+
+// Backlog predicts waits for one kind of capacity. The zero value is empty.
+type Backlog struct {
+	Queue
+	Meter
+}
+
+// Forecast predicts the start of the job with this entry, which is not late after becomesLate,
+// a time from now. It reports false if there is no backlog or its rate is not known.
+func (b *Backlog) Forecast(now time.Duration, e Entry, becomesLate time.Duration) (Forecast, bool) {
+	rate, ok := b.Rate(now)
+	if !ok || !b.backlogged {
+		return Forecast{}, false
+	}
+	f := b.forecast(e, rate)
+	if !e.Late && f.Wait > becomesLate {
+		e.Late = true
+		f = b.forecast(e, rate)
+	}
+	return f, true
+}
+
+func (b *Backlog) forecast(e Entry, rate float64) Forecast {
+	below := e.Priority
+	if e.Late {
+		below++ // Arrivals of its own priority are not late yet.
+	}
+	left := max(rate-arrivalShare*b.arrivalRate(below), minShare*rate)
+	ahead := b.Ahead(e)
+	return Forecast{Wait: seconds(float64(ahead) / left), Ahead: ahead, Rate: rate}
+}
+
+// Drain predicts when the backlog of this priority and the more urgent ones will have been
+// placed if nothing else arrives. It is zero if that is not known.
+func (b *Backlog) Drain(now time.Duration, priority int) time.Duration {
+	rate, ok := b.Rate(now)
+	if !ok {
+		return 0
+	}
+	return seconds(float64(b.Through(priority)) / rate)
+}
+
+// RetryAfter returns when a refused caller should try again, given when the backlog will have
+// drained and how long the caller has waited. Callers are spread by the IDs of their jobs, so
+// that they do not all return at once. Those who have waited longest return first.
+func RetryAfter(drain, waited time.Duration, id string) time.Duration {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	spread := float64(h.Sum32()) / math.MaxUint32 * float64(max(drain, minSpread))
+	return min(max(drain+time.Duration(spread)-waited, minRetry), maxRetry)
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, maxWait.Seconds()) * float64(time.Second))
+}
--- /dev/null
+++ b/core/policy/backlog/meter.go
@@ -0,0 +1,115 @@
+package backlog
+
+import "time"
+
+const (
+	// slotWidth and slotCount give a window of one second: a rate follows the loss of
+	// capacity within that time.
+	slotWidth = 100 * time.Millisecond
+	slotCount = 10
+	// shortSlots is the length of the second window. The higher rate of both windows counts,
+	// so that a pause of a few hundred milliseconds in one of them refuses nobody.
+	shortSlots = 5
+	// minObserved is how long there must have been a backlog within the window before the
+	// rate is known. Shorter ones also occur at ordinary load.
+	minObserved = 300 * time.Millisecond
+)
+
+// slot holds what was observed in one slotWidth.
+type slot struct {
+	// backlogged is how long there was a backlog, and placed the demand placed then.
+	backlogged time.Duration
+	placed     int
+	// arrived is the demand that arrived, by priority.
+	arrived map[int]int
+}
+
+// Meter measures the rates of the last second. The zero value has observed nothing.
+type Meter struct {
+	slots [slotCount]slot
+	// current is the number of the slot in use, counted from time zero.
+	current    int64
+	updatedAt  time.Duration
+	backlogged bool
+}
+
+// Update records whether there is a backlog from now on: demand that could not be placed.
+func (m *Meter) Update(now time.Duration, backlogged bool) {
+	m.advance(now)
+	m.backlogged = backlogged
+}
+
+// Placed records that demand was placed, or with a negative sign that it was not after all.
+func (m *Meter) Placed(now time.Duration, demand int) {
+	m.advance(now)
+	if m.backlogged {
+		m.slot(m.current).placed += demand
+	}
+}
+
+// Arrived records demand that has arrived, or with a negative sign that was withdrawn.
+func (m *Meter) Arrived(now time.Duration, priority, demand int) {
+	m.advance(now)
+	s := m.slot(m.current)
+	if s.arrived == nil {
+		s.arrived = make(map[int]int)
+	}
+	s.arrived[priority] += demand
+}
+
+func (m *Meter) slot(n int64) *slot { return &m.slots[n%slotCount] }
+
+// advance assigns the time since the last call to slots, and clears those that it enters.
+func (m *Meter) advance(now time.Duration) {
+	if m.updatedAt == 0 || now-m.updatedAt >= slotCount*slotWidth {
+		m.slots, m.current, m.updatedAt = [slotCount]slot{}, int64(now/slotWidth), now
+		return
+	}
+	for now > m.updatedAt {
+		end := min(now, time.Duration(m.current+1)*slotWidth)
+		if m.backlogged {
+			m.slot(m.current).backlogged += end - m.updatedAt
+		}
+		m.updatedAt = end
+		if int64(end/slotWidth) > m.current {
+			m.current++
+			*m.slot(m.current) = slot{}
+		}
+	}
+}
+
+// Rate returns the demand placed per second while there was a backlog. It reports false if
+// the rate is not known: after a start, without a backlog, and when nothing was placed.
+func (m *Meter) Rate(now time.Duration) (float64, bool) {
+	m.advance(now)
+	long, observed := m.rate(slotCount)
+	short, _ := m.rate(shortSlots)
+	rate := max(long, short)
+	return rate, observed >= minObserved && rate > 0
+}
+
+func (m *Meter) rate(slots int64) (perSecond float64, observed time.Duration) {
+	placed := 0
+	for n := max(m.current-slots+1, 0); n <= m.current; n++ {
+		placed += m.slot(n).placed
+		observed += m.slot(n).backlogged
+	}
+	if observed < slotWidth {
+		return 0, observed
+	}
+	return float64(placed) / observed.Seconds(), observed
+}
+
+// arrivalRate returns the demand per second that has arrived with a lower priority value than
+// this one.
+func (m *Meter) arrivalRate(below int) float64 {
+	n := 0
+	for i := range m.slots {
+		for priority, demand := range m.slots[i].arrived {
+			if priority < below {
+				n += demand
+			}
+		}
+	}
+	return float64(max(n, 0)) / (slotCount * slotWidth).Seconds()
+}
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -44,6 +44,8 @@
 	"overloaded":                 "the dispatcher fell behind its work; see delay_ms, and the processor time of its host",
 	"too_many_jobs":              "the dispatcher held as many jobs as it may",
 	"draining":                   "the dispatcher was leaving",
+	"answer_of_no_use":           "the answer would have come too late to be of use; see how long its tasks waited",
+	"predicted_too_late":         "the job could not be answered in time at the rate at which waiting tasks were placed",
 	"deadline_passed":            "the job was not done when its caller stopped waiting; see how long its tasks waited and ran",
 	"attempts_used_up":           "a task was reported as failed by as many upstreams as the route permits",
 	"upstreams_crashed":          "upstreams crashed under a task of the job, so it was given up; see upstream_crashed and task_condemned lines",
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -32,6 +32,7 @@
 	Draining      = "dogwoodgauge_draining"
 	AgentsReady   = "dogwoodgauge_agents_ready"
 	JobsWaiting   = "dogwoodgauge_jobs_waiting"
+	PredictedWait = "dogwoodgauge_predicted_wait_seconds"
 	Overloaded    = "dogwoodgauge_overloaded"
 	SiteRevision  = "dogwoodgauge_site_revision"
 	RunsOpen      = "dogwoodgauge_runs_open"
