dispatch: minimum shares, started jobs first, wide jobs wait for narrow ones

Cause: an urgent burst starves the other routes, and partly placed wide jobs hold capacity that completes nothing. placementOrder walks the whole waiting list three times per placement, although a placement ends after 16 misses. Change: with Config.MinShare, a priority below its minimum has its turn first, and agents are told of that task with the rank of the first priority, so that reservations follow. Within a priority, jobs that have started come first, and a job that does not fit waits for narrower ones for up to a quarter of its slack. Without MinShare the order is as before, but examined only as far as needed. Counters of turns by share and held jobs, and a log line at most once a second.

--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -97,7 +97,7 @@
 // the tasks of another route.
 func BenchmarkJob(b *testing.B) {
 	for _, agents := range []int{11, 67, 300} {
-		for _, backlog := range []int{0, 300} {
+		for _, backlog := range []int{0, 300, 3000} {
 			for _, crashes := range []bool{false, true} {
 				b.Run(fmt.Sprintf("agents=%d/backlog=%d/crashes=%v", agents, backlog, crashes), func(b *testing.B) {
 					benchmarkJob(b, agents, backlog, crashes)
@@ -134,3 +134,38 @@
 		l.completeAll()
 	}
 }
+
+// BenchmarkOverload measures the completion of a task, and the placement of the next one, in
+// a full fleet while jobs of three priorities wait.
+func BenchmarkOverload(b *testing.B) {
+	for _, backlog := range []int{300, 3000} {
+		for _, minShare := range []float64{0, 0.1} {
+			b.Run(fmt.Sprintf("backlog=%d/min_share=%v", backlog, minShare), func(b *testing.B) { benchmarkOverload(b, backlog, minShare) })
+		}
+	}
+}
+
+func benchmarkOverload(b *testing.B, backlog int, minShare float64) {
+	const agents = 67
+	l := newLoadBed(agents, 0)
+	l.core = New(Config{Domain: "z0", MinShare: minShare})
+	l.step(SiteChanged{State: &site.State{Revision: 1, Configured: true}})
+	for i := range agents {
+		l.step(AgentConnected{Agent: ref(i), Domain: fmt.Sprintf("z%d", i%4)})
+	}
+	l.reportFree(agents, 8)
+	for range backlog + agents*8/4 {
+		l.submit(int(l.calls) % 3)
+	}
+	for b.Loop() {
+		l.now += time.Millisecond
+		o := l.offers[0]
+		l.offers = l.offers[1:]
+		l.step(step.Received{Envelope: message.Envelope{From: o.To, Messages: []message.Message{{RunCompletion: &message.RunCompletion{
+			Seq: o.Message.Offer.Seq, Result: message.RunDone,
+		}}}}})
+		if len(l.core.waiting) < backlog {
+			l.submit(int(l.calls) % 3)
+		}
+	}
+}
--- a/core/dispatch/completion.go
+++ b/core/dispatch/completion.go
@@ -89,6 +89,7 @@
 // handleRefusal requeues a task that the agent has refused to start.
 func (c *Core) handleRefusal(t *task, a *agent, reason message.RefuseReason) {
 	t.starts--
+	c.recordNotPlaced(t)
 	if reason == message.RefusedProving {
 		c.recordProving(t, a)
 	} else if reason != message.RefusedNoCapacity && reason != message.RefusedStopping {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -84,6 +84,7 @@
 	// candidates and placementList are buffers that placements reuse.
 	candidates    []candidate
 	placementList []*job
+	shares        shareState
 	// domainDoubtedAt is when the agents of a failure domain were last asked for heartbeats.
 	domainDoubtedAt map[string]time.Duration
 	// agentsCheckedAt is when the agents were last checked for unresponsive ones.
@@ -134,6 +135,9 @@
 	Overloaded bool
 	// AgentsExamined counts the agents that placements have examined.
 	AgentsExamined uint64
+	// ShareTurns counts the jobs that were placed before jobs of higher priority for the
+	// minimum share of their own. HeldJobs counts those that have waited for narrower ones.
+	ShareTurns, HeldJobs uint64
 }
 
 // New returns a dispatcher without agents.
@@ -148,6 +152,7 @@
 		faults:     quarantine.New(),
 		crashes:    containment.New(),
 		isolation:  newIsolationState(),
+		shares:     newShareState(cfg.MinShare),
 
 		domainDoubtedAt: make(map[string]time.Duration),
 	}
@@ -178,6 +183,7 @@
 	c.place()
 	c.refuseInfeasible()
 	c.giveUpConfined()
+	c.updateShares()
 	c.notifyWaiting()
 	c.reportOverload()
 	if c.draining && len(c.jobs) == 0 {
--- a/core/dispatch/harness_test.go
+++ b/core/dispatch/harness_test.go
@@ -103,11 +103,16 @@
 
 // submit submits a job with tasks of one core each and returns its call.
 func (b *testBed) submit(id string, priority, tasks int, estimate time.Duration) uint64 {
+	return b.submitDemand(id, priority, tasks, estimate, oneCore)
+}
+
+// submitDemand submits a job with tasks of this demand, in thousandths of a core.
+func (b *testBed) submitDemand(id string, priority, tasks int, estimate time.Duration, demand int) uint64 {
 	b.calls++
 	b.step(Submit{Call: b.calls, Job: Job{
 		ID: id, Wait: 1500 * time.Millisecond,
 		Route: &site.Route{Name: "r", Service: "s", Priority: priority, MaxAttempts: 2, Stretch: 1.6, Margin: 60 * time.Millisecond},
-		Steps: []Step{{Count: tasks, Demand: message.Resources{MilliCPU: oneCore}, Estimate: estimate}},
+		Steps: []Step{{Count: tasks, Demand: message.Resources{MilliCPU: demand}, Estimate: estimate}},
 	}})
 	return b.calls
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -45,6 +45,7 @@
 	// crashed is set if upstreams have crashed while they had tasks of the job.
 	crashed    bool
 	offerCount int
+	turn       jobTurn
 }
 
 type taskState uint8
@@ -72,6 +73,8 @@
 	starts, failures int
 	// tooSlowRuns counts the runs that were stopped for lack of progress.
 	tooSlowRuns int
+	// placedWork is what its last offer has added to the placed work of its priority.
+	placedWork float64
 	// avoided lists the agents on which it failed, was refused or made no progress, and
 	// those that became unresponsive while they had it.
 	avoided []node.ID
@@ -258,6 +261,7 @@
 	j.queued = true
 	i, _ := slices.BinarySearchFunc(c.waiting, j, compareJobs)
 	c.waiting = slices.Insert(c.waiting, i, j)
+	c.addStarted(j)
 }
 
 func compareJobs(a, b *job) int {
@@ -273,6 +277,7 @@
 		return
 	}
 	j.queued = false
+	c.removeStarted(j)
 	if i, ok := slices.BinarySearchFunc(c.waiting, j, compareJobs); ok && c.waiting[i] == j {
 		c.waiting = slices.Delete(c.waiting, i, i+1)
 		return
--- a/core/dispatch/notify.go
+++ b/core/dispatch/notify.go
@@ -48,9 +48,22 @@
 }
 
 // firstWaitingOn returns the first task that waits for capacity and is allowed on the agent,
-// or nil.
-func (c *Core) firstWaitingOn(a *agent) *task {
-	for _, j := range c.waiting {
+// or nil, and the priority that is reported for it.
+func (c *Core) firstWaitingOn(a *agent) (*task, int) {
+	queue, rank := c.turnByShare()
+	if t := c.firstAllowed(queue, a); t != nil {
+		return t, rank
+	}
+	if t := c.firstAllowed(c.waiting, a); t != nil {
+		return t, t.job.spec.Route.Priority
+	}
+	return nil, 0
+}
+
+// firstAllowed returns the first unplaced task of the jobs that is allowed on the agent, or
+// nil.
+func (c *Core) firstAllowed(jobs []*job, a *agent) *task {
+	for _, j := range jobs {
 		if t := j.firstUnplaced(); t != nil && c.allowed(t, c.isolationOf(t), a) {
 			return t
 		}
@@ -68,11 +81,11 @@
 
 // firstWaiting describes firstWaitingOn(a). It returns nil if there is no such task.
 func (c *Core) firstWaiting(a *agent) *message.WaitingTask {
-	t := c.firstWaitingOn(a)
+	t, priority := c.firstWaitingOn(a)
 	if t == nil {
 		return nil
 	}
-	return &message.WaitingTask{Priority: t.job.spec.Route.Priority, Demand: t.stepSpec().Demand}
+	return &message.WaitingTask{Priority: priority, Demand: t.stepSpec().Demand}
 }
 
 // notifyWaiting notifies some agents of the first waiting task, so that they report freed
@@ -85,6 +98,9 @@
 		return
 	}
 	priority := first.job.spec.Route.Priority
+	if queue, rank := c.turnByShare(); queue != nil {
+		priority = rank
+	}
 	switch {
 	case c.now.Mono >= c.notifyAt:
 		c.notifyAt = c.now.Mono + notifyInterval
@@ -110,7 +126,7 @@
 		if !c.usable(a) {
 			continue
 		}
-		if t := c.firstWaitingOn(a); t != nil && eligible(t, a) {
+		if t, _ := c.firstWaitingOn(a); t != nil && eligible(t, a) {
 			c.sendHeartbeat(a)
 			count--
 		}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -66,26 +67,41 @@
 
 // placementOrder returns the jobs with unplaced tasks by priority, and within a priority by
 // urgency. Jobs of the same urgency are ordered by objective. When the demand exceeds the
-// capacity, an order by objective alone would make all jobs late. The returned slice is valid
-// until the next call.
-func (c *Core) placementOrder() []*job {
-	list := c.placementList[:0]
-	for begin := 0; begin < len(c.waiting); {
-		end := begin + 1
-		for end < len(c.waiting) && c.waiting[end].spec.Route.Priority == c.waiting[begin].spec.Route.Priority {
-			end++
+// capacity, an order by objective alone would make all jobs late. Jobs are examined only as
+// far as the caller gets, since few can be placed while thousands wait. With minimum shares,
+// sharedOrder replaces this order.
+func (c *Core) placementOrder(candidates []candidate) iter.Seq[*job] {
+	if c.shares.placed != nil {
+		return c.sharedOrder(candidates)
+	}
+	return func(yield func(*job) bool) {
+		// The caller removes jobs from c.waiting.
+		c.placementList = append(c.placementList[:0], c.waiting...)
+		for list := c.placementList; len(list) > 0; {
+			n := firstQueueLength(list)
+			if !c.orderByUrgency(list[:n], yield) {
+				return
+			}
+			list = list[n:]
 		}
-		for _, urgency := range []urgency{onTime, late, suspect} {
-			for _, j := range c.waiting[begin:end] {
-				if c.urgency(j) == urgency {
-					list = append(list, j)
-				}
+	}
+}
+
+// orderByUrgency passes jobs of one priority to yield by urgency, until yield returns false.
+// It returns false then. It overwrites the list.
+func (c *Core) orderByUrgency(list []*job, yield func(*job) bool) bool {
+	for _, urgency := range []urgency{onTime, late, suspect} {
+		rest := list[:0]
+		for _, j := range list {
+			if c.urgency(j) != urgency {
+				rest = append(rest, j)
+			} else if !yield(j) {
+				return false
 			}
 		}
-		begin = end
+		list = rest
 	}
-	c.placementList = list
-	return list
+	return true
 }
 
 // missesObjective reports whether a job of which no task may have run cannot meet its
@@ -152,7 +168,7 @@
 	}
 	candidates := c.findCandidates()
 	misses := 0
-	for _, j := range c.placementOrder() {
+	for j := range c.placementOrder(candidates) {
 		for _, t := range j.tasks {
 			if t.state != unplaced {
 				continue
@@ -253,6 +269,7 @@
 	a.addUnreported(t.seq, t.stepSpec().Demand)
 	c.faults.RecordSent(c.now.Mono, a.ref.ID)
 	c.stats.Offers++
+	c.recordPlaced(t)
 	c.logEvent("task_offered", t.job.spec.ID, "task", t.name().String(), "seq", t.seq, "run", t.starts, "agent", a.ref.String(),
 		"room_version", a.lastReport.Version, "heard_ms_ago", (c.now.Mono - a.lastHeartbeatAt).Milliseconds(),
 		"waited_ms", (c.now.Mono - t.job.arrivedAt).Milliseconds(), "isolation", isolation.String())
--- a/core/leasemodel/load_test.go
+++ b/core/leasemodel/load_test.go
@@ -11,6 +11,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/dispatch"
 	"github.com/dogwoodgauge/dogwoodgauge/core/lessee"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/core/site"
 )
 
@@ -32,6 +33,9 @@
 	outcomes map[string]*outcomes
 	// countFrom is the time of submission of the first job that outcomes includes.
 	countFrom time.Duration
+	// dispatcherOf, unless nil, returns the dispatcher that gets the jobs of a kind. Otherwise
+	// each job goes to a random one.
+	dispatcherOf func(k jobKind) node.ID
 }
 
 type loadJob struct {
@@ -161,6 +165,9 @@
 	l.jobs[sim.lastCall] = loadJob{k.name, sim.now, sim.now + objective(longest)}
 	dispatchers := sim.liveDispatchers()
 	p := dispatchers[sim.rnd.IntN(len(dispatchers))]
+	if l.dispatcherOf != nil {
+		p = sim.processes[l.dispatcherOf(k)]
+	}
 	sim.deliver(p, dispatch.Submit{Call: sim.lastCall, Job: l.newJob(fmt.Sprintf("%016x", sim.lastCall), k, durations)})
 	sim.after(time.Duration(sim.rnd.ExpFloat64()/k.rate*float64(time.Second)), func() { l.submitNext(k) })
 }
--- a/core/leasemodel/simulation_test.go
+++ b/core/leasemodel/simulation_test.go
@@ -87,6 +87,8 @@
 	// capacity is that of every upstream, in thousandths of a core, and dispatcherCount the
 	// number of dispatchers.
 	capacity, dispatcherCount int
+	// config is that of every dispatcher.
+	config dispatch.Config
 	// duration returns the duration of a run.
 	duration func(a lessee.StartRun) time.Duration
 	// onStart, unless nil, is called when an upstream starts a run.
@@ -120,7 +122,12 @@
 }
 
 func newFleet(t testing.TB, seed uint64, dispatchers, agents, capacity int, idleRate float64) *simulation {
+	return newFleetWith(t, seed, dispatchers, agents, capacity, idleRate, dispatch.Config{Domain: "z0"})
+}
+
+func newFleetWith(t testing.TB, seed uint64, dispatchers, agents, capacity int, idleRate float64, cfg dispatch.Config) *simulation {
 	sim := &simulation{
+		config:   cfg,
 		idleRate: idleRate, sent: make(map[node.ID]int), received: make(map[node.ID]int),
 		estimate: lowEstimate, capacity: capacity, dispatcherCount: dispatchers,
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)),
@@ -193,7 +200,7 @@
 }
 
 func (sim *simulation) startDispatcher(id node.ID) {
-	p := sim.spawn(id, dispatch.New(dispatch.Config{Domain: "z0"}))
+	p := sim.spawn(id, dispatch.New(sim.config))
 	sim.deliver(p, dispatch.SiteChanged{State: sim.site})
 	for _, u := range sim.upstreams {
 		sim.connect(p, u.agent)
--- a/internal/dispatchd/service.go
+++ b/internal/dispatchd/service.go
@@ -195,6 +195,8 @@
 		d.metrics.SetGauge(telemetry.UpstreamCrashesTotal, float64(s.Crashes))
 		d.metrics.SetGauge(telemetry.RunsCrashedTotal, float64(s.CrashedRuns))
 		d.metrics.SetGauge(telemetry.RoutesConfined, float64(s.ConfinedRoutes))
+		d.metrics.SetGauge(telemetry.ShareTurnsTotal, float64(s.ShareTurns))
+		d.metrics.SetGauge(telemetry.JobsHeldTotal, float64(s.HeldJobs))
 		process.CopyCounters(d.metrics, nil, d.transport.Stats())
 	})
 }
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -44,4 +44,6 @@
 	UpstreamCrashesTotal = "dogwoodgauge_upstream_crashes_total"
 	RunsCrashedTotal     = "dogwoodgauge_runs_crashed_total"
 	RoutesConfined       = "dogwoodgauge_routes_confined"
+	ShareTurnsTotal      = "dogwoodgauge_share_turns_total"
+	JobsHeldTotal        = "dogwoodgauge_jobs_held_total"
 )
