--- a/core/dispatch/completion.go
+++ b/core/dispatch/completion.go
@@ -90,6 +90,7 @@
 func (c *Core) handleRefusal(t *task, a *agent, reason message.RefuseReason) {
 	t.starts--
 	c.recordPlaced(t, -1)
+	c.removeFromShare(t)
 	if reason == message.RefusedProving {
 		c.recordProving(t, a)
 	} else if reason != message.RefusedNoCapacity && reason != message.RefusedStopping {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -50,6 +50,7 @@
 	// crashed is set if upstreams have crashed while they had tasks of the job.
 	crashed    bool
 	offerCount int
+	turn       jobTurn
 }
 
 type taskState uint8
@@ -73,10 +74,16 @@
 	state taskState
 	seq   uint64
 	agent *agent
+	// rank is the priority at which the task was placed, and late is set if its job could not
+	// meet its objective then.
+	rank int
+	late bool
 	// starts counts the offers that were not refused, failures the runs reported as failed.
 	starts, failures int
 	// tooSlowRuns counts the runs that were stopped for lack of progress.
 	tooSlowRuns int
+	// placedWork is what its last offer has added to the placed work of its priority.
+	placedWork float64
 	// avoided lists the agents on which it failed, was refused or made no progress, and
 	// those that became unresponsive while they had it.
 	avoided []node.ID
@@ -266,6 +273,7 @@
 	j.queued = true
 	i, _ := slices.BinarySearchFunc(c.waiting, j, compareJobs)
 	c.waiting = slices.Insert(c.waiting, i, j)
+	c.addStarted(j)
 }
 
 func compareJobs(a, b *job) int {
@@ -282,6 +290,7 @@
 	}
 	j.queued = false
 	c.recount(j)
+	c.removeStarted(j)
 	if i, ok := slices.BinarySearchFunc(c.waiting, j, compareJobs); ok && c.waiting[i] == j {
 		c.waiting = slices.Delete(c.waiting, i, i+1)
 		return
--- a/core/dispatch/notify.go
+++ b/core/dispatch/notify.go
@@ -48,14 +48,27 @@
 }
 
 // firstWaitingOn returns the first task that waits for capacity and is allowed on the agent,
-// or nil.
-func (c *Core) firstWaitingOn(a *agent) *task {
+// or nil, and the priority that is reported for it.
+func (c *Core) firstWaitingOn(a *agent) (*task, int) {
+	queue, rank := c.turnByShare()
+	if t := c.firstAllowed(queue, a); t != nil {
+		return t, rank
+	}
 	if j := c.firstOnTime(); j != nil {
 		if t := j.firstUnplaced(); t != nil && c.allowed(t, c.isolationOf(t), a) {
-			return t
+			return t, j.spec.Route.Priority
 		}
 	}
-	for _, j := range c.waiting {
+	if t := c.firstAllowed(c.waiting, a); t != nil {
+		return t, t.job.spec.Route.Priority
+	}
+	return nil, 0
+}
+
+// firstAllowed returns the first unplaced task of the jobs that is allowed on the agent, or
+// nil.
+func (c *Core) firstAllowed(jobs []*job, a *agent) *task {
+	for _, j := range jobs {
 		if t := j.firstUnplaced(); t != nil && c.allowed(t, c.isolationOf(t), a) {
 			return t
 		}
@@ -98,11 +111,11 @@
 // firstWaiting describes the first task that waits for capacity and is allowed on the agent.
 // It returns nil if there is no such task.
 func (c *Core) firstWaiting(a *agent) *message.WaitingTask {
-	t := c.firstWaitingOn(a)
+	t, priority := c.firstWaitingOn(a)
 	if t == nil {
 		return nil
 	}
-	w := &message.WaitingTask{Priority: t.job.spec.Route.Priority, Demand: t.stepSpec().Demand}
+	w := &message.WaitingTask{Priority: priority, Demand: t.stepSpec().Demand}
 	if c.cfg.OrderAcross {
 		w.Due, w.Late = c.due(t.job), c.missesObjective(t.job)
 	}
@@ -127,6 +140,9 @@
 		return
 	}
 	priority := first.job.spec.Route.Priority
+	if queue, rank := c.turnByShare(); queue != nil {
+		priority = rank
+	}
 	switch {
 	case c.now.Mono >= c.notifyAt:
 		c.notifyAt = c.now.Mono + notifyInterval
@@ -152,7 +168,7 @@
 		if !c.usable(a) {
 			continue
 		}
-		if t := c.firstWaitingOn(a); t != nil && eligible(t, a) {
+		if t, _ := c.firstWaitingOn(a); t != nil && eligible(t, a) {
 			c.sendHeartbeat(a)
 			count--
 		}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -66,26 +67,41 @@
 
 // placementOrder returns the jobs with unplaced tasks by priority, and within a priority by
 // urgency. Jobs of the same urgency are ordered by objective. When the demand exceeds the
-// capacity, an order by objective alone would make all jobs late. The returned slice is valid
-// until the next call.
-func (c *Core) placementOrder() []*job {
-	list := c.placementList[:0]
-	for begin := 0; begin < len(c.waiting); {
-		end := begin + 1
-		for end < len(c.waiting) && c.waiting[end].spec.Route.Priority == c.waiting[begin].spec.Route.Priority {
-			end++
+// capacity, an order by objective alone would make all jobs late. Jobs are examined only as
+// far as the caller gets, since few can be placed while thousands wait. With minimum shares,
+// sharedOrder replaces this order.
+func (c *Core) placementOrder(candidates []candidate) iter.Seq[*job] {
+	if c.shares.placed != nil {
+		return c.sharedOrder(candidates)
+	}
+	return func(yield func(*job) bool) {
+		// The caller removes jobs from c.waiting.
+		c.placementList = append(c.placementList[:0], c.waiting...)
+		for list := c.placementList; len(list) > 0; {
+			n := firstQueueLength(list)
+			if !c.orderByUrgency(list[:n], yield) {
+				return
+			}
+			list = list[n:]
 		}
-		for _, urgency := range []urgency{onTime, late, suspect} {
-			for _, j := range c.waiting[begin:end] {
-				if c.urgency(j) == urgency {
-					list = append(list, j)
-				}
+	}
+}
+
+// orderByUrgency passes jobs of one priority to yield by urgency, until yield returns false.
+// It returns false then. It overwrites the list.
+func (c *Core) orderByUrgency(list []*job, yield func(*job) bool) bool {
+	for _, urgency := range []urgency{onTime, late, suspect} {
+		rest := list[:0]
+		for _, j := range list {
+			if c.urgency(j) != urgency {
+				rest = append(rest, j)
+			} else if !yield(j) {
+				return false
 			}
 		}
-		begin = end
+		list = rest
 	}
-	c.placementList = list
-	return list
+	return true
 }
 
 // missesObjective reports whether a job of which no task may have run cannot meet its
@@ -153,7 +169,7 @@
 	c.refreshSpeeds()
 	candidates := c.findCandidates()
 	misses := 0
-	for _, j := range c.placementOrder() {
+	for j := range c.placementOrder(candidates) {
 		for _, t := range j.tasks {
 			if t.state != unplaced {
 				continue
@@ -243,6 +259,7 @@
 	t.seq, t.agent, t.state = c.lastSeq, a, offered
 	t.starts++
 	t.job.unplaced--
+	t.rank, t.late = c.rankOf(t), c.missesObjective(t.job)
 	t.job.mayHaveRun = true
 	t.job.offerCount++
 	if !a.active() {
@@ -258,6 +275,7 @@
 	c.faults.RecordSent(c.now.Mono, a.ref.ID)
 	c.stats.Offers++
 	c.recordPlaced(t, 1)
+	c.addToShare(t)
 	c.logEvent("task_offered", t.job.spec.ID, "task", t.name().String(), "seq", t.seq, "run", t.starts, "agent", a.ref.String(),
 		"room_version", a.lastReport.Version, "heard_ms_ago", (c.now.Mono - a.lastHeartbeatAt).Milliseconds(),
 		"waited_ms", (c.now.Mono - t.job.arrivedAt).Milliseconds(), "isolation", isolation.String())
@@ -278,7 +296,7 @@
 		FirstWaiting: c.firstWaiting(t.agent), Slowdown: c.offeredSlowdown(t.agent),
 	}
 	if c.cfg.OrderAcross {
-		offer.Priority, offer.Due = t.job.spec.Route.Priority, c.due(t.job)
+		offer.Priority, offer.Due, offer.Late = t.rank, c.due(t.job), t.late
 	}
 	c.send(t.agent.ref, message.Message{Offer: offer})
 }
--- a/core/leasemodel/simulation_test.go
+++ b/core/leasemodel/simulation_test.go
@@ -87,6 +87,8 @@
 	// capacity is that of every upstream, in thousandths of a core, and dispatcherCount the
 	// number of dispatchers.
 	capacity, dispatcherCount int
+	// config is that of every dispatcher.
+	config dispatch.Config
 	// duration returns the duration of a run.
 	duration func(a lessee.StartRun) time.Duration
 	// onStart, unless nil, is called when an upstream starts a run.
@@ -95,8 +97,6 @@
 	onAnswer func(a dispatch.Answer)
 	// estimate is the task duration that callers state; runs actually take 40 to 900 ms.
 	estimate time.Duration
-	// dispatchConfig is the configuration of dispatchers that are started.
-	dispatchConfig dispatch.Config
 	// idleRate is lessee.Config.IdleRate of all agents.
 	idleRate float64
 	// sent and received count the messages of each process, and refusedOffers the offers that
@@ -122,9 +122,13 @@
 }
 
 func newFleet(t testing.TB, seed uint64, dispatchers, agents, capacity int, idleRate float64) *simulation {
+	return newFleetWith(t, seed, dispatchers, agents, capacity, idleRate, dispatch.Config{Domain: "z0"})
+}
+
+func newFleetWith(t testing.TB, seed uint64, dispatchers, agents, capacity int, idleRate float64, cfg dispatch.Config) *simulation {
 	sim := &simulation{
-		dispatchConfig: dispatch.Config{Domain: "z0"},
-		idleRate:       idleRate, sent: make(map[node.ID]int), received: make(map[node.ID]int),
+		config:   cfg,
+		idleRate: idleRate, sent: make(map[node.ID]int), received: make(map[node.ID]int),
 		estimate: lowEstimate, capacity: capacity, dispatcherCount: dispatchers,
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)),
 		loggedJobs: make(map[string]bool), processes: make(map[node.ID]*process), cutUntil: make(map[[2]node.ID]time.Duration),
@@ -196,7 +200,7 @@
 }
 
 func (sim *simulation) startDispatcher(id node.ID) {
-	p := sim.spawn(id, dispatch.New(sim.dispatchConfig))
+	p := sim.spawn(id, dispatch.New(sim.config))
 	sim.deliver(p, dispatch.SiteChanged{State: sim.site})
 	for _, u := range sim.upstreams {
 		sim.connect(p, u.agent)
--- a/core/leasemodel/uneven_test.go
+++ b/core/leasemodel/uneven_test.go
@@ -12,27 +12,17 @@
 
 // Loads whose callers compete for too little capacity through several dispatchers.
 
-// newLoadWith returns a load on dispatchers with this configuration.
-func newLoadWith(t *testing.T, cfg dispatch.Config, dispatchers, agents int) *load {
-	sim := newSimulationOf(t, 1, dispatchers, agents, slotsPerAgent*taskCPU)
-	cfg.Domain = "z0"
-	sim.dispatchConfig = cfg
-	for i := range dispatchers {
-		sim.processes[node.ID(fmt.Sprintf("d%d", i))].dead = true
-		sim.startDispatcher(node.ID(fmt.Sprintf("d%d", i)))
-	}
-	return newLoadOn(sim)
-}
-
 // onTimeByDispatcher submits jobs to three dispatchers, half of them to the first, and returns
 // the share on time of each dispatcher's jobs of the kind.
 func onTimeByDispatcher(t *testing.T, cfg dispatch.Config, load float64, kind string) []float64 {
 	const dispatchers, agents = 3, 11
-	l := newLoadWith(t, cfg, dispatchers, agents)
+	cfg.Domain = "z0"
+	l := newLoadOn(newFleetWith(t, 1, dispatchers, agents, slotsPerAgent*taskCPU, 1, cfg))
+	l.dispatcherOf = func(k jobKind) node.ID { return node.ID("d" + k.name[len(k.name)-1:]) }
 	var kinds []jobKind
 	for i, weight := range []float64{0.5, 0.25, 0.25} {
 		for _, k := range jobKindsAtLoad(load*weight, agents) {
-			k.name, k.dispatcher = fmt.Sprintf("%s-%d", k.name, i), i+1
+			k.name = fmt.Sprintf("%s-%d", k.name, i)
 			kinds = append(kinds, k)
 		}
 	}
--- a/core/lessee/reservation.go
+++ b/core/lessee/reservation.go
@@ -128,7 +128,7 @@
 			continue
 		}
 		w := o.firstWaiting
-		if w.Priority < m.Priority || w.Priority == m.Priority && !w.Late && o.waitingDue+orderMargin < c.now.Mono+m.Due {
+		if w.Priority < m.Priority || w.Priority == m.Priority && !w.Late && (m.Late || o.waitingDue+orderMargin < c.now.Mono+m.Due) {
 			return true
 		}
 	}
--- a/core/message/offer.go
+++ b/core/message/offer.go
@@ -33,10 +33,11 @@
 	EchoAge         time.Duration `json:"age,omitempty"`
 	// FirstWaiting is the first of the sender's other tasks that wait for free capacity.
 	FirstWaiting *WaitingTask `json:"wait,omitempty"`
-	// Priority and Due are those of a WaitingTask, for this task. They are set only if the
-	// sender orders tasks across dispatchers.
+	// Priority, Due and Late are those of a WaitingTask, for this task. They are set only if
+	// the sender orders tasks across dispatchers.
 	Priority int           `json:"prio,omitempty"`
 	Due      time.Duration `json:"due,omitempty"`
+	Late     bool          `json:"late,omitempty"`
 	// Slowdown is the CapacityReport.Slowdown of the receiver if the sender takes it into account
 	// and it exceeds 100, or zero. The check of ExpectedDuration allows that much more time.
 	Slowdown int `json:"slow,omitempty"`
--- a/internal/dispatchd/service.go
+++ b/internal/dispatchd/service.go
@@ -198,6 +198,8 @@
 		d.metrics.SetGauge(telemetry.RoutesConfined, float64(s.ConfinedRoutes))
 		d.metrics.SetGauge(telemetry.AgentsFast, float64(s.FastAgents))
 		d.metrics.SetGauge(telemetry.AgentsSlow, float64(s.SlowAgents))
+		d.metrics.SetGauge(telemetry.ShareTurnsTotal, float64(s.ShareTurns))
+		d.metrics.SetGauge(telemetry.JobsHeldTotal, float64(s.HeldJobs))
 		process.CopyCounters(d.metrics, nil, d.transport.Stats())
 	})
 }
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -52,4 +52,6 @@
 	AgentsFast       = "dogwoodgauge_agents_fast"
 	AgentsSlow       = "dogwoodgauge_agents_slow"
 	UpstreamSlowdown = "dogwoodgauge_upstream_slowdown_percent"
+	ShareTurnsTotal  = "dogwoodgauge_share_turns_total"
+	JobsHeldTotal    = "dogwoodgauge_jobs_held_total"
 )
