--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -75,14 +75,29 @@
 	if b == nil {
 		return
 	}
-	b.Remove(j.counted)
-	j.counted = backlog.Entry{}
+	var e backlog.Entry
 	if j.queued {
-		j.counted = backlog.Entry{
-			Priority: j.spec.Route.Priority, Late: c.missesObjective(j), Objective: j.objective, Demand: j.unplacedDemand(),
+		e = backlog.Entry{
+			Priority: j.spec.Route.Priority, Class: c.backlogClass(j), Objective: j.objective, Demand: j.unplacedDemand(),
 		}
 	}
-	b.Add(j.counted)
+	if e != j.counted {
+		b.Remove(j.counted)
+		b.Add(e)
+		j.counted = e
+	}
+}
+
+// backlogClass returns the standing of a job with unplaced tasks.
+func (c *Core) backlogClass(j *job) backlog.Class {
+	switch {
+	case j.mayHaveRun:
+		return backlog.Started
+	case c.missesObjective(j):
+		return backlog.Late
+	default:
+		return backlog.OnTime
+	}
 }
 
 // unplacedDemand returns the demand of the unplaced tasks, in thousandths of a core.
@@ -147,11 +162,7 @@
 	if b == nil || !j.queued {
 		return backlog.Forecast{}, false
 	}
-	becomesLate := j.objective - j.longestEstimate - c.now.Mono
-	if j.mayHaveRun {
-		becomesLate = j.deadline - c.now.Mono // Started jobs keep their place.
-	}
-	return b.Forecast(c.now.Mono, j.counted, becomesLate)
+	return b.Forecast(c.now.Mono, j.counted, j.objective-j.longestEstimate-c.now.Mono)
 }
 
 // usefulUntil returns the time after which the answer is of no use to the caller, if its tasks
--- a/core/policy/backlog/backlog.go
+++ b/core/policy/backlog/backlog.go
@@ -8,14 +8,17 @@
 
 const (
 	// arrivalShare is the share of the measured arrivals of more urgent demand that
-	// a prediction counts as ahead. The arrivals of a burst may end at any time.
-	arrivalShare = 0.75
+	// a prediction counts as ahead, and waitShare the share of the predicted wait that must
+	// pass the limit. Both are below 1 in favour of the caller: arrivals may end. In trials,
+	// 0.75 for both had the same value, but told nine of ten callers after 1.16 s, not 0.68 s.
+	arrivalShare, waitShare = 0.9, 0.9
+	// arrivalSigmas is how far arrivals may exceed the usual ones by chance before a job that is
+	// not late is given up: a wrong decision costs it most. In trials at 0.7 of the capacity,
+	// 4 of 17,046 jobs were refused with 0, and none with 2.
+	arrivalSigmas = 2
 	// minShare is the least share of the rate that is left for less urgent demand. It is that
 	// of the setting min_share, without which the end of the burst brings as much.
 	minShare = 0.1
-	// waitShare is the share of the predicted wait that must pass the limit: the rates of two
-	// seconds differ by about a quarter where long tasks complete in groups.
-	waitShare = 0.75
 	// maxWait bounds predictions.
 	maxWait = time.Minute
 	// minRetry and maxRetry bound the time after which refused callers are asked back.
@@ -46,27 +49,35 @@
 	Meter
 }
 
-// Forecast predicts the start of the job with this entry, which is not late after becomesLate,
-// a time from now. It reports false if there is no backlog or its rate is not known.
+// Forecast predicts the start of the job with this entry, which becomes late after becomesLate,
+// a time from now, if it is on time. It reports false if there is no backlog or its rate is not
+// known.
 func (b *Backlog) Forecast(now time.Duration, e Entry, becomesLate time.Duration) (Forecast, bool) {
 	rate, ok := b.Rate(now)
 	if !ok || !b.backlogged {
 		return Forecast{}, false
 	}
-	f := b.forecast(e, rate)
-	if !e.Late && f.Wait > becomesLate {
-		e.Late = true
-		f = b.forecast(e, rate)
+	sigmas := 0.0
+	if e.Class != Late {
+		sigmas = arrivalSigmas
+	}
+	f := b.forecast(e, rate, sigmas)
+	if e.Class == OnTime && f.Wait > becomesLate {
+		e.Class = Late // By then, it is placed behind others.
+		f = b.forecast(e, rate, sigmas)
 	}
 	return f, true
 }
 
-func (b *Backlog) forecast(e Entry, rate float64) Forecast {
+func (b *Backlog) forecast(e Entry, rate, sigmas float64) Forecast {
 	below := e.Priority
-	if e.Late {
+	if e.Class == Late {
 		below++ // Arrivals of its own priority are not late yet.
 	}
-	left := max(rate-arrivalShare*b.arrivalRate(below), minShare*rate)
+	left := rate
+	if b.sustained() {
+		left = max(rate-arrivalShare*b.arrivalRate(below, sigmas), minShare*rate)
+	}
 	ahead := b.Ahead(e)
 	return Forecast{Wait: seconds(float64(ahead) / left), Ahead: ahead, Rate: rate}
 }
--- a/core/policy/backlog/meter.go
+++ b/core/policy/backlog/meter.go
@@ -1,6 +1,9 @@
 package backlog
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// slotWidth and slotCount give a window of one second: a rate follows the loss of
@@ -21,7 +24,15 @@
 	backlogged time.Duration
 	placed     int
 	// arrived is the demand that arrived, by priority.
-	arrived map[int]int
+	arrived []arrival
+}
+
+// arrival is the demand that has arrived with one priority, and the sum of the squares of the
+// demand of each job, which is the variance of demand that arrives at random.
+type arrival struct {
+	priority int
+	demand   int
+	variance float64
 }
 
 // Meter measures the rates of the last second. The zero value has observed nothing.
@@ -51,10 +62,14 @@
 func (m *Meter) Arrived(now time.Duration, priority, demand int) {
 	m.advance(now)
 	s := m.slot(m.current)
-	if s.arrived == nil {
-		s.arrived = make(map[int]int)
+	for i := range s.arrived {
+		if s.arrived[i].priority == priority {
+			s.arrived[i].demand += demand
+			s.arrived[i].variance += max(float64(demand), 0) * float64(demand)
+			return
+		}
 	}
-	s.arrived[priority] += demand
+	s.arrived = append(s.arrived, arrival{priority, demand, max(float64(demand), 0) * float64(demand)})
 }
 
 func (m *Meter) slot(n int64) *slot { return &m.slots[n%slotCount] }
@@ -73,7 +88,8 @@
 		m.updatedAt = end
 		if int64(end/slotWidth) > m.current {
 			m.current++
-			*m.slot(m.current) = slot{}
+			s := m.slot(m.current)
+			*s = slot{arrived: s.arrived[:0]}
 		}
 	}
 }
@@ -100,16 +116,25 @@
 	return float64(placed) / observed.Seconds(), observed
 }
 
+// sustained reports whether there was a backlog for nearly the whole window. Otherwise, more
+// demand was placed at times than arrived.
+func (m *Meter) sustained() bool {
+	_, observed := m.rate(slotCount)
+	return observed >= (slotCount-1)*slotWidth
+}
+
 // arrivalRate returns the demand per second that has arrived with a lower priority value than
-// this one.
-func (m *Meter) arrivalRate(below int) float64 {
-	n := 0
+// this one, less this number of standard deviations: with few jobs per second, a wide one more
+// or less is no overload.
+func (m *Meter) arrivalRate(below int, sigmas float64) float64 {
+	n, variance := 0, 0.0
 	for i := range m.slots {
-		for priority, demand := range m.slots[i].arrived {
-			if priority < below {
-				n += demand
+		for _, a := range m.slots[i].arrived {
+			if a.priority < below {
+				n += a.demand
+				variance += a.variance
 			}
 		}
 	}
-	return float64(max(n, 0)) / (slotCount * slotWidth).Seconds()
+	return max(float64(n)-sigmas*math.Sqrt(variance), 0) / (slotCount * slotWidth).Seconds()
 }
--- a/core/policy/backlog/queue.go
+++ b/core/policy/backlog/queue.go
@@ -15,12 +15,25 @@
 // equal, and equal ones do not count as ahead, which shortens predictions by as much.
 const bucketWidth = 32 * time.Millisecond
 
+// Class is the standing of a job that waits.
+type Class uint8
+
+// The classes.
+const (
+	// Started: tasks of the job may have run. It keeps its place.
+	Started Class = iota
+	// OnTime: the job can still meet its objective.
+	OnTime
+	// Late: it cannot. It is placed behind all others of its priority.
+	Late
+	classes
+)
+
 // Entry is the demand of one job that waits to be placed.
 type Entry struct {
 	// Priority orders entries; 0 comes first.
 	Priority int
-	// Late orders an entry behind all others of its priority.
-	Late bool
+	Class    Class
 	// Objective orders the entries of one priority that are all late or all not late.
 	Objective time.Duration
 	Demand    int
@@ -34,15 +47,12 @@
 
 // prioritySums holds the sums of one priority.
 type prioritySums struct {
-	priority     int
-	onTime, late sums
+	priority int
+	class    [classes]sums
 }
 
-func (p *prioritySums) class(late bool) *sums {
-	if late {
-		return &p.late
-	}
-	return &p.onTime
+func (p *prioritySums) total() int {
+	return p.class[Started].total + p.class[OnTime].total + p.class[Late].total
 }
 
 // sums holds the demand by objective. It has no empty buckets.
@@ -74,7 +84,7 @@
 	if !ok {
 		q.priorities = slices.Insert(q.priorities, i, prioritySums{priority: e.Priority})
 	}
-	q.priorities[i].class(e.Late).add(bucketIndex(e.Objective), demand)
+	q.priorities[i].class[e.Class].add(bucketIndex(e.Objective), demand)
 }
 
 func (s *sums) add(index int64, demand int) {
@@ -104,19 +114,21 @@
 }
 
 // Ahead returns the demand that is placed before the entry, which may have been added or not.
+// Jobs of the same priority that are on time do not count as ahead of a job that is not late:
+// with more demand than capacity, most of them become late and fall behind it.
 func (q *Queue) Ahead(e Entry) int {
 	n := 0
 	for i := range q.priorities {
 		p := &q.priorities[i]
 		switch {
 		case p.priority < e.Priority:
-			n += p.onTime.total + p.late.total
+			n += p.total()
 		case p.priority > e.Priority:
 			return n
-		case e.Late:
-			n += p.onTime.total + p.late.before(bucketIndex(e.Objective))
+		case e.Class == Late:
+			n += p.class[Started].total + p.class[OnTime].total + p.class[Late].before(bucketIndex(e.Objective))
 		default:
-			n += p.onTime.before(bucketIndex(e.Objective))
+			n += p.class[Started].before(bucketIndex(e.Objective))
 		}
 	}
 	return n
@@ -127,7 +139,7 @@
 	n := 0
 	for i := range q.priorities {
 		if p := &q.priorities[i]; p.priority <= priority {
-			n += p.onTime.total + p.late.total
+			n += p.total()
 		}
 	}
 	return n
@@ -137,7 +149,7 @@
 func (q *Queue) Total() int {
 	n := 0
 	for i := range q.priorities {
-		n += q.priorities[i].onTime.total + q.priorities[i].late.total
+		n += q.priorities[i].total()
 	}
 	return n
 }
