--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -65,7 +66,7 @@
 // with sign -1.
 func (c *Core) recordPlaced(t *task, sign int) {
 	if b := c.backlogOf(t.job); b != nil {
-		b.Placed(c.now.Mono, sign*t.stepSpec().Demand.MilliCPU)
+		b.Placed(c.now.Mono, sign*t.stepSpec().expectedWork())
 	}
 }
 
@@ -75,17 +76,37 @@
 	if b == nil {
 		return
 	}
-	b.Remove(j.counted)
-	j.counted = backlog.Entry{}
+	var e backlog.Entry
 	if j.queued {
-		j.counted = backlog.Entry{
-			Priority: j.spec.Route.Priority, Late: c.missesObjective(j), Objective: j.objective, Demand: j.unplacedDemand(),
+		e = backlog.Entry{
+			Priority: j.spec.Route.Priority, Class: c.backlogClass(j), Objective: j.objective, Demand: j.unplacedDemand(),
 		}
 	}
-	b.Add(j.counted)
+	if e != j.counted {
+		b.Remove(j.counted)
+		b.Add(e)
+		j.counted = e
+	}
+}
+
+// backlogClass returns the standing of a job with unplaced tasks.
+func (c *Core) backlogClass(j *job) backlog.Class {
+	switch {
+	case j.mayHaveRun:
+		return backlog.Started
+	case c.missesObjective(j):
+		return backlog.Late
+	default:
+		return backlog.OnTime
+	}
 }
 
-// unplacedDemand returns the demand of the unplaced tasks, in thousandths of a core.
+// expectedWork returns the demand of a task times its estimate, in core milliseconds.
+func (s *Step) expectedWork() int {
+	return int(int64(s.Demand.MilliCPU) * cmp.Or(s.Estimate, defaultEstimate).Milliseconds() / 1000)
+}
+
+// unplacedDemand returns the work of the unplaced tasks, in core milliseconds.
 func (j *job) unplacedDemand() int {
 	if j.unplaced == 0 {
 		return 0
@@ -93,7 +114,7 @@
 	n := 0
 	for _, t := range j.tasks {
 		if t.state == unplaced {
-			n += t.stepSpec().Demand.MilliCPU
+			n += t.stepSpec().expectedWork()
 		}
 	}
 	return n
@@ -147,11 +168,7 @@
 	if b == nil || !j.queued {
 		return backlog.Forecast{}, false
 	}
-	becomesLate := j.objective - j.longestEstimate - c.now.Mono
-	if j.mayHaveRun {
-		becomesLate = j.deadline - c.now.Mono // Started jobs keep their place.
-	}
-	return b.Forecast(c.now.Mono, j.counted, becomesLate)
+	return b.Forecast(c.now.Mono, j.counted, j.objective-j.longestEstimate-c.now.Mono)
 }
 
 // usefulUntil returns the time after which the answer is of no use to the caller, if its tasks
@@ -201,7 +218,7 @@
 		return nil
 	}
 	return []any{
-		"predicted_start_ms", f.Wait.Milliseconds(), "ahead_mcpu", f.Ahead, "rate_mcpu_s", int(f.Rate),
+		"predicted_start_ms", f.Wait.Milliseconds(), "ahead_core_ms", f.Ahead, "rate_mcpu", int(f.Rate),
 		"limit_ms", (j.latestStart(c.cfg.UsefulFactor) - c.now.Mono).Milliseconds(),
 	}
 }
