dispatchd, httpserver: planned stops answer every request

Every answer closes its connection. Jobs that may not end in time are refused at once. Connections that are idle at the end get an answer 503 that closes them, and no request of theirs is processed afterwards.

Result: go test -race ./internal/httpserver ./platform passes. With the present Shutdown instead, TestNoRequestIsDroppedByAStop fails ("connection reset by peer"), as do TestConnectionsAtTheEndOfAStop ("unexpected EOF") and TestIdleConnectionAtTheEndOfAPlannedStop (5 of 5 runs, "unexpected EOF").

--- a/internal/dispatchd/daemon.go
+++ b/internal/dispatchd/daemon.go
@@ -85,6 +85,11 @@
 	overloaded atomic.Bool
 	// timing holds the times of a planned stop.
 	timing atomic.Pointer[settings.LeasedTiming]
+	// answerBy is when every call must be answered, once a planned stop has begun that drains
+	// the connections. cutOff is set then, and callsCutOff counts the calls that were not.
+	answerBy    atomic.Pointer[time.Time]
+	cutOff      *lifecycle.Signal
+	callsCutOff atomic.Int64
 	// drained is set when the core has no more jobs. Kill sets killed.
 	drained *lifecycle.Signal
 	killed  *lifecycle.Signal
@@ -99,6 +104,7 @@
 		metrics: telemetry.NewMetrics(),
 		drained: lifecycle.NewSignal(),
 		killed:  lifecycle.NewSignal(),
+		cutOff:  lifecycle.NewSignal(),
 
 		startedAt: time.Now(), configured: lifecycle.NewSignal(),
 	}
@@ -132,6 +138,7 @@
 	}
 	d.callers, err = httpserver.Listen(httpserver.Config{
 		Listen: s.Listen.Callers.String(), Handler: d.cfg.Platform.Callers(d), MaxConnections: s.Limits.Connections,
+		Drainable: s.Timing.DrainConnections,
 	})
 	if err != nil {
 		return err
--- a/internal/dispatchd/service.go
+++ b/internal/dispatchd/service.go
@@ -75,6 +75,7 @@
 func (d *Daemon) submit(ctx context.Context, j dispatch.Job) dispatch.Answer {
 	call, answer := d.submissions.Add()
 	defer d.submissions.Remove(call)
+	d.limitWait(&j)
 	if !d.loop.Post(dispatch.Submit{Call: call, Job: j, ReceivedAt: d.loop.Mono()}) {
 		d.LogRejected(j.ID, reasonStopped)
 		return dispatch.Answer{Outcome: dispatch.Refused, Reason: reasonStopped}
@@ -84,6 +85,9 @@
 		return a
 	case <-ctx.Done():
 		d.loop.Post(dispatch.CallerGone{Call: call})
+	case <-d.cutOff.Done():
+		d.loop.Post(dispatch.CallerGone{Call: call})
+		return dispatch.Answer{Outcome: dispatch.Interrupted, Reason: reasonStopped}
 	case <-d.killed.Done():
 	}
 	return dispatch.Answer{Outcome: dispatch.Interrupted, Reason: "caller_gone"}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -41,6 +41,9 @@
 	HeaderTimeout time.Duration
 	// Certificate, if not nil, makes the server accept only TLS connections.
 	Certificate *Certificate
+	// Drainable makes StartDraining, AwaitDrained and Retire available. It excludes
+	// Certificate.
+	Drainable bool
 }
 
 // Server serves HTTP on one listening socket. Its methods are safe for concurrent
@@ -50,6 +53,8 @@
 	server    *http.Server
 	closed    chan struct{}
 	closeOnce sync.Once
+	// drainer is nil unless Config.Drainable is set.
+	drainer *drainer
 }
 
 // Listen opens the listening socket. The server handles no request before Run is
@@ -61,15 +66,19 @@
 	if cfg.HeaderTimeout == 0 {
 		cfg.HeaderTimeout = DefaultHeaderTimeout
 	}
+	if cfg.Drainable && cfg.Certificate != nil {
+		return nil, errors.New("a server with a certificate cannot be drainable")
+	}
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for HTTP")
 	}
+	socket := listener
 	listener = netutil.LimitListener(listener, cfg.MaxConnections)
 	if cfg.Certificate != nil {
 		listener = tls.NewListener(listener, cfg.Certificate.tlsConfig())
 	}
-	return &Server{
+	s := &Server{
 		closed:   make(chan struct{}),
 		listener: listener,
 		server: &http.Server{
@@ -78,13 +87,20 @@
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
 		},
-	}, nil
+	}
+	if cfg.Drainable {
+		s.drainer = newDrainer(socket.(*net.TCPListener))
+		s.listener = trackedListener{listener, s.drainer}
+		s.server.Handler = s.drainer.wrap(cfg.Handler)
+		s.server.ConnContext, s.server.ConnState = withConn, s.drainer.stateChanged
+	}
+	return s, nil
 }
 
 // Addr returns the bound IP:port.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Run serves requests until Close is called. After Shutdown it waits for Close.
+// Run serves requests until Close is called. After Shutdown or Retire it waits for Close.
 func (s *Server) Run() error {
 	err := s.server.Serve(s.listener)
 	if !errors.Is(err, http.ErrServerClosed) {
@@ -103,5 +119,8 @@
 	s.closeOnce.Do(func() { close(s.closed) })
 	err := s.server.Close()
 	_ = s.listener.Close()
+	if s.drainer != nil {
+		s.drainer.closeAll()
+	}
 	return err
 }
--- a/internal/settings/leased.go
+++ b/internal/settings/leased.go
@@ -126,6 +126,10 @@
 	// its readiness check fails, so that the load balancer notices first. It is part
 	// of Grace.
 	ReadinessDelay Delay `ini:"readiness_delay" default:"2500ms"`
+	// DrainConnections makes a dispatcher accept calls until all connections are closed or
+	// Grace is nearly over, and close no connection without an answer. Otherwise it accepts
+	// calls during ReadinessDelay.
+	DrainConnections bool `ini:"drain_connections" default:"false"`
 }
 
 // LoadDispatcher reads and checks the settings file of a dispatcher. The error is
--- a/internal/settings/leased_test.go
+++ b/internal/settings/leased_test.go
@@ -111,3 +111,13 @@
 		}
 	}
 }
+
+// TestLoadDrainConnections checks that a dispatcher stops as before unless its settings say so.
+func TestLoadDrainConnections(t *testing.T) {
+	for text, want := range map[string]bool{"": false, "[timing]\ndrain_connections = true\n": true} {
+		d, err := LoadDispatcher(file(t, dispatcherFile+text))
+		if err != nil || d.Timing.DrainConnections != want {
+			t.Errorf("%q: got %+v, error %v, want drain_connections %v", text, d.Timing, err, want)
+		}
+	}
+}
