--- a/core/dispatch/speed.go
+++ b/core/dispatch/speed.go
@@ -15,9 +15,9 @@
 	// upstream counts as one of median speed, gets work, and is measured again.
 	slowdownLifetime = 2 * time.Minute
 	// slowRelative and fastRelative are the relative slowdowns from which an upstream is
-	// called slow or fast in logs and metrics, and speedMargin the distance by which it must
-	// cross them to leave its class.
-	slowRelative, fastRelative, speedMargin = 1.2, 0.8, 0.05
+	// called slow or fast in logs and metrics. It must cross them by speedMargin to change its
+	// class. The margins together are more than twice the error of a measurement.
+	slowRelative, fastRelative, speedMargin = 1.1, 0.9, 0.05
 	// maxSpeedLogs limits the log lines on changes of speed in one comparison; the others
 	// follow in the next ones.
 	maxSpeedLogs = 4
--- a/core/policy/speed/fleet.go
+++ b/core/policy/speed/fleet.go
@@ -26,8 +26,9 @@
 	// Median is the median slowdown in percent, or zero if too few are known.
 	Median int
 	// Mean is the mean duration of tasks relative to their estimates while all upstreams are
-	// busy, or 1 if it is not known. It is the harmonic mean of the slowdowns, since fast
-	// upstreams run more tasks.
+	// busy, or 1 if it is not known or less. It is the harmonic mean of the slowdowns, since
+	// fast upstreams run more tasks. Where the tasks of a job differ, the mean is too low for
+	// the longest one: with values below 1, a full fleet ran more jobs that were then late.
 	Mean float64
 }
 
@@ -43,7 +44,7 @@
 	for _, s := range slowdowns {
 		speeds += 100 / float64(s)
 	}
-	return Fleet{Median: slowdowns[n/2], Mean: min(max(float64(n)/speeds, minRelative), maxRelative)}
+	return Fleet{Median: slowdowns[n/2], Mean: min(max(float64(n)/speeds, 1), maxRelative)}
 }
 
 // Relative returns the slowdown of an upstream divided by the fleet's median. It is 1 if
