--- a/core/dispatch/speed.go
+++ b/core/dispatch/speed.go
@@ -18,6 +18,9 @@
 	// called slow or fast in logs and metrics. It must cross them by speedMargin to change its
 	// class. The margins together are more than twice the error of a measurement.
 	slowRelative, fastRelative, speedMargin = 1.1, 0.9, 0.05
+	// maxOfferedSlowdown bounds the slowdown in an offer, in percent, so that a wrong value does
+	// not disable the check for lack of progress.
+	maxOfferedSlowdown = 300
 	// maxSpeedLogs limits the log lines on changes of speed in one comparison; the others
 	// follow in the next ones.
 	maxSpeedLogs = 4
@@ -167,7 +170,7 @@
 // offeredSlowdown returns the slowdown that an offer to a states, or zero.
 func (c *Core) offeredSlowdown(a *agent) int {
 	if slowdown := c.slowdown(a); slowdown > 100 {
-		return slowdown
+		return min(slowdown, maxOfferedSlowdown)
 	}
 	return 0
 }
