dispatch, lessee: place tasks apart that slow each other down

Cause: placement does not know which routes interfere on an upstream.

Change: with separate_interfering, a dispatcher requests evidence in its heartbeats. Agents then observe their runs and add evidence to a heartbeat every 5 s or more; while there are findings, capacity reports count the runs of the routes in them. Placement subtracts the excess that a task would suffer and cause, at most 0.35, from the score of an agent; one offer in 16 ignores it. Gauge dogwoodgauge_interfering_pairs; log lines interference_found and interference_ended. With the setting off, no field is sent and nothing is observed.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -124,7 +124,7 @@
 	a.heartbeatSentAt = c.now.Mono
 	hb.Timestamp, hb.EchoedTimestamp, hb.Revision = c.now.Mono, a.lastTimestamp, c.site.Revision
 	hb.FirstWaiting, hb.KnownInfoVersion, hb.AcceptsIdleInterval = c.firstWaiting(a), a.infoVersion, true
-	hb.KnownCrash = a.knownCrash
+	hb.KnownCrash, hb.Watch = a.knownCrash, c.watch
 	c.send(a.ref, message.Message{Heartbeat: &hb})
 }
 
@@ -152,6 +152,7 @@
 	a.dead = false
 	c.applySite(hb.Site)
 	c.handleCrashes(a, hb.Crashes)
+	c.applyEvidence(a, hb.Evidence)
 	if hb.Capacity != nil {
 		c.applyCapacity(a, hb.Capacity)
 	}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/containment"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/interference"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/pressure"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/quarantine"
 	"github.com/dogwoodgauge/dogwoodgauge/core/site"
@@ -93,6 +94,10 @@
 	// that may have caused them.
 	crashes   *containment.Tracker
 	isolation isolationState
+	// interference holds the routes found to slow each other down, or is nil if tasks are not
+	// placed by it. watch is the request for evidence in heartbeats.
+	interference *interference.Detector
+	watch        *message.InterferenceWatch
 	// confinedRefusedAt is when a job of a confined route was last refused, or zero.
 	confinedRefusedAt time.Duration
 	// placementNeeded is set when a new placement may place tasks that the last one could
@@ -129,6 +134,9 @@
 	Crashes, CrashedRuns uint64
 	// ConfinedRoutes is the number of routes whose tasks run on isolated upstreams only.
 	ConfinedRoutes int
+	// InterferingPairs is the number of ordered pairs of routes of which one was found to slow
+	// the other down.
+	InterferingPairs int
 	// Overloaded is set while the process falls behind its work, and for a short time
 	// after that.
 	Overloaded bool
@@ -138,7 +146,7 @@
 
 // New returns a dispatcher without agents.
 func New(cfg Config) *Core {
-	return &Core{
+	c := &Core{
 		cfg:        cfg,
 		site:       &site.State{},
 		agents:     make(map[node.Ref]*agent),
@@ -151,6 +159,10 @@
 
 		domainDoubtedAt: make(map[string]time.Duration),
 	}
+	if cfg.SeparateInterfering {
+		c.interference = interference.NewDetector()
+	}
+	return c
 }
 
 // Step processes one event: it calls Handle, then EndBatch.
@@ -175,6 +187,7 @@
 	c.updateKnownWorkers()
 	c.checkDeadlines()
 	c.updateIsolation()
+	c.updateInterference()
 	c.place()
 	c.refuseInfeasible()
 	c.giveUpConfined()
@@ -242,6 +255,9 @@
 	s := c.stats
 	s.Overloaded = c.reportedOverload
 	s.ConfinedRoutes = c.crashes.ConfinedRoutes()
+	if c.interference != nil {
+		s.InterferingPairs = len(c.interference.Findings())
+	}
 	s.OpenJobs, s.WaitingJobs, s.Agents, s.Revision = len(c.jobs), len(c.waiting), len(c.agents), c.site.Revision
 	for _, a := range c.sortedAgents {
 		if c.usable(a) {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -215,7 +215,8 @@
 }
 
 // score rates an agent that has enough free capacity; the highest score is chosen. It is
-// the share of free capacity, plus the bonuses, minus the penalty if t avoids the agent.
+// the share of free capacity, plus the bonuses, minus the penalty if t avoids the agent and the
+// price of interference.
 func (c *Core) score(t *task, a *agent, free message.Resources, isolated bool) float64 {
 	score := float64(free.MilliCPU) / float64(max(a.info.Capacity.MilliCPU, 1))
 	if a.info.Domain == c.cfg.Domain {
@@ -230,7 +231,7 @@
 	if isolated && a.isolatedJob == t.job {
 		score += togetherBonus
 	}
-	return score
+	return score - c.interferencePrice(t, a)
 }
 
 // offerTask places t on a with a new offer.
--- a/core/lessee/leaseholder.go
+++ b/core/lessee/leaseholder.go
@@ -43,6 +43,10 @@
 	knownInfoVersion uint64
 	// knownCrash is the Number of the last crash of the upstream that it has acknowledged.
 	knownCrash uint64
+	// watch is its last request for evidence of interference, or nil, and evidenceSentAt is
+	// when evidence was last due to it.
+	watch          *message.InterferenceWatch
+	evidenceSentAt time.Duration
 	// maxOfferSeq is the highest Seq of its offers that were processed.
 	maxOfferSeq uint64
 	// firstWaiting is its first waiting task, as last reported; the report expires at
@@ -101,6 +105,7 @@
 	h.lastTimestamp = hb.Timestamp
 	h.knownInfoVersion, h.acceptsIdleInterval = hb.KnownInfoVersion, hb.AcceptsIdleInterval
 	h.knownCrash = hb.KnownCrash
+	c.setWatch(h, hb.Watch)
 	h.firstWaiting = hb.FirstWaiting
 	if hb.FirstWaiting != nil {
 		h.waitingExpiresAt, h.skippedUntil = c.now.Mono+waitingTTL, 0
@@ -189,7 +194,7 @@
 	h.heartbeatSentAt, h.statedInterval = c.now.Mono, c.idleInterval()
 	hb := &message.Heartbeat{
 		Timestamp: c.now.Mono, EchoedTimestamp: h.lastTimestamp, Revision: c.site.Revision, WantSite: wantSite,
-		IdleInterval: h.statedInterval, Crashes: c.unknownCrashes(h),
+		IdleInterval: h.statedInterval, Crashes: c.unknownCrashes(h), Evidence: c.dueEvidence(h),
 	}
 	if giveSite {
 		hb.Site = c.site
@@ -206,6 +211,7 @@
 	}
 	delete(c.holders, h.ref)
 	c.holderOrder = slices.DeleteFunc(c.holderOrder, func(x *leaseHolder) bool { return x == h })
+	c.endUnusedObservation()
 	c.logEvent("dispatcher_forgotten", "", "dispatcher", h.ref.String())
 }
 
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -7,6 +7,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/interference"
 	"github.com/dogwoodgauge/dogwoodgauge/core/site"
 	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 )
@@ -77,6 +78,8 @@
 	// capacityVersion is the version of the capacity report, and infoVersion that of the
 	// upstream info. Each rises with every change.
 	capacityVersion, infoVersion uint64
+	// observer collects evidence of interference, or is nil while no dispatcher requests it.
+	observer *interference.Observer
 	// reservation holds scarce free capacity for one dispatcher.
 	reservation     reservation
 	draining        bool
@@ -202,6 +205,7 @@
 	h.reportedVersion, h.reportedSeq, h.reportedReady = c.capacityVersion, h.maxOfferSeq, c.Ready()
 	r := &message.CapacityReport{
 		Version: c.capacityVersion, Ready: c.Ready(), Used: c.reportedUse(h), MaxIncludedSeq: h.maxOfferSeq, InfoVersion: c.infoVersion,
+		Running: c.watchedRuns(h),
 	}
 	if h.knownInfoVersion != c.infoVersion {
 		r.Info = &message.UpstreamInfo{
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -5,6 +5,7 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/interference"
 )
 
 type runState uint8
@@ -54,6 +55,8 @@
 	// startedAt is when the upstream last confirmed a start or stop call, or before that
 	// when the run was accepted.
 	startedAt time.Duration
+	// observed is the run in observer, or nil.
+	observed *interference.Run
 	// lastStopSentAt is when the last stop call was sent.
 	lastStopSentAt time.Duration
 	completedAt    time.Duration
@@ -107,6 +110,7 @@
 	c.capacityChanged()
 	h.runsBySeq[r.seq] = r
 	h.unfinished++
+	c.observeStart(r)
 	c.callStart(r)
 }
 
@@ -354,6 +358,7 @@
 	delete(c.runsByTask, r.name)
 	c.completedAt[r.name] = c.now.Mono
 	c.used = c.used.Sub(r.demand)
+	c.observeEnd(r, result, duration)
 	c.capacityChanged()
 	r.holder.unfinished--
 	r.holder.completedRuns = append(r.holder.completedRuns, r)
--- a/core/message/interference.go
+++ b/core/message/interference.go
@@ -2,6 +2,13 @@
 
 import "math"
 
+// InterferenceWatch is a dispatcher's request for evidence of interference.
+type InterferenceWatch struct {
+	// Routes holds the routes of which capacity reports are to count the runs, at most 8. It
+	// is empty unless the dispatcher has findings.
+	Routes []string `json:"r,omitempty"`
+}
+
 // InterferenceReport is an agent's evidence of which routes slow each other down on its
 // upstream. It replaces the sender's earlier report.
 type InterferenceReport struct {
--- a/core/message/offer.go
+++ b/core/message/offer.go
@@ -181,6 +181,10 @@
 	Crashes []Crash `json:"crashes,omitempty"`
 	// KnownCrash, from a dispatcher, acknowledges the crashes up to this Number.
 	KnownCrash uint64 `json:"kc,omitempty"`
+	// Watch, from a dispatcher, requests Evidence.
+	Watch *InterferenceWatch `json:"ifw,omitempty"`
+	// Evidence, from an agent, is sent every few seconds to dispatchers that request it.
+	Evidence *InterferenceReport `json:"ifr,omitempty"`
 }
 
 // Crash describes an unplanned end of an agent's local upstream.
@@ -222,6 +226,9 @@
 	Info        *UpstreamInfo `json:"kind,omitempty"`
 	// MaxIncludedSeq is the highest Seq of the receiver's offers that Used includes.
 	MaxIncludedSeq uint64 `json:"seen,omitempty"`
+	// Running holds the number of open runs of each route in the receiver's Watch.Routes that
+	// has any.
+	Running map[string]int `json:"rts,omitempty"`
 }
 
 // UpstreamInfo holds the properties of an upstream that change rarely.
--- a/core/policy/interference/detector.go
+++ b/core/policy/interference/detector.go
@@ -153,13 +153,22 @@
 	return findings[:n]
 }
 
-// pairSum is the evidence about a pair, one entry for each agent.
-type pairSum struct{ weights, scores []float64 }
+// pairSum holds sums over agents of the evidence about a pair: of weights and scores, of their
+// squares and of their products.
+type pairSum struct{ weight, score, weightSq, scoreSq, product float64 }
+
+func (s *pairSum) add(weight, score float64) {
+	s.weight += weight
+	s.score += score
+	s.weightSq += weight * weight
+	s.scoreSq += score * score
+	s.product += weight * score
+}
 
-// sum collects the evidence about each pair. Agents are visited in order of their IDs, so
+// sum adds up the evidence about each pair. Agents are visited in order of their IDs, so
 // that rounding does not depend on the order of the map.
-func (d *Detector) sum(now time.Duration) map[pairKey]pairSum {
-	sums := make(map[pairKey]pairSum)
+func (d *Detector) sum(now time.Duration) map[pairKey]*pairSum {
+	sums := make(map[pairKey]*pairSum)
 	for _, id := range slices.Sorted(maps.Keys(d.reports)) {
 		r := d.reports[id]
 		factor := decay(now - r.receivedAt)
@@ -168,9 +177,13 @@
 			if !ok {
 				continue
 			}
-			s := sums[pairKey{route, beside}]
-			s.weights, s.scores = append(s.weights, p.Weight()*factor), append(s.scores, p.Score()*factor)
-			sums[pairKey{route, beside}] = s
+			key := pairKey{route, beside}
+			s := sums[key]
+			if s == nil {
+				s = &pairSum{}
+				sums[key] = s
+			}
+			s.add(p.Weight()*factor, p.Score()*factor)
 		}
 	}
 	return sums
@@ -179,23 +192,13 @@
 // finding computes the estimate of a pair. The standard error is the larger one of that
 // from the variation between agents, which also covers what the agents' models lack, and
 // that from the known deviation of observations.
-func (s pairSum) finding(key pairKey) Finding {
+func (s *pairSum) finding(key pairKey) Finding {
 	f := Finding{Route: key.route, Beside: key.beside}
-	score, squares := 0.0, 0.0
-	for i, weight := range s.weights {
-		f.Weight += weight
-		squares += weight * weight
-		score += s.scores[i]
-	}
-	if f.Weight <= 0 {
+	if s == nil || s.weight <= 0 {
 		return f
 	}
-	f.Excess, f.Agents = score/f.Weight, f.Weight*f.Weight/squares
-	between := 0.0
-	for i := range s.weights {
-		rest := s.scores[i] - f.Excess*s.weights[i]
-		between += rest * rest
-	}
-	f.Significance = score / math.Sqrt(max(between, deviation*deviation*f.Weight))
+	f.Weight, f.Agents, f.Excess = s.weight, s.weight*s.weight/s.weightSq, s.score/s.weight
+	between := s.scoreSq - 2*f.Excess*s.product + f.Excess*f.Excess*s.weightSq
+	f.Significance = s.score / math.Sqrt(max(between, deviation*deviation*s.weight))
 	return f
 }
--- a/core/policy/interference/interference_test.go
+++ b/core/policy/interference/interference_test.go
@@ -71,7 +71,7 @@
 			n, f, y, term := slot.normal[0][0], 0.0, slot.moments[0], routeTerm+pair%5
 			f = slot.normal[0][term]
 			if weight := slot.normal[term][term] - f*f/n; weight > minWeight {
-				s.weights, s.scores = append(s.weights, weight), append(s.scores, slot.moments[term]-f*y/n)
+				s.add(weight, slot.moments[term]-f*y/n)
 			}
 		}
 		if f := s.finding(pairKey{}); f.Agents >= minAgents && f.Excess >= minExcess && f.Significance >= minSignificance {
--- a/core/policy/interference/observer.go
+++ b/core/policy/interference/observer.go
@@ -160,6 +160,16 @@
 	s.durations++
 }
 
+// Open returns the number of observed open runs of a route.
+func (o *Observer) Open(route string) int {
+	for i := range o.slots {
+		if o.slots[i].route == route {
+			return o.slots[i].open
+		}
+	}
+	return 0
+}
+
 // endWindows computes the regressors of the runs whose windows have ended. It must be called
 // before the number of open runs or the load changes.
 func (o *Observer) endWindows(now time.Duration) {
--- a/internal/dispatchd/service.go
+++ b/internal/dispatchd/service.go
@@ -195,6 +195,7 @@
 		d.metrics.SetGauge(telemetry.UpstreamCrashesTotal, float64(s.Crashes))
 		d.metrics.SetGauge(telemetry.RunsCrashedTotal, float64(s.CrashedRuns))
 		d.metrics.SetGauge(telemetry.RoutesConfined, float64(s.ConfinedRoutes))
+		d.metrics.SetGauge(telemetry.InterferingPairs, float64(s.InterferingPairs))
 		process.CopyCounters(d.metrics, nil, d.transport.Stats())
 	})
 }
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -44,4 +44,5 @@
 	UpstreamCrashesTotal = "dogwoodgauge_upstream_crashes_total"
 	RunsCrashedTotal     = "dogwoodgauge_runs_crashed_total"
 	RoutesConfined       = "dogwoodgauge_routes_confined"
+	InterferingPairs     = "dogwoodgauge_interfering_pairs"
 )
