--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -234,8 +234,8 @@
 }
 
 // score rates an agent that has enough free capacity; the highest score is chosen. It is
-// the share of free capacity, plus the bonuses, minus the penalties if t avoids the agent or
-// its upstream is slow.
+// the share of free capacity, plus the bonuses, minus the penalties if t avoids the agent, its
+// upstream is slow, or tasks there slow t down.
 func (c *Core) score(t *task, a *agent, free message.Resources, isolated bool) float64 {
 	score := float64(free.MilliCPU) / float64(max(a.info.Capacity.MilliCPU, 1))
 	if a.info.Domain == c.cfg.Domain {
@@ -250,7 +250,7 @@
 	if isolated && a.isolatedJob == t.job {
 		score += togetherBonus
 	}
-	return score - c.speedPenalty(t, a)
+	return score - c.speedPenalty(t, a) - c.interferencePrice(t, a)
 }
 
 // offerTask places t on a with a new offer.
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -7,6 +7,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/interference"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/speed"
 	"github.com/dogwoodgauge/dogwoodgauge/core/site"
 	"github.com/dogwoodgauge/dogwoodgauge/core/step"
@@ -83,6 +84,8 @@
 	capacityVersion, infoVersion uint64
 	// startsRefused counts the start calls that the upstream refused for lack of capacity.
 	startsRefused uint64
+	// observer collects evidence of interference, or is nil while no dispatcher requests it.
+	observer *interference.Observer
 	// reservation holds scarce free capacity for one dispatcher.
 	reservation reservation
 	// speed estimates the speed of the upstream, across its incarnations.
@@ -217,6 +220,7 @@
 	r := &message.CapacityReport{
 		Version: c.capacityVersion, Ready: c.Ready(), Used: c.reportedUse(h), MaxIncludedSeq: h.maxOfferSeq, InfoVersion: c.infoVersion,
 		Slowdown: c.speed.Slowdown(c.now.Mono),
+		Running:  c.watchedRuns(h),
 	}
 	if h.knownInfoVersion != c.infoVersion {
 		r.Info = &message.UpstreamInfo{
--- a/internal/dispatchd/service.go
+++ b/internal/dispatchd/service.go
@@ -204,6 +204,7 @@
 		d.metrics.SetGauge(telemetry.AgentsSlow, float64(s.SlowAgents))
 		d.metrics.SetGauge(telemetry.ShareTurnsTotal, float64(s.ShareTurns))
 		d.metrics.SetGauge(telemetry.JobsHeldTotal, float64(s.HeldJobs))
+		d.metrics.SetGauge(telemetry.InterferingPairs, float64(s.InterferingPairs))
 		process.CopyCounters(d.metrics, nil, d.transport.Stats())
 	})
 }
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -54,4 +54,5 @@
 	UpstreamSlowdown = "dogwoodgauge_upstream_slowdown_percent"
 	ShareTurnsTotal  = "dogwoodgauge_share_turns_total"
 	JobsHeldTotal    = "dogwoodgauge_jobs_held_total"
+	InterferingPairs = "dogwoodgauge_interfering_pairs"
 )
