dispatch: remove a job's demand from the backlog after it has become a suspect

A job that became a suspect of a crash while it waited was no longer counted, and its demand stayed in the sums. The backlog of a job is now fixed at its submission. TestCrashedJobLeavesBacklog failed before with 100 core milliseconds, and passes.

--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -25,17 +25,13 @@
 	return backlogState{byService: make(map[string]*backlog.Backlog)}
 }
 
-// predictable reports whether the wait of a job depends on the capacity of its service alone.
-// A job that only some upstreams may run waits for those, and others pass it.
-func (c *Core) predictable(j *job) bool {
-	return c.cfg.Predict && !j.crashed && !slices.ContainsFunc(j.spec.Steps, func(s Step) bool {
-		return s.RequiredLabel != "" || s.MaxPerUpstream > 0 || s.Demand.Accelerators > 0
-	})
-}
-
-// backlogOf returns the backlog of the job's service, or nil if its wait is not predictable.
+// backlogOf returns the backlog of the job's service. It is nil unless the wait of the job depends
+// on the capacity of the service alone. A job that only some upstreams may run waits for those,
+// and others pass it.
 func (c *Core) backlogOf(j *job) *backlog.Backlog {
-	if !c.predictable(j) {
+	if !c.cfg.Predict || j.crashed || slices.ContainsFunc(j.spec.Steps, func(s Step) bool {
+		return s.RequiredLabel != "" || s.MaxPerUpstream > 0 || s.Demand.Accelerators > 0
+	}) {
 		return nil
 	}
 	b := c.backlogs.byService[j.spec.Route.Service]
@@ -48,7 +44,7 @@
 
 // recordArrival notes a job that has been accepted.
 func (c *Core) recordArrival(j *job) {
-	if b := c.backlogOf(j); b != nil {
+	if b := j.backlog; b != nil {
 		b.Arrived(c.now.Mono, j.spec.Route.Priority, j.unplacedDemand())
 		c.backlogs.fresh = append(c.backlogs.fresh, j)
 	}
@@ -57,7 +53,7 @@
 // recordWithdrawal notes that an accepted job is refused after all. Its demand is no longer
 // ahead of less urgent jobs.
 func (c *Core) recordWithdrawal(j *job) {
-	if b := c.backlogOf(j); b != nil {
+	if b := j.backlog; b != nil {
 		b.Arrived(c.now.Mono, j.spec.Route.Priority, -j.unplacedDemand())
 	}
 }
@@ -65,19 +61,19 @@
 // recordPlaced notes that a task was placed, with sign 1, or that its agent has refused it,
 // with sign -1.
 func (c *Core) recordPlaced(t *task, sign int) {
-	if b := c.backlogOf(t.job); b != nil {
+	if b := t.job.backlog; b != nil {
 		b.Placed(c.now.Mono, sign*t.stepSpec().expectedWork())
 	}
 }
 
 // recount updates the sums of waiting demand after a change of the job.
 func (c *Core) recount(j *job) {
-	b := c.backlogOf(j)
+	b := j.backlog
 	if b == nil {
 		return
 	}
 	var e backlog.Entry
-	if j.queued {
+	if j.queued && !j.crashed {
 		e = backlog.Entry{
 			Priority: j.spec.Route.Priority, Class: c.backlogClass(j), Objective: j.objective, Demand: j.unplacedDemand(),
 		}
@@ -164,8 +160,8 @@
 // forecast predicts when the unplaced tasks of a waiting job start. It reports false if that is
 // not known.
 func (c *Core) forecast(j *job) (backlog.Forecast, bool) {
-	b := c.backlogOf(j)
-	if b == nil || !j.queued {
+	b := j.backlog
+	if b == nil || !j.queued || j.crashed {
 		return backlog.Forecast{}, false
 	}
 	return b.Forecast(c.now.Mono, j.counted, j.objective-j.longestEstimate-c.now.Mono)
@@ -204,7 +200,7 @@
 
 // retryDelay returns the retry delay of a job that is refused while it waits.
 func (c *Core) retryDelay(j *job) time.Duration {
-	b := c.backlogOf(j)
+	b := j.backlog
 	if b == nil {
 		return transientRetryDelay
 	}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -45,7 +45,9 @@
 	mayHaveRun bool
 	// queued is set while the job is in Core.waiting.
 	queued bool
-	// counted is the waiting demand of the job that the backlog of its service includes.
+	// backlog is that of its service, or nil if its wait is not predicted. counted is the demand
+	// of the job that it includes.
+	backlog *backlog.Backlog
 	counted backlog.Entry
 	// crashed is set if upstreams have crashed while they had tasks of the job.
 	crashed    bool
@@ -125,6 +127,7 @@
 	c.logEvent("job_accepted", j.spec.ID, "request", j.spec.Request, "route", j.spec.Route.Name, "tasks", len(j.tasks),
 		"wait_ms", j.spec.Wait.Milliseconds(), "delay_ms", delay.Milliseconds(), "revision", c.site.Revision)
 	j.crashed = c.crashes.JobKnown(j.spec.ID)
+	j.backlog = c.backlogOf(j)
 	c.jobs[j.call] = j
 	c.byID[j.spec.ID] = j
 	c.deadlines.Add(j.deadline, j.call)
--- a/core/dispatch/overload_test.go
+++ b/core/dispatch/overload_test.go
@@ -347,3 +347,18 @@
 		t.Errorf("placed job: got %+v, want its late answer delivered", a)
 	}
 }
+
+// TestCrashedJobLeavesBacklog guards against demand that stays in the sums for ever, and refuses
+// later jobs, when a job that waits becomes a suspect of a crash.
+func TestCrashedJobLeavesBacklog(t *testing.T) {
+	b := newTestBed(t)
+	b.core.cfg.Predict = true
+	b.connectAgents(1, 1)
+	b.submit("running", 0, 1, 100*time.Millisecond)
+	waits := b.submit("waits", 0, 1, 100*time.Millisecond)
+	b.core.jobs[waits].crashed = true
+	b.step(CallerGone{Call: waits})
+	if n := b.core.backlogs.byService["s"].Total(); n != 0 {
+		t.Errorf("got %d core milliseconds of waiting demand without waiting jobs, want 0", n)
+	}
+}
