httpserver, soak: test waits for idle connections; soak drains connections

Cause: TestNoRequestIsDroppedByAStop could hang: it held the gate before the server had ended the read that goes with the first request. Found with go test -race -count=10 ./internal/httpserver (hung once).

Change: the test waits until the server takes the connection for idle. The soak runs with drain_connections and learn_capacity, as the deployments do.

--- a/internal/httpserver/drain_test.go
+++ b/internal/httpserver/drain_test.go
@@ -106,6 +106,19 @@
 	return resp.StatusCode, resp.Close
 }
 
+// awaitIdle waits until the server has completed the requests that are answered. If the gate were
+// held before, the read that ends with a request would wait for it.
+func (b *drainBed) awaitIdle() {
+	for idle := false; !idle; time.Sleep(time.Millisecond) {
+		b.s.drainer.mu.Lock()
+		idle = true
+		for c := range b.s.drainer.conns {
+			idle = idle && !c.busy
+		}
+		b.s.drainer.mu.Unlock()
+	}
+}
+
 // awaitRetired waits until the server has refused further requests on all connections.
 func (b *drainBed) awaitRetired() {
 	for b.s.drainer.hasUnanswered() || !b.s.drainer.isRetiring() {
@@ -131,6 +144,7 @@
 		if status, closes := b.receive(c); status != http.StatusNoContent || closes {
 			t.Fatalf("before the stop: got status %d, closes %v", status, closes)
 		}
+		b.awaitIdle()
 		sendAt := func(at int) {
 			if at == moment {
 				b.send(c)
--- a/internal/soak/hosts.go
+++ b/internal/soak/hosts.go
@@ -165,7 +165,7 @@
 		fmt.Sprintf("[listen]\ncallers = %[1]s:8080\nready = %[1]s:8081\ntransport = %[1]s:7200\nmetrics = %[1]s:9464", ip),
 		"[store]\naddress = "+storeAddr,
 		fmt.Sprintf("[limits]\nmemory = %dMiB", memoryLimit>>20),
-		"[timing]\ngrace = 5s\nreadiness_delay = 2s",
+		"[timing]\ngrace = 5s\nreadiness_delay = 2s\ndrain_connections = true",
 	)
 	if err != nil {
 		return err
@@ -195,7 +195,7 @@
 	path, err := settingsFile(s.cfg.Dir, a.name,
 		fmt.Sprintf("[node]\nrole = lessee\nid = %s\ndomain = %s", a.name, domainName(i)),
 		fmt.Sprintf("[listen]\nannouncements = %[1]s:8166\ntransport = %[1]s:7200\nmetrics = %[1]s:9465", ip),
-		"[upstream]\naddress = "+a.upstreamAddr,
+		"[upstream]\naddress = "+a.upstreamAddr+"\nlearn_capacity = true",
 		"[store]\naddress = "+storeAddr,
 		fmt.Sprintf("[limits]\nmemory = %dMiB", memoryLimit>>20),
 	)
