--- a/core/dispatch/shares.go
+++ b/core/dispatch/shares.go
@@ -263,6 +263,7 @@
 	}
 	isolation := c.isolationOf(t)
 	for i := range candidates {
+		c.stats.AgentsExamined++
 		o := &candidates[i]
 		if !spec.Demand.Fits(o.free) || !eligible(t, o.agent) || !c.allowed(t, isolation, o.agent) {
 			continue
