dispatch: test of the strict order of placement

Cause: placementOrder examines jobs only as far as the placement gets; no test compared its order with a sorted list. Change: a property test of the whole order.

--- a/core/dispatch/shares_test.go
+++ b/core/dispatch/shares_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -117,3 +118,28 @@
 	}
 	b.step(step.Received{Envelope: env})
 }
+
+// TestOrderIsNotChangedByLaziness guards against a search that examines jobs only as far as
+// needed and thereby changes the strict order: waiting jobs of random priorities and
+// objectives come by priority, then by urgency, then in the order of Core.waiting.
+func TestOrderIsNotChangedByLaziness(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := newTestBed(t)
+		b.connectAgents(1, 1)
+		b.submit("running", 0, 1, time.Second)
+		for i := range rapid.IntRange(1, 30).Draw(rt, "jobs") {
+			estimate := time.Duration(rapid.IntRange(20, 300).Draw(rt, "estimate")) * time.Millisecond
+			b.submit(fmt.Sprint("j", i), rapid.IntRange(0, 2).Draw(rt, "priority"), 1, estimate)
+			b.core.byID[fmt.Sprint("j", i)].mayHaveRun = rapid.Bool().Draw(rt, "started")
+			b.now += 20 * time.Millisecond
+			b.sendHeartbeats(1)
+		}
+		want := slices.Clone(b.core.waiting)
+		slices.SortStableFunc(want, func(x, y *job) int {
+			return cmp.Or(cmp.Compare(x.spec.Route.Priority, y.spec.Route.Priority), cmp.Compare(b.core.urgency(x), b.core.urgency(y)))
+		})
+		if got := slices.Collect(b.core.placementOrder(nil)); !slices.Equal(got, want) {
+			rt.Errorf("got %d jobs in another order than the %d that wait", len(got), len(want))
+		}
+	})
+}
