--- a/core/dispatch/overload_test.go
+++ b/core/dispatch/overload_test.go
@@ -15,7 +15,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 )
 
-// The routes of the second deployment of docs/WORK-contention.md, at a twelfth of its load.
+// The routes of the second deployment of docs/design/contention.md, at a twelfth of its load.
 // They use 0.7 of the capacity of simAgents, with the tasks that take 7 times as long.
 var simRoutes = []simRoute{{8, 32, 60, 17.2}, {2, 8, 200, 50}, {4, 16, 900, 3.1}}
 
