--- a/core/lessee/leaseholder.go
+++ b/core/lessee/leaseholder.go
@@ -54,12 +54,12 @@
 	// unless it reports a waiting task again or more capacity is free than skippedFree.
 	// lastReservedAt is when its last reservation began, and offeredSinceReserved is set by
 	// its first offer after that.
-	// waitingDue is when the objective of the first waiting task's job ends, if it is known.
 	firstWaiting                                   *message.WaitingTask
-	waitingDue                                     time.Duration
 	waitingExpiresAt, skippedUntil, lastReservedAt time.Duration
 	skippedFree                                    message.Resources
 	offeredSinceReserved                           bool
+	// waitingDue is the time of the objective of firstWaiting's job, if firstWaiting has it.
+	waitingDue time.Duration
 	// reportedVersion and reportedSeq are capacityVersion and maxOfferSeq as of the last
 	// capacity report that was sent to it, and reportedReady what that report stated.
 	reportedVersion uint64
