lessee: space out failed polls, refuse offers while the upstream fails

Cause: an agent whose poll failed polled again at once.

Change: after the second failed poll in a row, polls pause for 2.5 to 40 ms (retry.Pacer), and are renewals, which are answered at once. With [upstream] refuse_failing, off by default and on in the template, the agent refuses offers until a poll is answered.

--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -24,6 +24,8 @@
 	// LearnCapacity lowers the usable capacity when the upstream refuses a start for lack of
 	// capacity; see capacityEstimate.
 	LearnCapacity bool
+	// RefuseFailing refuses offers while polls of the upstream fail.
+	RefuseFailing bool
 }
 
 const (
@@ -194,6 +196,8 @@
 		return message.RefusedDraining
 	case c.upstream.phase != open || !c.upstream.announced || c.upstream.draining:
 		return message.RefusedNotReady
+	case c.cfg.RefuseFailing && c.upstream.failing():
+		return message.RefusedUnhealthy
 	case c.site.IsDomainOut(c.upstream.domain):
 		return message.RefusedDomainOut
 	default:
@@ -248,8 +252,11 @@
 	if len(c.runs) > 0 && c.upstream.phase == probing {
 		at = min(at, c.orphansUntil+time.Millisecond)
 	}
-	if len(c.runs) > 0 && !c.upstream.renewalInFlight {
-		at = min(at, c.upstream.lastRenewalSentAt+lease.RenewalInterval)
+	if c.upstream.phase == open && !c.upstream.renewalInFlight {
+		at = min(at, c.nextRenewalAt())
+	}
+	if c.upstream.phase == open && !c.upstream.longPollInFlight && c.upstream.polls.Failures() > 0 {
+		at = min(at, c.upstream.polls.DueAt())
 	}
 	if len(c.runs) > 0 && c.upstream.phase == open && c.upstreamSuspected() {
 		at = min(at, c.upstream.lastExtensionSentAt+lease.UpstreamExpiry)
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -6,6 +6,7 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/retry"
 )
 
 type phase uint8
@@ -51,6 +52,8 @@
 	nextProbeAt time.Duration
 	// longPollInFlight and renewalInFlight are true while such a poll has no result.
 	longPollInFlight, renewalInFlight bool
+	// polls spaces out the polls in phase open while they fail.
+	polls retry.Pacer
 	// lastRenewalSentAt is when the last renewal was sent, lastAnsweredSentAt when the
 	// latest answered poll was sent, and lastExtensionSentAt when the last call was sent
 	// that may have extended the lease, whether answered or not.
@@ -117,6 +120,7 @@
 		discoveredAt: c.now.Mono,
 		phase:        probing, id: a.ID, incarnation: a.Incarnation, clock: a.Clock, clockAt: c.now.Mono, nextProbeAt: c.now.Mono,
 		processedUpTo: processedUpTo, acknowledgedUpTo: processedUpTo,
+		polls: c.newPacer(),
 	}
 	c.logEvent("upstream_announced", "", "upstream", a.ID, "born", a.Incarnation, "service", a.Service, "capacity_mcpu", a.Capacity.MilliCPU)
 }
@@ -204,10 +208,10 @@
 		c.handleUnresponsiveUpstream()
 		return
 	}
-	if len(c.runs) > 0 && !u.renewalInFlight && c.now.Mono >= u.lastRenewalSentAt+lease.RenewalInterval {
+	if !u.renewalInFlight && c.now.Mono >= c.nextRenewalAt() {
 		c.poll(true)
 	}
-	if !u.longPollInFlight && (len(c.runs) > 0 || u.hasUnacknowledged()) {
+	if !u.longPollInFlight && !u.failing() && c.now.Mono >= u.polls.DueAt() && (len(c.runs) > 0 || u.hasUnacknowledged()) {
 		c.poll(false)
 	}
 	for _, h := range c.holderOrder {
@@ -250,150 +254,3 @@
 	c.capacityChanged()
 	c.reportAllLost(reason)
 }
-
-func (c *Core) poll(renewal bool) {
-	u := &c.upstream
-	a := Poll{Upstream: u.id, Renewal: renewal, Token: c.token, AcknowledgedUpTo: u.processedUpTo}
-	if u.phase == open && !c.upstreamSuspected() {
-		a.LeaseUntil = c.extendLease()
-	}
-	if renewal {
-		u.renewalInFlight, u.lastRenewalSentAt = true, c.now.Mono
-	} else {
-		u.longPollInFlight, a.Wait = true, longPollWait
-	}
-	c.out = append(c.out, a)
-}
-
-// handlePollCompleted processes the result of a poll.
-func (c *Core) handlePollCompleted(e PollCompleted) {
-	u := &c.upstream
-	if u.phase == absent {
-		return
-	}
-	if e.Renewal {
-		u.renewalInFlight = false
-	} else {
-		u.longPollInFlight = false
-	}
-	switch e.Result {
-	case CallOK:
-	case CallNoListener:
-		if e.SentAt >= u.discoveredAt {
-			c.handleRefusedConnection()
-		}
-		return
-	case CallFenced:
-		c.token += tokenStep
-		return
-	default:
-		return
-	}
-	if e.Incarnation != u.incarnation {
-		if e.Incarnation > u.incarnation {
-			c.orphanRuns("a poll found a newer incarnation")
-			// The upstream info comes with the announcement of the new incarnation.
-			c.beginIncarnation(Announcement{ID: u.id, Incarnation: e.Incarnation})
-		}
-		return
-	}
-	u.observeClock(e.Clock, c.now.Mono)
-	u.lastAnsweredSentAt = max(u.lastAnsweredSentAt, e.SentAt)
-	if u.phase == probing {
-		// Only a poll with the newest token proves that earlier calls can start no more runs.
-		if e.Token == c.token {
-			c.handleProbe(e)
-		}
-		return
-	}
-	if c.processCompletions(e) && e.Renewal {
-		// The long poll should have returned these completions: its answer was lost.
-		u.longPollInFlight = false
-	}
-	c.reconcileRuns(e)
-}
-
-// handleProbe stops the runs that a poll in phase probing has listed. Once the upstream
-// lists none, handleProbe opens it.
-func (c *Core) handleProbe(e PollCompleted) {
-	for _, completion := range e.Completed {
-		c.upstream.processedUpTo = max(c.upstream.processedUpTo, completion.Number)
-	}
-	if len(e.Running) == 0 {
-		c.completeOrphans()
-		c.upstream.phase = open
-		c.capacityChanged()
-		c.logEvent("upstream_open", "", "upstream", c.upstream.id, "born", c.upstream.incarnation)
-		return
-	}
-	c.logEvent("leftover_runs_stopped", "", "upstream", c.upstream.id, "runs", len(e.Running))
-	for _, t := range e.Running {
-		c.out = append(c.out, StopRun{Upstream: c.upstream.id, Name: t.Name, RunNumber: t.RunNumber, Token: c.token})
-	}
-}
-
-// processCompletions processes the new completions and reports whether there were any.
-func (c *Core) processCompletions(e PollCompleted) bool {
-	found := false
-	for _, completion := range e.Completed {
-		if completion.Number <= c.upstream.processedUpTo {
-			continue
-		}
-		found = true
-		c.upstream.processedUpTo = completion.Number
-		r, ok := c.runsByTask[completion.Name]
-		if !ok || r.number != completion.RunNumber {
-			continue
-		}
-		duration := c.now.Mono - r.startedAt
-		switch {
-		case completion.Completion == CompletionDone:
-			c.recordDuration(r, duration)
-			c.completeRun(r, message.RunDone, "", duration)
-		case completion.Completion == CompletionFailed:
-			c.completeRun(r, message.RunFailed, "", duration)
-		case r.state == stopping:
-			c.completeRun(r, message.RunStopped, r.stopReason, 0)
-		default:
-			c.completeRun(r, message.RunLost, "", 0)
-		}
-	}
-	c.upstream.acknowledgedUpTo = max(c.upstream.acknowledgedUpTo, e.AcknowledgedUpTo)
-	return found
-}
-
-// reconcileRuns compares the upstream's list of active runs with the lessee's own runs. It
-// completes runs that the upstream does not list and stops runs that are not its own.
-func (c *Core) reconcileRuns(e PollCompleted) {
-	listed := make(map[message.TaskName]int, len(e.Running))
-	for _, t := range e.Running {
-		listed[t.Name] = t.RunNumber
-		r, ok := c.runsByTask[t.Name]
-		if ok && r.number == t.RunNumber {
-			c.checkProgress(r, t.Percent)
-			continue
-		}
-		if completedAt, justCompleted := c.completedAt[t.Name]; !ok && justCompleted && completedAt >= e.SentAt {
-			continue // The poll was sent before the completion was processed.
-		}
-		if !ok || r.state != starting {
-			c.logEvent("unknown_run_stopped", t.Name.Job, "task", t.Name.String(), "run", t.RunNumber)
-			c.out = append(c.out, StopRun{Upstream: c.upstream.id, Name: t.Name, RunNumber: t.RunNumber, Token: c.token})
-		}
-	}
-	for _, h := range c.holderOrder {
-		for _, r := range h.unfinishedRuns() {
-			if r.state == starting || !r.confirmed || r.startedAt >= e.SentAt {
-				continue
-			}
-			if number, ok := listed[r.name]; ok && number == r.number {
-				continue
-			}
-			if r.state == stopping {
-				c.completeRun(r, message.RunStopped, r.stopReason, 0)
-			} else {
-				c.completeRun(r, message.RunLost, "", 0)
-			}
-		}
-	}
-}
--- a/internal/lesseed/daemon.go
+++ b/internal/lesseed/daemon.go
@@ -115,7 +115,9 @@
 		toPersist: make(chan lessee.Announcement, 1),
 	}
 	d.Apply(cfg.Settings)
-	d.core = lessee.New(lessee.Config{Token: time.Now().UnixMilli(), LearnCapacity: cfg.Settings.Upstream.LearnCapacity})
+	d.core = lessee.New(lessee.Config{
+		Token: time.Now().UnixMilli(), LearnCapacity: cfg.Settings.Upstream.LearnCapacity, RefuseFailing: cfg.Settings.Upstream.RefuseFailing,
+	})
 	d.loop = process.NewLoop(loop.Config[step.Event, step.Action]{
 		Step: d.core.Step, Execute: d.execute, Clock: loop.BootClock(),
 	})
--- a/internal/settings/leased.go
+++ b/internal/settings/leased.go
@@ -62,6 +62,8 @@
 	// LearnCapacity lowers the usable capacity when the upstream refuses a start for lack of
 	// capacity.
 	LearnCapacity bool `ini:"learn_capacity" default:"false"`
+	// RefuseFailing refuses offers while polls of the upstream fail.
+	RefuseFailing bool `ini:"refuse_failing" default:"false"`
 }
 
 // LeasedPlacement selects what a dispatcher considers when it chooses an upstream, besides free
--- a/internal/soak/hosts.go
+++ b/internal/soak/hosts.go
@@ -195,7 +195,7 @@
 	path, err := settingsFile(s.cfg.Dir, a.name,
 		fmt.Sprintf("[node]\nrole = lessee\nid = %s\ndomain = %s", a.name, domainName(i)),
 		fmt.Sprintf("[listen]\nannouncements = %[1]s:8166\ntransport = %[1]s:7200\nmetrics = %[1]s:9465", ip),
-		"[upstream]\naddress = "+a.upstreamAddr+"\nlearn_capacity = true",
+		"[upstream]\naddress = "+a.upstreamAddr+"\nlearn_capacity = true\nrefuse_failing = true",
 		"[store]\naddress = "+storeAddr,
 		fmt.Sprintf("[limits]\nmemory = %dMiB", memoryLimit>>20),
 	)
