dispatch: refuse on arrival what would start late, under lasting overload

Cause: under lasting overload a dispatcher kept as much demand waiting as can become late before it starts.

Once jobs have waited for a second without a pause, a job is refused on arrival if the demand before it in its turn, with the minimum share of its priority, takes longer than its slack.

--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -12,6 +12,7 @@
 	reasonDeadline     = "deadline_passed"
 	reasonNoUse        = "answer_of_no_use"
 	reasonPredicted    = "predicted_too_late"
+	reasonStartsLate   = "would_start_late"
 	reasonAttemptsUsed = "attempts_used_up"
 	reasonCrashes      = "upstreams_crashed"
 	reasonConfined     = "route_confined"
@@ -23,7 +24,7 @@
 
 // answerJob answers a job and revokes its open offers.
 func (c *Core) answerJob(j *job, outcome Outcome, reason string, retry time.Duration) {
-	outlook := c.forecastFields(j)
+	outlook := c.outlookFields(j, reason)
 	for _, t := range j.tasks {
 		if t.state == offered {
 			c.revoke(t)
--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -124,6 +124,7 @@
 	}
 	fresh := c.backlogs.fresh
 	c.backlogs.fresh = c.backlogs.fresh[:0]
+	c.refuseLateStarts(fresh)
 	if c.cfg.UsefulFactor > 0 || c.cfg.Predict {
 		if c.now.Mono-c.backlogs.reviewedAt >= reviewInterval {
 			c.backlogs.reviewedAt = c.now.Mono
@@ -139,6 +140,40 @@
 	clear(fresh)
 }
 
+// excessOnset is how long jobs must have waited without a pause until arriving ones are refused
+// that would start late. The queue absorbs shorter bursts, and most of their jobs start in time.
+const excessOnset = time.Second
+
+// refuseLateStarts refuses, under lasting overload, the jobs that have just arrived and are
+// predicted to start too late in their turn to meet their objectives. Otherwise as much demand
+// waits as can become late before it starts, and callers that cannot be served are told only
+// after they have waited in vain.
+func (c *Core) refuseLateStarts(fresh []*job) {
+	if !c.cfg.RefuseLateStarts || c.waitingSince == 0 || c.now.Mono-c.waitingSince < excessOnset {
+		return
+	}
+	for _, j := range fresh {
+		if !j.queued || c.jobs[j.call] != j || j.mayHaveRun || j.backlog == nil {
+			continue
+		}
+		c.recount(j)
+		if j.counted.Class != backlog.OnTime {
+			continue
+		}
+		if f, ok := c.forecastInTurn(j); ok && f.Wait > c.slack(j) {
+			c.giveUp(j, reasonStartsLate)
+		}
+	}
+}
+
+// forecastInTurn predicts the start of a job that has just arrived if none before it becomes late.
+func (c *Core) forecastInTurn(j *job) (backlog.Forecast, bool) {
+	return j.backlog.ForecastInTurn(c.now.Mono, j.counted, c.cfg.MinShare)
+}
+
+// slack returns the time within which a job must start to meet its objective.
+func (c *Core) slack(j *job) time.Duration { return j.objective - j.longestEstimate - c.now.Mono }
+
 // reviewJob ends a waiting job if its answer would come too late.
 func (c *Core) reviewJob(j *job) {
 	if j.mayHaveRun && c.cfg.UsefulFactor == 0 {
@@ -164,7 +199,7 @@
 	if b == nil || !j.queued || j.crashed {
 		return backlog.Forecast{}, false
 	}
-	return b.Forecast(c.now.Mono, j.counted, j.objective-j.longestEstimate-c.now.Mono)
+	return b.Forecast(c.now.Mono, j.counted, c.slack(j))
 }
 
 // usefulUntil returns the time after which the answer is of no use to the caller, if its tasks
@@ -207,15 +242,20 @@
 	return backlog.RetryAfter(b.Drain(c.now.Mono, j.spec.Route.Priority), c.now.Mono-j.submittedAt, j.spec.ID)
 }
 
-// forecastFields returns the fields of log lines that describe the outlook of a job.
-func (c *Core) forecastFields(j *job) []any {
+// outlookFields returns the fields of the log line of an ended job that state what its start was
+// predicted from.
+func (c *Core) outlookFields(j *job, reason string) []any {
 	f, ok := c.forecast(j)
+	limit := j.latestStart(c.cfg.UsefulFactor) - c.now.Mono
+	if reason == reasonStartsLate {
+		f, ok = c.forecastInTurn(j)
+		limit = c.slack(j)
+	}
 	if !ok {
 		return nil
 	}
 	return []any{
-		"predicted_start_ms", f.Wait.Milliseconds(), "ahead_core_ms", f.Ahead, "rate_mcpu", int(f.Rate),
-		"limit_ms", (j.latestStart(c.cfg.UsefulFactor) - c.now.Mono).Milliseconds(),
+		"predicted_start_ms", f.Wait.Milliseconds(), "ahead_core_ms", f.Ahead, "rate_mcpu", int(f.Rate), "limit_ms", limit.Milliseconds(),
 	}
 }
 
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -51,6 +51,9 @@
 	UsefulFactor float64
 	// Predict refuses jobs at once that are predicted to start too late.
 	Predict bool
+	// RefuseLateStarts refuses arriving jobs under lasting overload that would start too late
+	// to meet their objectives; see refuseLateStarts. It needs Predict.
+	RefuseLateStarts bool
 	// MinShare is the least share of the placed capacity for each priority with waiting jobs,
 	// from 0 to 1. Zero means strict order of priority.
 	MinShare float64
--- a/core/policy/backlog/backlog.go
+++ b/core/policy/backlog/backlog.go
@@ -73,12 +73,33 @@
 	if e.Class == Late {
 		below++ // Arrivals of its own priority are not late yet.
 	}
-	left := rate
-	if b.sustained() {
-		left = max(rate-arrivalShare*b.arrivalRate(below, sigmas), minShare*rate)
-	}
 	ahead := b.Ahead(e)
-	return Forecast{Wait: seconds(float64(ahead) / left), Ahead: ahead, Rate: rate}
+	return Forecast{Wait: seconds(float64(ahead) / b.left(rate, below, sigmas)), Ahead: ahead, Rate: rate}
+}
+
+// left returns the part of the rate that arrivals below this priority value leave.
+func (b *Backlog) left(rate float64, below int, sigmas float64) float64 {
+	if !b.sustained() {
+		return rate
+	}
+	return max(rate-arrivalShare*b.arrivalRate(below, sigmas), minShare*rate)
+}
+
+// ForecastInTurn predicts the start of a job that is on time if no job before it becomes late.
+// Its priority gets at least share of the rate, from 0 to 1. It reports false if there is no
+// backlog or its rate is not known.
+func (b *Backlog) ForecastInTurn(now time.Duration, e Entry, share float64) (Forecast, bool) {
+	rate, ok := b.Rate(now)
+	if !ok || !b.backlogged {
+		return Forecast{}, false
+	}
+	moreUrgent, samePriority := b.InTurn(e)
+	f := Forecast{Ahead: moreUrgent + samePriority, Rate: rate}
+	f.Wait = seconds(float64(f.Ahead) / b.left(rate, e.Priority, arrivalSigmas))
+	if share > 0 {
+		f.Wait = min(f.Wait, seconds(float64(samePriority)/(share*rate)))
+	}
+	return f, true
 }
 
 // Drain predicts when the backlog of this priority and the more urgent ones will have been
--- a/core/policy/backlog/queue.go
+++ b/core/policy/backlog/queue.go
@@ -136,6 +136,21 @@
 	return n
 }
 
+// InTurn returns the demand that is placed before an entry that is on time if no job before it
+// becomes late: that of the more urgent priorities, and that of its own priority.
+func (q *Queue) InTurn(e Entry) (moreUrgent, samePriority int) {
+	for i := range q.priorities {
+		p := &q.priorities[i]
+		switch {
+		case p.priority < e.Priority:
+			moreUrgent += p.total()
+		case p.priority == e.Priority:
+			samePriority = p.class[Started].total + p.class[OnTime].before(bucketIndex(e.Objective))
+		}
+	}
+	return moreUrgent, samePriority
+}
+
 // Through returns the demand of this priority and the more urgent ones.
 func (q *Queue) Through(priority int) int {
 	n := 0
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -45,6 +45,7 @@
 	"too_many_jobs":              "the dispatcher held as many jobs as it may",
 	"draining":                   "the dispatcher was leaving",
 	"answer_of_no_use":           "the answer would have come too late to be of use; see how long its tasks waited",
+	"would_start_late":           "as much work was waiting as could start in time, so the job was refused on arrival",
 	"predicted_too_late":         "the job could not be answered in time at the rate at which waiting tasks were placed",
 	"deadline_passed":            "the job was not done when its caller stopped waiting; see how long its tasks waited and ran",
 	"attempts_used_up":           "a task was reported as failed by as many upstreams as the route permits",
--- a/internal/dispatchd/daemon.go
+++ b/internal/dispatchd/daemon.go
@@ -114,7 +114,8 @@
 		Domain:     cfg.Settings.Node.Domain,
 		LearnSpeed: cfg.Settings.Placement.LearnSpeed, SeparateInterfering: cfg.Settings.Placement.SeparateInterfering,
 		OrderAcross:  cfg.Settings.Overload.OrderAcross,
-		UsefulFactor: float64(cfg.Settings.Overload.UsefulFactor), Predict: cfg.Settings.Overload.Predict, MinShare: cfg.Settings.Overload.MinShare,
+		UsefulFactor: float64(cfg.Settings.Overload.UsefulFactor), Predict: cfg.Settings.Overload.Predict,
+		RefuseLateStarts: cfg.Settings.Overload.RefuseLateStarts, MinShare: cfg.Settings.Overload.MinShare,
 	})
 	d.loop = process.NewLoop(loop.Config[step.Event, step.Action]{
 		Step: d.core.Handle, EndBatch: d.core.EndBatch, Execute: d.execute, Clock: loop.BootClock(),
--- a/internal/settings/leased.go
+++ b/internal/settings/leased.go
@@ -93,6 +93,9 @@
 	UsefulFactor Factor `ini:"useful_factor" default:"0"`
 	// Predict refuses jobs at once that are predicted to start too late.
 	Predict bool `ini:"predict" default:"false"`
+	// RefuseLateStarts refuses a job on arrival, under lasting overload, that is predicted to
+	// start too late to meet its objective. It needs Predict.
+	RefuseLateStarts bool `ini:"refuse_late_starts" default:"false"`
 	// MinShare is the least share of the placed capacity for each priority with waiting
 	// jobs. Zero means strict order of priority.
 	MinShare float64 `ini:"min_share" default:"0"`
@@ -190,5 +193,6 @@
 const maxMinShare = 0.25
 
 func (c checker) overload(o Overload) {
+	c.require(o.Predict || !o.RefuseLateStarts, "overload", "refuse_late_starts", "refuse_late_starts needs predict = true")
 	c.require(o.MinShare <= maxMinShare, "overload", "min_share", "min_share %v is more than %v", o.MinShare, maxMinShare)
 }
--- a/internal/settings/leased_test.go
+++ b/internal/settings/leased_test.go
@@ -91,23 +91,24 @@
 	if err != nil || d.Overload != (Overload{}) || d.Placement != (LeasedPlacement{}) {
 		t.Errorf("defaults: got %+v and %+v, error %v, want all off", d.Overload, d.Placement, err)
 	}
-	d, err = LoadDispatcher(file(t, dispatcherFile+"[placement]\nlearn_speed = true\n[overload]\nuseful_factor = 2.5\npredict = true\nmin_share = 0.1\n"))
-	if want := (Overload{UsefulFactor: 2.5, Predict: true, MinShare: 0.1}); err != nil || d.Overload != want || !d.Placement.LearnSpeed {
+	d, err = LoadDispatcher(file(t, dispatcherFile+"[placement]\nlearn_speed = true\n[overload]\nuseful_factor = 2.5\npredict = true\nrefuse_late_starts = true\nmin_share = 0.1\n"))
+	if want := (Overload{UsefulFactor: 2.5, Predict: true, RefuseLateStarts: true, MinShare: 0.1}); err != nil || d.Overload != want || !d.Placement.LearnSpeed {
 		t.Errorf("got %+v and %+v, error %v, want %+v and learn_speed", d.Overload, d.Placement, err, want)
 	}
-	for _, bad := range []string{"useful_factor = 0.5", "useful_factor = NaN", "predict = yes", "min_share = 0.3"} {
+	for _, bad := range []string{"useful_factor = 0.5", "useful_factor = NaN", "predict = yes", "refuse_late_starts = true", "min_share = 0.3"} {
 		if _, err := LoadDispatcher(file(t, dispatcherFile+"[overload]\n"+bad+"\n")); err == nil {
 			t.Errorf("%s was accepted", bad)
 		}
 	}
 }
 
-// TestLoadLearnCapacity checks that an agent lowers no capacity unless its settings say so.
-func TestLoadLearnCapacity(t *testing.T) {
-	for text, want := range map[string]bool{"address = 127.0.0.1:8090": false, "address = 127.0.0.1:8090\nlearn_capacity = true": true} {
+// TestLoadLeasedUpstream checks that an agent lowers no capacity, and refuses nothing for failed
+// polls, unless its settings say so.
+func TestLoadLeasedUpstream(t *testing.T) {
+	for text, want := range map[string]bool{"address = 127.0.0.1:8090": false, "address = 127.0.0.1:8090\nlearn_capacity = true\nrefuse_failing = true": true} {
 		l, err := LoadLessee(file(t, strings.Replace(lesseeFile, "address = 127.0.0.1:8090", text, 1)))
-		if err != nil || l.Upstream.LearnCapacity != want {
-			t.Errorf("%q: got %+v, error %v, want learn_capacity %v", text, l.Upstream, err, want)
+		if err != nil || l.Upstream.LearnCapacity != want || l.Upstream.RefuseFailing != want {
+			t.Errorf("%q: got %+v, error %v, want learn_capacity and refuse_failing %v", text, l.Upstream, err, want)
 		}
 	}
 }
