--- a/core/leasemodel/simulation_test.go
+++ b/core/leasemodel/simulation_test.go
@@ -104,6 +104,8 @@
 	domains int
 	// idleRate is lessee.Config.IdleRate of all agents.
 	idleRate float64
+	// refuseFailing is lessee.Config.RefuseFailing of all agents.
+	refuseFailing bool
 	// sent and received count the messages of each process, and refusedOffers the offers that
 	// agents have refused.
 	sent, received map[node.ID]int
@@ -130,7 +132,7 @@
 	return newFleetWith(t, seed, dispatchers, agents, capacity, idleRate, dispatch.Config{Domain: "z0"})
 }
 
-func newFleetWith(t testing.TB, seed uint64, dispatchers, agents, capacity int, idleRate float64, cfg dispatch.Config) *simulation {
+func newFleetWith(t testing.TB, seed uint64, dispatchers, agents, capacity int, idleRate float64, cfg dispatch.Config, options ...func(*simulation)) *simulation {
 	sim := &simulation{
 		config:   cfg,
 		idleRate: idleRate, sent: make(map[node.ID]int), received: make(map[node.ID]int),
@@ -140,6 +142,9 @@
 		site: &site.State{Revision: 1, Version: 1, Configured: true, Routes: []site.Route{*testRoute}},
 	}
 	sim.duration = func(lessee.StartRun) time.Duration { return sim.randomMS(40, 900) }
+	for _, option := range options {
+		option(sim)
+	}
 	for i := range agents {
 		u := newUpstream(sim, i)
 		sim.upstreams = append(sim.upstreams, u)
@@ -190,7 +195,7 @@
 // either from the upstream or as restored from its previous incarnation, at random.
 func (sim *simulation) startAgent(u *upstream) {
 	id := node.ID(fmt.Sprintf("a%d", u.index))
-	p := sim.spawn(id, lessee.New(lessee.Config{Token: sim.now.Milliseconds() + 1, IdleRate: sim.idleRate}))
+	p := sim.spawn(id, lessee.New(lessee.Config{Token: sim.now.Milliseconds() + 1, IdleRate: sim.idleRate, RefuseFailing: sim.refuseFailing}))
 	p.upstream = u
 	u.agent = p
 	sim.deliver(p, lessee.SiteChanged{State: sim.site})
@@ -339,6 +344,13 @@
 // executed late and gets no answer. A call names the upstream but not its incarnation: a
 // newer incarnation executes late calls that were sent to the previous one.
 func (sim *simulation) call(p *process, do func() any, event func(any) step.Event, limit time.Duration) {
+	if sim.now < p.upstream.resetsUntil {
+		if sim.rnd.IntN(2) == 0 {
+			do()
+		}
+		sim.after(sim.randomMS(0.1, 1), func() { sim.deliver(p, event(nil)) })
+		return
+	}
 	if sim.rnd.Float64() < sim.lateCallShare {
 		sim.after(sim.randomMS(2000, 12000), func() { do() })
 		sim.after(limit, func() { sim.deliver(p, event(nil)) })
@@ -369,6 +381,10 @@
 		return
 	}
 	u := p.upstream
+	if sim.now < u.resetsUntil {
+		sim.after(sim.randomMS(0.1, 1), func() { sim.deliver(p, event(nil)) })
+		return
+	}
 	startedAt := sim.now
 	var wait func()
 	wait = func() {
--- a/core/leasemodel/upstream_test.go
+++ b/core/leasemodel/upstream_test.go
@@ -34,6 +34,9 @@
 	lastCompletion int64
 	leaseUntil     time.Duration // on the upstream's clock
 	incarnation    int
+	// resetsUntil is when it stops to reset connections. Until then it executes half of the
+	// calls, and answers none.
+	resetsUntil time.Duration
 	// down is set while its port refuses connections, between two incarnations.
 	down bool
 }
