--- a/core/lessee/poll.go
+++ b/core/lessee/poll.go
@@ -20,8 +20,8 @@
 
 func (c *Core) newPacer() retry.Pacer { return retry.NewPacer(uint64(c.cfg.Token), maxPollPause) }
 
-// failing reports whether the last polls have failed. No run starts at a failing upstream: a
-// start call without an answer occupies its task until the lease has lapsed, since the
+// failing reports whether the last polls have failed. With Config.RefuseFailing, no run starts
+// then: a start call without an answer occupies its task until the lease has lapsed, since the
 // upstream may have executed it.
 func (u *upstreamState) failing() bool { return u.phase == open && u.polls.Failures() >= failingPolls }
 
