review: a late farewell ends the runs of the next incarnation

A DELETE that a short cut has delayed ends the present incarnation of the upstream, and its runs are reported as lost while they go on.

--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -58,6 +59,10 @@
 	ends     [][]any
 	lastEnd  int64
 	changed  chan struct{}
+	// beats holds the connection for the heartbeats of this life, and leaving is set when it is
+	// about to end as planned.
+	beats   *http.Client
+	leaving bool
 }
 
 // taskRun is one run of a task on one life of a runner.
@@ -101,6 +106,7 @@
 	r.born, r.bornAt = max(time.Now().UnixMilli(), r.born+1), time.Now()
 	r.seq, r.token, r.lease, r.lastEnd, r.ends = 0, 0, 0, 0, nil
 	r.running, r.floor, r.changed = map[string]*taskRun{}, map[string]int{}, make(chan struct{})
+	r.beats, r.leaving = &http.Client{Transport: &http.Transport{}}, false
 	r.server = &http.Server{Handler: r}
 	born, server := r.born, r.server
 	r.mu.Unlock()
@@ -129,36 +135,53 @@
 
 func (r *runner) clock() time.Duration { return time.Second + time.Since(r.bornAt) }
 
-// beat sends the heartbeats of one life, the first one at once.
+// beat sends the heartbeats of one life, the first one at once, until it is leaving.
 func (r *runner) beat(born int64) {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for {
 		r.mu.Lock()
-		if !r.up || r.born != born {
+		if !r.up || r.born != born || r.leaving {
 			r.mu.Unlock()
 			return
 		}
-		r.seq++
-		body := answer{
-			"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "slots": 8, "state": "ready",
-			"capacity": r.size, "labels": r.labels, "clockMs": r.clock().Milliseconds(), "seq": r.seq, "born": r.born,
-		}
 		r.mu.Unlock()
-		raw, _ := json.Marshal(body)
-		req, err := http.NewRequest(http.MethodPut, "http://"+r.control+"/v1/instances/"+r.id, bytes.NewReader(raw))
-		if err != nil {
-			panic(err)
-		}
 		pause := heartbeatEvery
-		if resp, err := client.Do(req); err == nil {
-			_ = resp.Body.Close()
-		} else {
+		if !r.tell(http.MethodPut, "ready", time.Second) {
 			pause = 200 * time.Millisecond
 		}
 		time.Sleep(pause)
 	}
 }
 
+// tell sends one heartbeat, or the last word of a runner that leaves. It reports whether it was
+// acknowledged in time.
+func (r *runner) tell(method, state string, limit time.Duration) bool {
+	r.mu.Lock()
+	r.seq++
+	body := answer{
+		"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "slots": 8, "state": state,
+		"capacity": r.size, "labels": r.labels, "clockMs": r.clock().Milliseconds(), "seq": r.seq, "born": r.born,
+	}
+	beats := r.beats
+	r.mu.Unlock()
+	raw, _ := json.Marshal(body)
+	if method == http.MethodDelete {
+		raw = nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.control+"/v1/instances/"+r.id, bytes.NewReader(raw))
+	if err != nil {
+		panic(err)
+	}
+	resp, err := beats.Do(req)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode/100 == 2
+}
+
 // ServeHTTP serves one call.
 func (r *runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	var body callBody
--- a/review/standins/site.go
+++ b/review/standins/site.go
@@ -132,6 +132,11 @@
 	return changed
 }
 
+// address returns an address of the deployment: the host with this index in a part of its net.
+func (d *deployment) address(part, i, port int) string {
+	return fmt.Sprintf("%s.%d.%d:%d", d.net, part, i+1, port)
+}
+
 func (d *deployment) addSide(i int) error {
 	ip := fmt.Sprintf("%s.2.%d", d.net, i+1)
 	r := &runner{
@@ -139,7 +144,7 @@
 		control: fmt.Sprintf("%s:%d", ip, controlPort), size: capacity{CPU: 32000, MemMB: 32000}, stopTakes: 45 * time.Millisecond,
 	}
 	d.runners = append(d.runners, r)
-	l := &link{addr: fmt.Sprintf("%s.3.%d:%d", d.net, i+1, peerPort), target: fmt.Sprintf("%s:%d", ip, peerPort)}
+	l := &link{addr: d.address(3, i, peerPort), target: d.address(2, i, peerPort)}
 	if err := l.open(); err != nil {
 		return err
 	}
