--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -20,7 +20,7 @@
 type scenario func(w *world, trouble bool, keep bool) error
 
 var scenarios = map[string]scenario{
-	"lost-agents": lostAgents, "reset-cut": resetCut, "changed-kind": changedKind, "cancelled-again": cancelledAgain, "late-farewell": lateFarewell,
+	"lost-agents": lostAgents, "reset-cut": resetCut, "changed-kind": changedKind, "cancelled-again": cancelledAgain, "late-farewell": lateFarewell, "late-start": lateStart,
 }
 
 func main() { os.Exit(play()) }
