--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -21,7 +21,7 @@
 	end := time.Now().Add(34 * time.Second)
 	c.press(jobKind{name: "currency-check", count: 8, workMs: 60, cpu: 1000, deadline: 1600 * time.Millisecond}, 34, end)
 	c.press(jobKind{name: "cert-pull", count: 2, workMs: 200, cpu: 1000, deadline: 1900 * time.Millisecond}, 60, end)
-	c.press(jobKind{name: "session-closeout", count: 4, workMs: 1200, cpu: 1000, deadline: 3500 * time.Millisecond}, 6, end)
+	c.press(jobKind{name: "session-closeout", count: 4, workMs: 1200, cpu: 1000, deadline: 3500 * time.Millisecond}, 10, end)
 	time.Sleep(3 * time.Second)
 	for i, l := range d.links {
 		if trouble {
--- a/review/standins/late.go
+++ b/review/standins/late.go
@@ -55,7 +55,7 @@
 		downTime  = 200 * time.Millisecond
 		agentBack = 1500 * time.Millisecond
 	)
-	d, err := newDeployment(w, 2, 4)
+	d, err := newDeployment(w, 2, 7)
 	if err != nil {
 		return err
 	}
