--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -29,7 +29,7 @@
 		a.knownCrash = crash.Number
 		c.stats.Crashes++
 		findings := c.crashes.Record(c.now.Mono, a.info.Service, crash)
-		c.logEvent("upstream_crashed", "", "agent", a.ref.String(), "crash", crash.Number, "age_ms", crash.Age.Milliseconds(), "runs", len(crash.Runs),
+		c.logEvent("upstream_crashed", "", "agent", a.ref.String(), "crash", crash.Number, "sign", crash.Sign, "age_ms", crash.Age.Milliseconds(), "runs", len(crash.Runs),
 			"last_started", describeRuns(crash.Runs), "blamed", fmt.Sprint(findings.Blamed[:min(len(findings.Blamed), maxLoggedRuns)]))
 		for _, r := range crash.Runs {
 			if j, ok := c.byID[r.Task.Job]; ok {
@@ -49,7 +49,9 @@
 
 func (c *Core) logFindings(a *agent, f containment.Findings) {
 	for _, name := range f.Condemned {
-		c.logEvent("task_condemned", name.Job, "task", name.String(), "agent", a.ref.String(), "open", c.byID[name.Job] != nil)
+		evidence := c.crashes.Evidence(name)
+		c.logEvent("task_condemned", name.Job, "task", name.String(), "agent", a.ref.String(), "open", c.byID[name.Job] != nil,
+			"crashes", evidence.Crashes, "blamed", evidence.Blamed, "blame", evidence.Blame)
 	}
 	for _, route := range f.Confined {
 		var agents []string
--- a/core/lessee/crash.go
+++ b/core/lessee/crash.go
@@ -21,17 +21,18 @@
 type crash struct {
 	number uint64
 	at     time.Duration
+	sign   message.CrashSign
 	runs   []message.CrashedRun
 }
 
 // recordCrash records that the upstream has crashed and returns the reason for the loss of
 // its runs. It does nothing if the upstream had no runs or was about to leave. The ages of
 // the runs count up to aliveAt, when the upstream was last known to run.
-func (c *Core) recordCrash(aliveAt time.Duration) message.RefuseReason {
+func (c *Core) recordCrash(sign message.CrashSign, aliveAt time.Duration) message.RefuseReason {
 	if len(c.runs) == 0 || c.upstream.draining || c.upstream.phase != open {
 		return ""
 	}
-	recorded := crash{number: c.lastCrash + 1, at: c.now.Mono}
+	recorded := crash{number: c.lastCrash + 1, at: c.now.Mono, sign: sign}
 	for _, r := range c.runs {
 		recorded.runs = append(recorded.runs, message.CrashedRun{Task: r.name, Route: r.route, Age: max(0, aliveAt-r.startedAt)})
 	}
@@ -41,7 +42,7 @@
 	recorded.runs = recorded.runs[:min(len(recorded.runs), maxCrashedRuns)]
 	c.lastCrash = recorded.number
 	c.crashes = append(c.crashes, recorded)
-	c.logEvent("upstream_crashed", "", "upstream", c.upstream.id, "born", c.upstream.incarnation, "crash", recorded.number, "runs", len(c.runs),
+	c.logEvent("upstream_crashed", "", "upstream", c.upstream.id, "born", c.upstream.incarnation, "crash", recorded.number, "sign", sign, "runs", len(c.runs),
 		"last_started", recorded.runs[0].Task.String(), "last_started_ms_ago", recorded.runs[0].Age.Milliseconds())
 	return message.LostUpstreamCrashed
 }
@@ -74,7 +75,7 @@
 	var list []message.Crash
 	for _, x := range c.crashes {
 		if age := c.now.Mono - x.at; x.number > h.knownCrash && age <= crashRetention {
-			list = append(list, message.Crash{Number: x.number, Age: age, Runs: x.runs})
+			list = append(list, message.Crash{Number: x.number, Age: age, Sign: x.sign, Runs: x.runs})
 		}
 	}
 	return list
--- a/core/lessee/incarnation.go
+++ b/core/lessee/incarnation.go
@@ -43,7 +43,7 @@
 	}
 	c.capacityChanged()
 	c.logEvent("upstream_changed", "", "upstream", c.upstream.id, "born", c.upstream.incarnation, "why", why, "runs", len(c.runs))
-	c.recordCrash(c.now.Mono)
+	c.recordCrash(message.SignRestarted, c.now.Mono)
 	for _, h := range c.holderOrder {
 		for _, r := range h.unfinishedRuns() {
 			r.state, r.orphaned = stopping, true
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -164,7 +164,7 @@
 
 // handleRefusedConnection handles the end of an upstream whose port refuses connections.
 func (c *Core) handleRefusedConnection() {
-	reason := c.recordCrash(c.now.Mono)
+	reason := c.recordCrash(message.SignRefused, c.now.Mono)
 	c.handleUpstreamEnd("its port refused a connection", reason)
 }
 
@@ -246,7 +246,7 @@
 		"held_ms_ago", (c.now.Mono - c.upstream.lastAnsweredSentAt).Milliseconds())
 	var reason message.RefuseReason
 	if c.resumedAt <= c.upstream.lastAnsweredSentAt {
-		reason = c.recordCrash(c.upstream.lastAnsweredSentAt)
+		reason = c.recordCrash(message.SignSilent, c.upstream.lastAnsweredSentAt)
 	}
 	c.upstream.phase = probing
 	c.upstream.nextProbeAt = c.now.Mono
--- a/core/policy/containment/containment.go
+++ b/core/policy/containment/containment.go
@@ -102,6 +102,22 @@
 	}
 }
 
+// Evidence is what a verdict on a task rests on.
+type Evidence struct {
+	// Crashes counts the crashes that the task was there for, and Blamed those that it is
+	// blamed for, alone or with others. Blame is the sum of its shares.
+	Crashes, Blamed int
+	Blame           float64
+}
+
+// Evidence returns what the verdict on a task rests on.
+func (t *Tracker) Evidence(name message.TaskName) Evidence {
+	if r, ok := t.tasks[name]; ok {
+		return Evidence{r.crashes, r.blamed, r.blame}
+	}
+	return Evidence{}
+}
+
 // Findings are the conclusions from a crash.
 type Findings struct {
 	// Blamed are the tasks that are blamed for the crash, and Condemned those that are given
