containment: crashes of many upstreams at once blame no task

Crashes of three upstreams or more, and a tenth of the service's, within 50 ms count as one event with a cause outside; those under one task, which moves on, count once. Its blame is taken back from tasks and routes, once for each task.

TestMassCrashesBlameNoTask fails without it (four condemned, one route confined).

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -28,7 +28,7 @@
 		}
 		a.knownCrash = crash.Number
 		c.stats.Crashes++
-		findings := c.crashes.Record(c.now.Mono, a.info.Service, crash)
+		findings := c.crashes.Record(c.now.Mono, a.info.Service, c.upstreamsOf(a.info.Service), crash)
 		c.logEvent("upstream_crashed", "", "agent", a.ref.String(), "crash", crash.Number, "sign", crash.Sign, "age_ms", crash.Age.Milliseconds(), "runs", len(crash.Runs),
 			"last_started", describeRuns(crash.Runs), "blamed", fmt.Sprint(findings.Blamed[:min(len(findings.Blamed), maxLoggedRuns)]))
 		for _, r := range crash.Runs {
@@ -48,6 +48,9 @@
 }
 
 func (c *Core) logFindings(a *agent, f containment.Findings) {
+	if len(f.Cleared) > 0 {
+		c.logEvent("crashes_together", "", "service", a.info.Service, "agent", a.ref.String(), "cleared", len(f.Cleared))
+	}
 	for _, name := range f.Condemned {
 		evidence := c.crashes.Evidence(name)
 		c.logEvent("task_condemned", name.Job, "task", name.String(), "agent", a.ref.String(), "open", c.byID[name.Job] != nil,
@@ -64,6 +67,17 @@
 	}
 }
 
+// upstreamsOf returns the number of known upstreams of a service.
+func (c *Core) upstreamsOf(service string) int {
+	n := 0
+	for _, a := range c.sortedAgents {
+		if a.info.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
 // describeRuns lists the tasks that were started last, each with its age at the crash.
 func describeRuns(runs []message.CrashedRun) string {
 	var b strings.Builder
--- a/core/policy/containment/containment.go
+++ b/core/policy/containment/containment.go
@@ -11,6 +11,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -66,6 +67,8 @@
 	// condemned tasks, both in order of time.
 	crashes       []crashRecord
 	condemnations []condemnation
+	// events holds the last event of each service.
+	events map[string]*event
 	// confined holds the confined routes.
 	confined map[string]confinedRoute
 }
@@ -76,7 +79,9 @@
 	// for, alone or with others.
 	crashes, blamed int
 	blame           float64
-	lastAt          time.Duration
+	// cleared is set once the blame for a crash was taken back.
+	cleared bool
+	lastAt  time.Duration
 }
 
 // entry is one crash under a task.
@@ -89,7 +94,7 @@
 func New() *Tracker {
 	return &Tracker{
 		tasks: make(map[message.TaskName]*record), taskCount: make(map[string]int), condemnedJobs: make(map[string]int),
-		confined: make(map[string]confinedRoute),
+		confined: make(map[string]confinedRoute), events: make(map[string]*event),
 	}
 }
 
@@ -125,17 +130,21 @@
 	// Blamed are the tasks that are blamed for the crash, and Condemned those that are given
 	// up because of it.
 	Blamed, Condemned []message.TaskName
+	// Cleared are the tasks that are no longer blamed for this crash or for others within the
+	// last moments: so many upstreams have crashed at once that the cause is not a task.
+	Cleared []message.TaskName
 	// Confined are the names of the routes that are confined from now on.
 	Confined []string
 }
 
-// Record records the crash of an upstream of the service.
-func (t *Tracker) Record(now time.Duration, service string, crash *message.Crash) Findings {
+// Record records the crash of an upstream of the service, which has this number of upstreams.
+func (t *Tracker) Record(now time.Duration, service string, upstreams int, crash *message.Crash) Findings {
 	t.expire(now)
 	var f Findings
 	candidates, former := t.candidates(now, crash.Runs)
 	shares := shareBlame(candidates, former)
 	x := crashRecord{at: now, shares: make(map[string]float64), jobs: make(map[string]bool)}
+	blamed := make(map[message.TaskName]float64)
 	for _, run := range crash.Runs {
 		r := t.record(run, now)
 		if r == nil {
@@ -145,6 +154,7 @@
 		r.crashes++
 		if share := shares[run.Task.Job]; share >= minShare && slices.Contains(candidates, run) {
 			f.Blamed = append(f.Blamed, run.Task)
+			blamed[run.Task] = share
 			r.blamed++
 			r.blame += share
 			if !x.jobs[run.Task.Job] {
@@ -161,6 +171,8 @@
 		t.crashes = append(t.crashes, x)
 		t.crashes = slices.Delete(t.crashes, 0, max(0, len(t.crashes)-maxCrashRecords))
 	}
+	f.Cleared = t.recordEvent(now, service, upstreams, eventCrash{blamed, x})
+	f.Condemned = slices.DeleteFunc(f.Condemned, func(name message.TaskName) bool { return t.Verdict(name) != Condemned })
 	f.Confined = t.confineRoutes(now, service, x.shares)
 	return f
 }
@@ -257,6 +269,7 @@
 }
 
 func (t *Tracker) expire(now time.Duration) {
+	maps.DeleteFunc(t.events, func(_ string, e *event) bool { return now-e.begin > sameEvent })
 	t.crashes = slices.DeleteFunc(t.crashes, func(x crashRecord) bool { return now-x.at > memory })
 	t.condemnations = slices.DeleteFunc(t.condemnations, func(x condemnation) bool { return now-x.at > memory })
 	n := 0
--- /dev/null
+++ b/core/policy/containment/event.go
@@ -0,0 +1,91 @@
+package containment
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+)
+
+const (
+	// sameEvent is the time within which crashes count as one towards the blame of routes: a
+	// failure of several hosts is no evidence against what they ran.
+	sameEvent = 50 * time.Millisecond
+	// Crashes within sameEvent have a common cause from outside if they are massCrashes or
+	// more and massShare or more of the upstreams of the service. Those under one task, which
+	// moves from upstream to upstream, count as one.
+	massCrashes = 3
+	massShare   = 0.1
+)
+
+// event is the crashes of a service within sameEvent of the first one.
+type event struct {
+	begin time.Duration
+	// count is the number of crashes that have no blamed task in common with an earlier one,
+	// and blamed how often each task is blamed. Once there are enough for a mass event, mass
+	// is set, and crashes holds only crashes that were not cleared.
+	count   int
+	blamed  map[message.TaskName]int
+	crashes []eventCrash
+	mass    bool
+}
+
+// eventCrash is a crash of an event.
+type eventCrash struct {
+	// shares holds the shares of the blamed tasks, and counted is what the crash counts
+	// towards the blame of routes.
+	shares  map[message.TaskName]float64
+	counted crashRecord
+}
+
+// recordEvent adds a crash to the event of its service, and clears the tasks of the blame if
+// that is a mass event. It returns the cleared tasks. A task is cleared once, and not if it is
+// blamed for several of the crashes: it may be what they have in common.
+func (t *Tracker) recordEvent(now time.Duration, service string, upstreams int, x eventCrash) (cleared []message.TaskName) {
+	e := t.events[service]
+	if e == nil || now-e.begin > sameEvent {
+		e = &event{begin: now, blamed: make(map[message.TaskName]int)}
+		t.events[service] = e
+	}
+	separate := true
+	for name := range x.shares {
+		separate = separate && e.blamed[name] == 0
+		e.blamed[name]++
+	}
+	if separate {
+		e.count++
+	}
+	e.crashes = append(e.crashes, x)
+	e.mass = e.mass || e.count >= massCrashes && float64(e.count) >= massShare*float64(upstreams)
+	if !e.mass {
+		return nil
+	}
+	for _, o := range e.crashes {
+		clear(o.counted.shares)
+		clear(o.counted.jobs)
+		for name, share := range o.shares {
+			if e.blamed[name] == 1 && t.clearTask(name, share) {
+				cleared = append(cleared, name)
+			}
+		}
+	}
+	e.crashes = nil
+	return cleared
+}
+
+// clearTask takes the blame for one crash back from a task, unless that was done before.
+func (t *Tracker) clearTask(name message.TaskName, share float64) bool {
+	r, ok := t.tasks[name]
+	if !ok || r.cleared {
+		return false
+	}
+	before := r.verdict()
+	r.cleared = true
+	r.blamed--
+	r.blame -= share
+	if before == Condemned && r.verdict() != Condemned {
+		decrement(t.condemnedJobs, name.Job)
+		t.condemnations = slices.DeleteFunc(t.condemnations, func(x condemnation) bool { return x.job == name.Job })
+	}
+	return true
+}
--- a/core/policy/containment/routes.go
+++ b/core/policy/containment/routes.go
@@ -17,9 +17,6 @@
 	confiningBlame = 1.25
 	confiningShare = 0.6
 	confiningJobs  = 2
-	// sameEvent is the time within which crashes count as one towards the blame of routes: a
-	// failure of several hosts is no evidence against what they ran.
-	sameEvent = 50 * time.Millisecond
 )
 
 // crashRecord is what a crash counts towards the blame of routes.
