containment: crashes are grouped by when they happened

A dispatcher that has just started learns of the crashes of the last 10 s as agents connect, all within some milliseconds, and before it knows their service. Events go by the age in the report now, and the service is taken from the heartbeat first. TestOldCrashesAreNoMassEvent failed before.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -154,11 +154,12 @@
 	a.idleInterval = pace.StatedInterval(hb.IdleInterval)
 	a.dead = false
 	c.applySite(hb.Site)
-	c.handleCrashes(a, hb.Crashes)
 	c.applyEvidence(a, hb.Evidence)
+	// The report names the service, which the crashes count for.
 	if hb.Capacity != nil {
 		c.applyCapacity(a, hb.Capacity)
 	}
+	c.handleCrashes(a, hb.Crashes)
 	c.resendRevocations(a)
 	wantSite := c.siteRequester.ShouldRequest(c.now.Mono, c.site.Revision, hb.Revision)
 	giveSite := hb.WantSite && hb.Revision < c.site.Revision && c.siteLimiter.Allow(c.now.Mono, c.site)
--- a/core/policy/containment/containment.go
+++ b/core/policy/containment/containment.go
@@ -11,7 +11,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -67,8 +66,8 @@
 	// condemned tasks, both in order of time.
 	crashes       []crashRecord
 	condemnations []condemnation
-	// events holds the last event of each service.
-	events map[string]*event
+	// events holds the recent events.
+	events []*event
 	// confined holds the confined routes.
 	confined map[string]confinedRoute
 }
@@ -94,7 +93,7 @@
 func New() *Tracker {
 	return &Tracker{
 		tasks: make(map[message.TaskName]*record), taskCount: make(map[string]int), condemnedJobs: make(map[string]int),
-		confined: make(map[string]confinedRoute), events: make(map[string]*event),
+		confined: make(map[string]confinedRoute),
 	}
 }
 
@@ -171,7 +170,7 @@
 		t.crashes = append(t.crashes, x)
 		t.crashes = slices.Delete(t.crashes, 0, max(0, len(t.crashes)-maxCrashRecords))
 	}
-	f.Cleared = t.recordEvent(now, service, upstreams, eventCrash{blamed, x})
+	f.Cleared = t.recordEvent(now-max(crash.Age, 0), service, upstreams, eventCrash{blamed, x})
 	f.Condemned = slices.DeleteFunc(f.Condemned, func(name message.TaskName) bool { return t.Verdict(name) != Condemned })
 	f.Confined = t.confineRoutes(now, service, x.shares)
 	return f
@@ -269,7 +268,7 @@
 }
 
 func (t *Tracker) expire(now time.Duration) {
-	maps.DeleteFunc(t.events, func(_ string, e *event) bool { return now-e.begin > sameEvent })
+	t.events = slices.DeleteFunc(t.events, func(e *event) bool { return now-e.at > memory })
 	t.crashes = slices.DeleteFunc(t.crashes, func(x crashRecord) bool { return now-x.at > memory })
 	t.condemnations = slices.DeleteFunc(t.condemnations, func(x condemnation) bool { return now-x.at > memory })
 	n := 0
--- a/core/policy/containment/containment_test.go
+++ b/core/policy/containment/containment_test.go
@@ -186,6 +186,19 @@
 	}
 }
 
+// TestOldCrashesAreNoMassEvent guards against tasks that are cleared at a dispatcher which has
+// just started, since it learns of the crashes of the last seconds all at once.
+func TestOldCrashesAreNoMassEvent(t *testing.T) {
+	tr := New()
+	for i := range 8 {
+		x := crash([]string{string(rune('a' + i))}, nil)
+		x.Age = time.Duration(i) * 300 * ms
+		if f := tr.Record(10*time.Second, "s", upstreams, x); len(f.Cleared) > 0 {
+			t.Errorf("%v are cleared, although the crashes were %v apart", f.Cleared, 300*ms)
+		}
+	}
+}
+
 // TestMassEventOfLargeService checks that a few of many upstreams are no mass event.
 func TestMassEventOfLargeService(t *testing.T) {
 	tr := New()
--- a/core/policy/containment/event.go
+++ b/core/policy/containment/event.go
@@ -18,9 +18,11 @@
 	massShare   = 0.3
 )
 
-// event is the crashes of a service within sameEvent of the first one.
+// event is the crashes of a service within sameEvent of the one that was reported first, at
+// the time at.
 type event struct {
-	begin time.Duration
+	service string
+	at      time.Duration
 	// count is the number of crashes that have no blamed task in common with an earlier one,
 	// and blamed how often each task is blamed. Once there are enough for a mass event, mass
 	// is set, and crashes holds only crashes that were not cleared.
@@ -41,12 +43,8 @@
 // recordEvent adds a crash to the event of its service, and clears the tasks of the blame if
 // that is a mass event. It returns the cleared tasks. A task is cleared once, and not if it is
 // blamed for several of the crashes: it may be what they have in common.
-func (t *Tracker) recordEvent(now time.Duration, service string, upstreams int, x eventCrash) (cleared []message.TaskName) {
-	e := t.events[service]
-	if e == nil || now-e.begin > sameEvent {
-		e = &event{begin: now, blamed: make(map[message.TaskName]int)}
-		t.events[service] = e
-	}
+func (t *Tracker) recordEvent(at time.Duration, service string, upstreams int, x eventCrash) (cleared []message.TaskName) {
+	e := t.eventOf(at, service)
 	separate := true
 	for name := range x.shares {
 		separate = separate && e.blamed[name] == 0
@@ -73,6 +71,19 @@
 	return cleared
 }
 
+// eventOf returns the event of a crash, which may be older than those that are known: a
+// dispatcher that has just started learns of recent crashes in any order.
+func (t *Tracker) eventOf(at time.Duration, service string) *event {
+	for _, e := range slices.Backward(t.events) {
+		if e.service == service && (e.at-at).Abs() <= sameEvent {
+			return e
+		}
+	}
+	e := &event{service: service, at: at, blamed: make(map[message.TaskName]int)}
+	t.events = append(t.events, e)
+	return e
+}
+
 // clearTask takes the blame for one crash back from a task, unless that was done before.
 func (t *Tracker) clearTask(name message.TaskName, share float64) bool {
 	r, ok := t.tasks[name]
