transport: a frame nested too deep no longer ends the process

Seen by an operator: a dispatcher or agent ends by itself with "fatal error: stack overflow" in the JSON decoder, again and again, as long as a peer at a known address sends such a frame.

Cause: envelopes are decoded by a library that recurses without a limit, some 270 bytes of stack a level. A frame of 32 MB holds more levels than a stack of 1 GB; a stack overflow can't be recovered.

Fix: frames nested deeper than 1,000 levels are refused as malformed before they are decoded; the connection is closed, the process goes on.

--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -82,6 +82,9 @@
 		if err != nil {
 			return err
 		}
+		if nestsTooDeep(frame) {
+			return errors.Wrapf(errBadFrame, "more than %d levels of nesting", maxNesting)
+		}
 		env, ok := decodeDeliver(frame)
 		if !ok {
 			return decodeObject(frame, v)
--- a/internal/transport/stream_test.go
+++ b/internal/transport/stream_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"reflect"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -98,6 +99,9 @@
 	f.Add(frame(`{"jsonrpc":"2.0","method":"deliver","params":{"msgs":[{}]}}`))
 	f.Add(frame(`{"jsonrpc":"2.0","id":1,"result":null}`))
 	f.Add(frame(`[]`))
+	f.Add(frame(`{"jsonrpc":"2.0","method":"deliver","params":{"odd":` + strings.Repeat("[", maxNesting+1) + `}}`))
+	f.Add(frame(`{"jsonrpc":"2.0","method":"deliver","params":{"off":1e400,"msgs":[{"beat":{"t":9223372036854775808}}]}}`))
+	f.Add(frame(`{"jsonrpc":"2.0","method":"deliver","params":{"off":1.5,"msgs":[null,{"offer":null}],"from":[]}}`))
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
 	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, input []byte) {
