lessee: a false announcement no longer makes the upstream late for good

Seen by an operator: an agent logs announcement_late for every announcement of its upstream and takes no more work (LOST), also after a restart, since it has persisted the false one.

Cause: an announcement with a higher incarnation or Seq, from another writer, was trusted for good. Polls that got answers from the real upstream did not change that.

--- a/core/lessee/poll.go
+++ b/core/lessee/poll.go
@@ -112,6 +112,9 @@
 	case CallFenced:
 		c.token += tokenStep
 		return
+	case CallWrongIncarnation:
+		u.refuted = u.refuted || e.SentAt >= u.discoveredAt
+		return
 	default:
 		return
 	}
@@ -120,6 +123,8 @@
 			c.orphanRuns("a poll found a newer incarnation")
 			// The upstream info comes with the announcement of the new incarnation.
 			c.beginIncarnation(Announcement{ID: u.id, Incarnation: e.Incarnation})
+		} else if e.Incarnation > 0 && e.SentAt >= u.discoveredAt {
+			u.refuted = true
 		}
 		return
 	}
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -41,6 +41,9 @@
 	// lastAnnouncedAt is when that last happened.
 	announced       bool
 	lastAnnouncedAt time.Duration
+	// refuted is set once an answered poll has shown that the upstream is not, and was not,
+	// in this incarnation: another writer has announced it.
+	refuted bool
 	// clock is the upstream's clock as of clockAt.
 	clock   time.Duration
 	clockAt time.Duration
@@ -89,7 +92,7 @@
 func (c *Core) handleAnnouncement(a Announcement) {
 	u := &c.upstream
 	switch {
-	case u.phase != absent && a.Incarnation < u.incarnation, a.Incarnation == u.incarnation && a.ID == u.id && a.Seq <= u.seq:
+	case c.isLate(a):
 		c.logEvent("announcement_late", "", "upstream", a.ID, "born", a.Incarnation, "seq", a.Seq, "known_born", u.incarnation, "known_seq", u.seq)
 		return
 	case a.Incarnation == u.incarnation && a.ID == u.id:
@@ -107,6 +110,19 @@
 	}
 }
 
+// isLate reports whether a newer announcement was applied before. What only an announcement
+// states may be false: it no longer counts once a poll has refuted it, or when it has been
+// the last one applied for announcementTTL.
+func (c *Core) isLate(a Announcement) bool {
+	u := &c.upstream
+	outdated := c.now.Mono-u.lastAnnouncedAt > announcementTTL
+	if a.Incarnation == u.incarnation && a.ID == u.id {
+		return a.Seq <= u.seq && !outdated
+	}
+	unproven := u.phase == probing && (u.refuted || outdated)
+	return u.phase != absent && a.Incarnation < u.incarnation && !unproven
+}
+
 // beginIncarnation starts to probe an incarnation of the upstream. Its runs, if any, are
 // not known yet; the lessee does not extend their lease.
 func (c *Core) beginIncarnation(a Announcement) {
