lessee: the end of a lease no longer follows from an announced clock

Seen by an operator: after an announcement with a clock that is far ahead, an upstream keeps runs longer than dispatchers allow for when its agent is lost: two runs of one task for up to 0.5 s.

Cause: an announcement, which may come from another writer, set the upstream's clock, and answers with lower readings were ignored. The requested end of the lease was then limited only by the upstream's own maximum.

Fix: only answers of the upstream set the clock.

TestFalseClock failed before (a lease until 1h0m0.5s, want 1.5s).

--- a/core/lessee/false_test.go
+++ b/core/lessee/false_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 )
 
@@ -66,3 +67,19 @@
 		t.Errorf("an announcement was ignored as late for longer than %v", announcementTTL)
 	}
 }
+
+// TestFalseClock guards against a lease that outlasts its time, in which the dispatchers would
+// start its tasks elsewhere: the end of a lease follows from the upstream's own answers only.
+func TestFalseClock(t *testing.T) {
+	b := newTestBed(t)
+	for seq := range int64(2) {
+		a := falseAnnouncement("u", 1, seq+1)
+		a.Clock = time.Hour
+		b.step(Announced{a})
+		b.step(PollCompleted{Renewal: true, SentAt: b.now, Incarnation: 1, Clock: b.now})
+	}
+	b.heartbeat(d0)
+	if s := b.startRun(d0, "j"); s.LeaseUntil != b.now+lease.UpstreamLease {
+		t.Errorf("got a lease until %v, want %v", s.LeaseUntil, b.now+lease.UpstreamLease)
+	}
+}
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -44,7 +44,8 @@
 	// refuted is set once an answered poll has shown that the upstream is not, and was not,
 	// in this incarnation: another writer has announced it.
 	refuted bool
-	// clock is the upstream's clock as of clockAt.
+	// clock is the upstream's clock as of clockAt, in its answers. An announcement may come
+	// from another writer; a wrong clock would make a lease too long.
 	clock   time.Duration
 	clockAt time.Duration
 
@@ -134,7 +135,7 @@
 	}
 	c.upstream = upstreamState{
 		discoveredAt: c.now.Mono,
-		phase:        probing, id: a.ID, incarnation: a.Incarnation, clock: a.Clock, clockAt: c.now.Mono, nextProbeAt: c.now.Mono,
+		phase:        probing, id: a.ID, incarnation: a.Incarnation, clockAt: c.now.Mono, nextProbeAt: c.now.Mono,
 		processedUpTo: processedUpTo, acknowledgedUpTo: processedUpTo,
 		polls: c.newPacer(),
 	}
@@ -156,7 +157,6 @@
 	}
 	u.seq, u.service, u.domain, u.labels = a.Seq, a.Service, a.Domain, a.Labels
 	u.draining, u.announced, u.lastAnnouncedAt = a.Draining, true, c.now.Mono
-	u.observeClock(a.Clock, c.now.Mono)
 }
 
 func (c *Core) handleWithdrawal(id string) {
