--- a/internal/lesseed/daemon.go
+++ b/internal/lesseed/daemon.go
@@ -53,6 +53,8 @@
 type AnnouncementReceiver interface {
 	Announce(a lessee.Announcement)
 	Withdraw(id string)
+	// Ignore records that an announcement of this upstream was refused, and why.
+	Ignore(id string, reason error)
 }
 
 // Platform holds the parts of an agent that depend on the platform.
@@ -157,6 +159,15 @@
 // Withdraw implements AnnouncementReceiver.
 func (d *Daemon) Withdraw(id string) { d.loop.PostWait(lessee.Withdrawn{ID: id}) }
 
+// maxLoggedBytes bounds the part of a foreign text that a log line repeats.
+const maxLoggedBytes = 256
+
+// Ignore implements AnnouncementReceiver.
+func (d *Daemon) Ignore(id string, reason error) {
+	text := reason.Error()
+	d.logs.Info("announcement ignored", "upstream", id[:min(len(id), maxLoggedBytes)], "reason", text[:min(len(text), maxLoggedBytes)])
+}
+
 // Apply applies the settings that can change while the process runs: its memory limit and
 // the times of a planned stop. Changes of other settings need a restart.
 func (d *Daemon) Apply(s settings.Lessee) {
