agentd: an upstream's address must have a port and name one host

Seen by an operator: an upstream announced with port 0, the address of all hosts or a multicast group counts as present; each task placed on it fails to connect.

Fix: such an announcement gets 400 with the address.

--- a/internal/agentd/announce.go
+++ b/internal/agentd/announce.go
@@ -43,8 +43,8 @@
 	if a.Name == "" || len(a.Name) > maxNameBytes {
 		return httpserver.BadRequest("name has %d bytes; it must have from 1 to %d", len(a.Name), maxNameBytes)
 	}
-	if _, err := netip.ParseAddrPort(a.Addr); err != nil {
-		return httpserver.BadRequest("addr is %q; an IP and port is expected, such as 127.0.0.1:8080", a.Addr)
+	if addr, err := netip.ParseAddrPort(a.Addr); err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().IsMulticast() {
+		return httpserver.BadRequest("addr is %.64q; the IP and port of one host is expected, such as 127.0.0.1:8080", a.Addr)
 	}
 	if a.Slots < 0 || a.Slots > maxSlots {
 		return httpserver.BadRequest("slots is %d; it must be from 0 to %d", a.Slots, maxSlots)
