sitestore: records that name no agent are ignored by their reason

Seen by an operator: a dispatcher tries for good to connect to port 0, to the address of all hosts (its own host answers) or to a group; a record under another key takes the place of an agent's; "cannot decode agent records" lists all malformed keys again at each change, without a reason. A persisted announcement with a wrong value was restored.

Cause: only the syntax of a record was checked, and agents came in the order of a map.

Agents come in the order of their IDs. A restored announcement is checked like a received one.

--- a/internal/dispatchd/follow.go
+++ b/internal/dispatchd/follow.go
@@ -49,13 +49,12 @@
 
 // followAgents returns a follower that passes the agents' addresses to the agentConnector.
 func (d *Daemon) followAgents() *sitestore.Follower {
+	var log sitestore.IgnoredLog
 	return &sitestore.Follower{
 		Topic: d.cfg.Platform.Agents, Name: "agents", Wait: agentsReadWait, Logs: d.logs,
 		OnChange: func(records map[string][]byte, _ int64) {
-			list, bad := sitestore.DecodeAgents(records)
-			if len(bad) > 0 {
-				d.logs.Info("cannot decode agent records", "keys", bad)
-			}
+			list, ignored := sitestore.DecodeAgents(records)
+			log.Log(d.logs, "agents", ignored)
 			d.agents.addressesRead.Store(true)
 			d.agents.setAgents(list)
 		},
--- a/internal/lesseed/announcements.go
+++ b/internal/lesseed/announcements.go
@@ -52,8 +52,13 @@
 		return
 	}
 	var a lessee.Announcement
-	if err := json.Unmarshal(value, &a); err != nil {
-		d.logs.Error(err, "cannot decode the persisted announcement of the upstream")
+	err = json.Unmarshal(value, &a)
+	if err == nil {
+		err = a.Check()
+	}
+	if err != nil {
+		var log sitestore.IgnoredLog
+		log.Log(d.logs, "upstreams", map[string]error{key: err})
 		return
 	}
 	d.loop.Post(lessee.AnnouncementRestored{Announcement: a})
--- a/internal/sitestore/sitestore_test.go
+++ b/internal/sitestore/sitestore_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/telemetry"
 )
 
@@ -153,9 +154,40 @@
 
 func TestDecodeAgents(t *testing.T) {
 	a := Agent{ID: "a", Addr: netip.MustParseAddrPort("127.0.0.1:7201"), Domain: "z"}
-	agents, malformed := DecodeAgents(map[string][]byte{"a": a.Encode(), "b": []byte("?"), "c": []byte(`{"id":"c"}`)})
-	slices.Sort(malformed)
-	if len(agents) != 1 || agents[0] != a || !slices.Equal(malformed, []string{"b", "c"}) {
-		t.Errorf("got %+v, malformed %v, want agent a, malformed b and c", agents, malformed)
+	agents, ignored := DecodeAgents(map[string][]byte{"a": a.Encode(), "b": []byte("?"), "c": []byte(`{"id":"c"}`)})
+	if len(agents) != 1 || agents[0] != a || len(ignored) != 2 || ignored["b"] == nil || ignored["c"] == nil {
+		t.Errorf("got %+v, ignored %v, want agent a, ignored b and c", agents, ignored)
+	}
+}
+
+// TestOddAgentRecords guards against endless attempts to connect to what is no agent, against
+// another order of the agents after each change, and against records in place of those that
+// an agent has written itself.
+func TestOddAgentRecords(t *testing.T) {
+	want := []Agent{}
+	records := map[string][]byte{}
+	for _, id := range []node.ID{"g", "h", "i", "j", "k"} {
+		a := Agent{ID: id, Addr: netip.MustParseAddrPort("10.0.0.7:7201")}
+		want = append(want, a)
+		records[string(id)] = a.Encode()
+	}
+	odd := map[string]string{"another": `{"id":"g","addr":"10.0.0.8:1"}`, "": `{"id":"","addr":"10.0.0.8:1"}`}
+	for _, addr := range []string{
+		"10.0.0.8:0", "10.0.0.8:65536", "10.0.0.8:-1", "10.0.0.8:99999999999", "10.0.0.8", "host:80", "", ":80", "0.0.0.0:80", "[::]:80",
+		"224.0.0.1:80", "[ff02::1]:80", "[fe80::1%eth0]:80", "[::ffff:0.0.0.0]:80", "10.0.0.8:80 ",
+	} {
+		odd["addr "+addr] = `{"id":"addr ` + addr + `","addr":"` + addr + `"}`
+	}
+	for key, value := range odd {
+		records[key] = []byte(value)
+	}
+	agents, ignored := DecodeAgents(records)
+	if !slices.Equal(agents, want) {
+		t.Errorf("got agents %v, want %v", agents, want)
+	}
+	for key := range odd {
+		if ignored[key] == nil || len(ignored[key].Error()) > 300 {
+			t.Errorf("key %q: got reason %v, want a short one", key, ignored[key])
+		}
 	}
 }
