dispatch, lessee: an offer names the label that its task requires

Seen: an upstream that restarts while idle may come back with other labels. Until the agent's next heartbeat dispatchers chose it for the labels of the former incarnation, and the agent started tasks on an upstream without the label that they require.

Cause: an offer names the service that it was chosen for, but not the label, so the agent could not tell that the choice no longer held.

Change: an offer names the required label, and the agent refuses it with missing_label if its upstream lacks that label. The refusal carries the new upstream info as every completion does, and the task is placed elsewhere. An offer without the field, from a dispatcher of an earlier version, requires no label, as before.

Tests: TestOfferForAnotherKind and TestUpstreamOfAnotherKind failed without the check and without the field (the task was started; the offer named no label), and pass with them.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -292,7 +292,7 @@
 	t.agent.lastOfferAt = c.now.Mono
 	offer := &message.Offer{
 		Seq: t.seq, Task: t.name(), RunNumber: t.starts, Service: t.job.spec.Route.Service, Route: t.job.spec.Route.Name, Isolation: c.isolationOf(t), Spec: t.job.spec.Spec,
-		Demand: spec.Demand, ExpectedDuration: expected, EchoedTimestamp: t.agent.lastTimestamp, EchoAge: c.now.Mono - t.agent.lastHeartbeatAt,
+		RequiredLabel: spec.RequiredLabel, Demand: spec.Demand, ExpectedDuration: expected, EchoedTimestamp: t.agent.lastTimestamp, EchoAge: c.now.Mono - t.agent.lastHeartbeatAt,
 		FirstWaiting: c.firstWaiting(t.agent), Slowdown: c.offeredSlowdown(t.agent),
 	}
 	if c.cfg.OrderAcross {
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -1,6 +1,7 @@
 package lessee
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
@@ -128,6 +129,9 @@
 	if m.Service != c.upstream.service {
 		return message.RefusedOtherService
 	}
+	if m.RequiredLabel != "" && !slices.Contains(c.upstream.labels, m.RequiredLabel) {
+		return message.RefusedMissingLabel
+	}
 	return ""
 }
 
--- a/core/message/offer.go
+++ b/core/message/offer.go
@@ -16,6 +16,8 @@
 	// RunNumber is the number of this start among the starts of the task.
 	RunNumber int    `json:"run"`
 	Service   string `json:"svc"`
+	// RequiredLabel is a label that the upstream must have, or empty.
+	RequiredLabel string `json:"lbl,omitempty"`
 	// Route is the name of the route of the task's job.
 	Route  string    `json:"route,omitempty"`
 	Spec   string    `json:"spec,omitempty"`
@@ -145,6 +147,8 @@
 	// RefusedStopping: another run of the task is being stopped.
 	RefusedStopping     RefuseReason = "same_task_is_stopping"
 	RefusedOtherService RefuseReason = "other_service"
+	// RefusedMissingLabel: the upstream does not have the label that the task requires.
+	RefusedMissingLabel RefuseReason = "missing_label"
 	// RefusedTooSlow: the agent stopped the run for lack of progress.
 	RefusedTooSlow RefuseReason = "too_slow"
 	// RefusedTakenOver: the run continues for another dispatcher, to which the caller has
