lessee: a withdrawal is a hint, polls decide

Cause: a DELETE names the upstream's ID, not its incarnation. One that a cut has held up arrived in the next life, ended it, and reported its runs as lost while they went on.

Change: a withdrawal keeps new runs from the upstream and makes the agent poll at once, then every 40 ms. A poll sent 100 ms after it or later and answered by the same incarnation refutes it; a refused connection or a newer incarnation is handled as without a withdrawal. The sign Withdrawn, a hint, joins core/liveness.

--- /dev/null
+++ b/core/leasemodel/falsesign_test.go
@@ -0,0 +1,33 @@
+package leasemodel
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/dispatch"
+	"github.com/dogwoodgauge/dogwoodgauge/core/lessee"
+)
+
+// withdrawLate delivers, at a time from now, a withdrawal that a former incarnation of an
+// upstream has sent.
+func (sim *simulation) withdrawLate(u *upstream, after time.Duration) {
+	sim.after(after, func() {
+		sim.logf("a late withdrawal of u%d arrives", u.index)
+		sim.deliver(u.agent, lessee.Withdrawn{ID: u.announcement().ID})
+	})
+}
+
+// TestNoTwoRunsBesideLateWithdrawals guards against two runs of a task after a withdrawal of a
+// former incarnation has ended the runs of the present one, with other faults beside it.
+func TestNoTwoRunsBesideLateWithdrawals(t *testing.T) {
+	for seed := range uint64(24) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			sim := newFleetWith(t, seed, 2, 3, upstreamCapacity, 0, dispatch.Config{Domain: "z0"})
+			for range 1 + sim.rnd.IntN(8) {
+				sim.withdrawLate(sim.upstreams[sim.rnd.IntN(3)], time.Second+sim.randomMS(0, float64(modelTime/time.Millisecond)))
+			}
+			sim.runWithFaults(50, int(seed%5))
+		})
+	}
+}
--- a/core/lessee/api.go
+++ b/core/lessee/api.go
@@ -39,7 +39,8 @@
 // announcement. The current Seq, Clock and Draining of the upstream are not known.
 type AnnouncementRestored struct{ Announcement Announcement }
 
-// Withdrawn reports that the upstream has left.
+// Withdrawn reports that an incarnation of the upstream leaves. It does not name the
+// incarnation.
 type Withdrawn struct{ ID string }
 
 // SiteChanged delivers the published site state, as read from the store.
--- a/core/lessee/crash.go
+++ b/core/lessee/crash.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/containment"
 )
@@ -29,7 +30,8 @@
 // its runs. It does nothing if the upstream had no runs or was about to leave. The ages of
 // the runs count up to aliveAt, when the upstream was last known to run.
 func (c *Core) recordCrash(sign message.CrashSign, aliveAt time.Duration) message.RefuseReason {
-	if len(c.runs) == 0 || c.upstream.draining || c.upstream.phase != open {
+	leaving := c.upstream.draining || c.upstream.life.Suspect() == liveness.Withdrawn
+	if len(c.runs) == 0 || leaving || c.upstream.phase != open {
 		return ""
 	}
 	recorded := crash{number: c.lastCrash + 1, at: c.now.Mono, sign: sign}
--- a/core/lessee/poll.go
+++ b/core/lessee/poll.go
@@ -33,6 +33,8 @@
 func (c *Core) nextRenewalAt() time.Duration {
 	u := &c.upstream
 	switch {
+	case u.suspected():
+		return u.nextSuspectPollAt()
 	case u.failing():
 		return u.polls.DueAt()
 	case len(c.runs) > 0:
@@ -125,6 +127,7 @@
 	}
 	u.observeClock(e.Clock, c.now.Mono)
 	u.lastAnsweredSentAt = max(u.lastAnsweredSentAt, e.SentAt)
+	c.refuteSuspicion(e.SentAt)
 	if u.phase == probing {
 		// Only a poll with the newest token proves that earlier calls can start no more runs.
 		if e.Token == c.token {
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/retry"
 )
@@ -54,6 +55,10 @@
 	longPollInFlight, renewalInFlight bool
 	// polls spaces out the polls in phase open while they fail.
 	polls retry.Pacer
+	// life holds the signs that the incarnation has ended, and suspectedAt is when the last
+	// hint was seen.
+	life        liveness.Incarnation
+	suspectedAt time.Duration
 	// lastRenewalSentAt is when the last renewal was sent, lastAnsweredSentAt when the
 	// latest answered poll was sent, and lastExtensionSentAt when the last call was sent
 	// that may have extended the lease, whether answered or not.
@@ -143,9 +148,11 @@
 	u.observeClock(a.Clock, c.now.Mono)
 }
 
+// handleWithdrawal handles a withdrawal. It names no incarnation, so that an earlier one may
+// have sent it: polls decide.
 func (c *Core) handleWithdrawal(id string) {
-	if id == c.upstream.id {
-		c.handleUpstreamEnd("the upstream has withdrawn", "")
+	if id == c.upstream.id && c.upstream.phase != absent {
+		c.suspectUpstream(liveness.Withdrawn)
 	}
 }
 
