control: seeds of odd records for FuzzApply

Records nested deep, with numbers too large, with a port out of range or of another type are rejected and take one offset, as before: the seeds pin it.

--- a/core/control/property_test.go
+++ b/core/control/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -153,6 +154,9 @@
 		join("a", 1), control.EncodeLeave(ref("a", 1), 0), control.EncodeEvict(ref("a", 1), ref("a", 1)),
 		control.EncodeConfirm(1, ref("a", 1)), quotaChange("y", 1, "t", 2), takeOutChange("z", 1, "south"), control.EncodeReset("op", 2),
 		s.SnapshotRecord(), []byte("{}"), []byte(`{"change":{"id":"a","edits":[{}]}}`), nil,
+		[]byte(`{"snapshot":{"next":9223372036854775807,"members":[{}],"ended":[{"offset":-1}],"ops":[{}]}}`), []byte(`{"confirm":{"through":1e400}}`),
+		[]byte(`{"join":{"ref":{"id":"b","inc":1},"addr":"127.0.0.1:99999999999","role":"agent","effective":-9223372036854775808}}`),
+		[]byte(`{"leave":{"ref":null,"effective":1.5}}`), []byte(strings.Repeat(`{"change":`, 20_000)), []byte(strings.Repeat("[", 1_000_000)),
 	} {
 		f.Add(seed)
 	}
