--- /dev/null
+++ b/core/policy/cancellation/cancellation_test.go
@@ -0,0 +1,28 @@
+package cancellation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestMemoryIsBounded guards against a memory that grows with every cancelled job, or that
+// keeps refusing an ID for ever.
+func TestMemoryIsBounded(t *testing.T) {
+	var m Memory
+	if m.Known(0, "x") {
+		t.Error("an empty memory knows a job")
+	}
+	for i := range MaxJobs + 1 {
+		added, forgotten := m.Add(time.Second, fmt.Sprint(i))
+		if want := map[bool]string{true: "0"}[i == MaxJobs]; !added || forgotten != want {
+			t.Fatalf("job %d: added %v, forgotten %q; want true and %q", i, added, forgotten, want)
+		}
+	}
+	if added, _ := m.Add(2*time.Second, "1"); added || m.Known(time.Second, "0") || !m.Known(time.Second, "1") {
+		t.Errorf("job 1 added again: %v, job 0 known: %v, job 1 known: %v; want false, false, true", added, m.Known(time.Second, "0"), m.Known(time.Second, "1"))
+	}
+	if end := time.Second + Retention; !m.Known(end, "1") || m.Known(end+1, "1") || len(m.Jobs(end)) != MaxJobs || len(m.Jobs(end+1)) != 0 {
+		t.Errorf("jobs are not forgotten %v after they were added", Retention)
+	}
+}
