lessee: refuse offers of cancelled jobs, and pass cancellations on

Cause: dispatchers share no store, so that one which gets a cancelled job again knows nothing of the cancelling.

Change: Heartbeat.Cancelled lists IDs. What a dispatcher lists for a new agent goes with the next heartbeats, so that the restart of an agent starts no flood. Old decoders ignore the field.

Result: go test ./core/lessee passes.

--- a/core/lessee/fuzz_test.go
+++ b/core/lessee/fuzz_test.go
@@ -17,6 +17,7 @@
 		{Offer: &message.Offer{Seq: 9, EchoedTimestamp: 1, EchoAge: -1 << 63, Demand: message.Resources{MilliCPU: -1}}},
 		{RevokeOffer: &message.RevokeOffer{Seq: 1}},
 		{Heartbeat: &message.Heartbeat{KnownCrash: 1 << 63}},
+		{Heartbeat: &message.Heartbeat{Timestamp: 1, Cancelled: []string{"", "j", "j"}}},
 		{RunCompletion: &message.RunCompletion{}},
 		{},
 	} {
--- a/core/lessee/leaseholder.go
+++ b/core/lessee/leaseholder.go
@@ -68,6 +68,8 @@
 	// runsBySeq holds the runs by Offer.Seq, including completed and refused ones.
 	runsBySeq     map[uint64]*run
 	completedRuns []*run
+	// untoldCancels lists the cancelled jobs that it has not been told of.
+	untoldCancels []string
 	// unfinished counts the runs that have not completed.
 	unfinished int
 }
@@ -77,7 +79,7 @@
 	if h, ok := c.holders[ref]; ok {
 		return h
 	}
-	h := &leaseHolder{ref: ref, runsBySeq: make(map[uint64]*run), leaseUntil: c.now.Mono + lease.RunLease}
+	h := &leaseHolder{ref: ref, runsBySeq: make(map[uint64]*run), leaseUntil: c.now.Mono + lease.RunLease, untoldCancels: c.cancelled.Jobs(c.now.Mono)}
 	c.holders[ref] = h
 	c.holderOrder = append(c.holderOrder, h)
 	c.logEvent("dispatcher_seen", "", "dispatcher", ref.String())
@@ -115,6 +117,7 @@
 		h.renewLease(hb.EchoedTimestamp)
 	}
 	c.applySite(hb.Site)
+	c.handleCancelled(h, hb.Cancelled, first)
 	wantSite := c.siteRequester.ShouldRequest(c.now.Mono, c.site.Revision, hb.Revision)
 	giveSite := hb.WantSite && hb.Revision < c.site.Revision && c.siteLimiter.Allow(c.now.Mono, c.site)
 	if first || wantSite || giveSite || hb.WantReply {
@@ -196,6 +199,7 @@
 	hb := &message.Heartbeat{
 		Timestamp: c.now.Mono, EchoedTimestamp: h.lastTimestamp, Revision: c.site.Revision, WantSite: wantSite,
 		IdleInterval: h.statedInterval, Crashes: c.unknownCrashes(h), Evidence: c.dueEvidence(h),
+		Cancelled: h.takeUntoldCancels(),
 	}
 	if giveSite {
 		hb.Site = c.site
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -7,6 +7,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/cancellation"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/interference"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/speed"
 	"github.com/dogwoodgauge/dogwoodgauge/core/site"
@@ -71,6 +72,10 @@
 	// one in this incarnation of the agent.
 	crashes   []crash
 	lastCrash uint64
+	// cancelled holds the jobs that dispatchers have cancelled, and cancelsForgotten counts
+	// those that were forgotten for lack of memory.
+	cancelled        cancellation.Memory
+	cancelsForgotten uint64
 	// resumedAt is when the last long pause of the process ended, or zero.
 	resumedAt time.Duration
 	// orphansUntil is the time after which no orphaned run can be alive, since the longest
@@ -179,6 +184,8 @@
 	Slowdown int
 	// StartsRefused counts the start calls that the upstream refused for lack of capacity.
 	StartsRefused uint64
+	// CancelsForgotten counts the cancelled jobs that were forgotten for lack of memory.
+	CancelsForgotten uint64
 }
 
 // Stats returns the current values for metrics.
@@ -186,6 +193,7 @@
 	return Stats{
 		Runs: len(c.runs), Dispatchers: len(c.holders), Used: c.used, Capacity: c.upstream.estimate.announced, Usable: c.upstream.capacity,
 		Ready: c.Ready(), Revision: c.site.Revision, Crashes: c.lastCrash, Slowdown: c.speed.Slowdown(c.now.Mono), StartsRefused: c.startsRefused,
+		CancelsForgotten: c.cancelsForgotten,
 	}
 }
 
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -119,6 +119,9 @@
 	if m.EchoedTimestamp == 0 || c.now.Mono-m.EchoedTimestamp-m.EchoAge > lease.MaxOfferDelay {
 		return message.RefusedStale
 	}
+	if c.cancelled.Known(c.now.Mono, m.Task.Job) {
+		return message.RefusedCancelled
+	}
 	if reason := c.refusal(); reason != "" {
 		return reason
 	}
--- a/core/message/offer.go
+++ b/core/message/offer.go
@@ -152,6 +152,8 @@
 	RefusedTakenOver RefuseReason = "taken_over"
 	// RefusedProving: an isolated task of another job has just started.
 	RefusedProving RefuseReason = "other_isolated_task"
+	// RefusedCancelled: the task's job was cancelled.
+	RefusedCancelled RefuseReason = "job_cancelled"
 	// LostUpstreamCrashed: the upstream crashed while the run was there.
 	LostUpstreamCrashed RefuseReason = "upstream_crashed"
 )
@@ -193,6 +195,9 @@
 	Watch *InterferenceWatch `json:"ifw,omitempty"`
 	// Evidence, from an agent, is sent every few seconds to dispatchers that request it.
 	Evidence *InterferenceReport `json:"ifr,omitempty"`
+	// Cancelled, from a dispatcher, are jobs that it has cancelled. From an agent, they are
+	// jobs that other dispatchers have cancelled.
+	Cancelled []string `json:"cancel,omitempty"`
 }
 
 // Crash describes an unplanned end of an agent's local upstream.
