dispatch: the answer to a cancelled job is final, and it is not started again

Cause: handleCancel answered it as interrupted, and no dispatcher remembered it.

Change: outcome Withdrawn, at once, 200 with state cancelled on the platform. The dispatcher remembers the ID for 10 s, and makes it known at once through two agents that pass it on to all dispatchers; these answer a resubmission as cancelled, and give up the job if they have it. A relay whose process ends is replaced.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -99,7 +99,7 @@
 	c.sortedAgents = slices.Insert(c.sortedAgents, i, a)
 	c.workersChanged = true
 	c.logEvent("agent_connected", "", "agent", a.ref.String(), "domain", a.domain)
-	c.sendHeartbeat(a)
+	c.sendHeartbeatWith(a, message.Heartbeat{Cancelled: c.recentCancels()})
 }
 
 func compareRefs(a, b node.Ref) int {
@@ -155,6 +155,7 @@
 	a.dead = false
 	c.applySite(hb.Site)
 	c.handleCrashes(a, hb.Crashes)
+	c.learnCancelled(a, hb.Cancelled)
 	c.applyEvidence(a, hb.Evidence)
 	if hb.Capacity != nil {
 		c.applyCapacity(a, hb.Capacity)
--- a/core/dispatch/api.go
+++ b/core/dispatch/api.go
@@ -57,6 +57,9 @@
 	// Interrupted: the job was given up after a task of it may have run. It may be
 	// submitted again.
 	Interrupted Outcome = "interrupted"
+	// Withdrawn: the job was cancelled. Nothing of it is started any more, also if it is
+	// submitted again.
+	Withdrawn Outcome = "cancelled"
 )
 
 // Submit submits a job. Call is unique within the process.
--- a/core/dispatch/completion.go
+++ b/core/dispatch/completion.go
@@ -99,6 +99,10 @@
 	j := t.job
 	c.requeue(t)
 	j.mayHaveRun = j.anyMayHaveRun()
+	if reason == message.RefusedCancelled {
+		c.learnCancelled(a, []string{j.spec.ID})
+		return
+	}
 	if !j.mayHaveRun {
 		c.latestStarts.Add(j.latestStart(c.cfg.UsefulFactor), j.call)
 	}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -102,6 +102,7 @@
 	// that may have caused them.
 	crashes   *containment.Tracker
 	isolation isolationState
+	cancels   cancelState
 	speeds    speedState
 	// interference holds the routes found to slow each other down, or is nil if tasks are not
 	// placed by it. watch is the request for evidence in heartbeats.
@@ -167,6 +168,10 @@
 	// ShareTurns counts the jobs that were placed before jobs of higher priority for the
 	// minimum share of their own. HeldJobs counts those that have waited for narrower ones.
 	ShareTurns, HeldJobs uint64
+	// CancelledResubmissions counts the submissions of jobs that had been cancelled before, and
+	// CancelsForgotten the cancelled jobs that were forgotten or made known to no other
+	// process, for lack of memory or bytes.
+	CancelledResubmissions, CancelsForgotten uint64
 }
 
 // New returns a dispatcher without agents.
@@ -222,6 +227,7 @@
 	c.updateBacklogged()
 	c.updateShares()
 	c.notifyWaiting()
+	c.announceCancelled()
 	c.reportOverload()
 	if c.draining && len(c.jobs) == 0 {
 		c.out = append(c.out, step.Drained{})
--- a/core/dispatch/fuzz_test.go
+++ b/core/dispatch/fuzz_test.go
@@ -20,6 +20,8 @@
 		{RunCompletion: &message.RunCompletion{Seq: 1, Result: message.RunLost, Reason: message.LostUpstreamCrashed}},
 		{RunCompletion: &message.RunCompletion{Seq: 1, Result: message.RunRefused, Reason: message.RefusedStale}},
 		{RunCompletion: &message.RunCompletion{Seq: 1, Result: message.RunDone}},
+		{RunCompletion: &message.RunCompletion{Seq: 1, Result: message.RunRefused, Reason: message.RefusedCancelled}},
+		{Heartbeat: &message.Heartbeat{Timestamp: 1, Cancelled: []string{"", "j", "j"}}},
 		{Offer: &message.Offer{Seq: 1}},
 		{},
 	} {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -100,7 +100,7 @@
 // handleSubmit accepts a job, or refuses it at once if it cannot be served.
 func (c *Core) handleSubmit(e Submit) {
 	j := newJob(c.now.Mono, e)
-	if c.adoptResubmission(j) {
+	if c.withdrawResubmission(j) || c.adoptResubmission(j) {
 		return
 	}
 	if c.resumedAt > 0 && c.now.Mono-c.resumedAt < resumeGrace {
@@ -346,14 +346,6 @@
 	}
 }
 
-func (c *Core) handleCancel(e Cancel) {
-	j, found := c.byID[e.ID]
-	if found {
-		c.giveUp(j, reasonCancelled)
-	}
-	c.out = append(c.out, Cancelled{Call: e.Call, Found: found})
-}
-
 // checkDeadlines gives up the jobs whose callers no longer wait.
 func (c *Core) checkDeadlines() {
 	for call, ok := c.deadlines.Pop(c.now.Mono); ok; call, ok = c.deadlines.Pop(c.now.Mono) {
--- a/core/dispatch/silence.go
+++ b/core/dispatch/silence.go
@@ -101,6 +101,7 @@
 		return
 	}
 	a.dead, a.deadAt = true, c.now.Mono
+	c.replaceRelay(a)
 	c.logEvent("agent_ended", "", "agent", ref.String(), "offers", len(a.openOffers))
 }
 
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -52,7 +52,7 @@
 	"upstreams_crashed":          "upstreams crashed or fell silent under a task of the job, so it was given up with its result unknown; see upstream_crashed and task_condemned lines",
 	"route_confined":             "tasks of the route keep crashing upstreams, so it was confined to a few, which were down or contended; see route_confined and upstream_crashed lines",
 	"caller_gone":                "the caller closed its connection",
-	"cancelled":                  "the caller cancelled the job",
+	"cancelled":                  "the caller cancelled the job; if it is submitted again within 10 s, nothing of it is started",
 	"process_was_paused":         "the dispatcher did not run for so long that its leases were about to lapse",
 	"no_configuration":           "the dispatcher had no configuration yet; see its site_state_taken and store_lost lines",
 	"no_route":                   "no route of the revision in force has the host and a prefix of the path; see site_state_taken",
