--- a/internal/dispatchd/service.go
+++ b/internal/dispatchd/service.go
@@ -204,6 +204,8 @@
 		d.metrics.SetGauge(telemetry.AgentsSlow, float64(s.SlowAgents))
 		d.metrics.SetGauge(telemetry.ShareTurnsTotal, float64(s.ShareTurns))
 		d.metrics.SetGauge(telemetry.JobsHeldTotal, float64(s.HeldJobs))
+		d.metrics.SetGauge(telemetry.CancelledResubmissionsTotal, float64(s.CancelledResubmissions))
+		d.metrics.SetGauge(telemetry.CancelsForgottenTotal, float64(s.CancelsForgotten))
 		d.metrics.SetGauge(telemetry.InterferingPairs, float64(s.InterferingPairs))
 		process.CopyCounters(d.metrics, nil, d.transport.Stats())
 	})
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -55,4 +55,7 @@
 	ShareTurnsTotal  = "dogwoodgauge_share_turns_total"
 	JobsHeldTotal    = "dogwoodgauge_jobs_held_total"
 	InterferingPairs = "dogwoodgauge_interfering_pairs"
+
+	CancelledResubmissionsTotal = "dogwoodgauge_cancelled_resubmissions_total"
+	CancelsForgottenTotal       = "dogwoodgauge_cancels_forgotten_total"
 )
