dispatch: a refused connection does not end an agent's runs

Cause: a dispatcher took a refused connection for the end of an agent's process and its runs for over 610 ms later (UpstreamExpiry). An agent that is alive and cut off keeps them for RunLease after the last echoed timestamp, and only then begins to stop them, so that tasks ran twice.

Change: `dead` and `deadAt` are replaced by a liveness.Incarnation. PeerSuspect, a hint, stops new offers until the agent is heard again. Runs are over RunExpiry after the last heartbeat or offer, or MaxUpstreamExpiry after the proof of the agent's end, or as soon as the next incarnation at the same address is ready: it has polled the upstream with a newer token and found nothing running. An agent that is forgotten is disconnected, so that it is connected anew; one that only refuses connections is forgotten after 10 s, as before.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/pace"
@@ -13,9 +14,9 @@
 )
 
 const (
-	// forgetDead is the time without a heartbeat after which an agent whose process has
-	// ended is removed. forgetUnresponsive is the same for an agent that may come back, as
-	// after a network partition.
+	// forgetDead is the time without a message after which an agent is removed whose process
+	// has ended, or refuses connections. forgetUnresponsive is the same for one that is only
+	// silent. An agent that comes back after that is connected anew.
 	forgetDead         = 10 * time.Second
 	forgetUnresponsive = 10 * time.Minute
 	// minReplyInterval is the shortest pause between two heartbeats in reply to those of an
@@ -71,11 +72,14 @@
 	// relativeSlowdown is the slowdown of its upstream divided by the median of the service,
 	// or zero before the first comparison.
 	relativeSlowdown float64
-	// dead is set at deadAt, when the agent's process was found to have ended.
-	dead bool
+	// life is what is known of the end of its process.
+	life liveness.Incarnation
+	// former is the incarnation that it has replaced, or zero. leftNothing is set when the
+	// next incarnation has found that no run of this one is alive.
+	former      node.Ref
+	leftNothing bool
 	// heartbeatSentAt is when the last heartbeat was sent to the agent.
 	heartbeatSentAt time.Duration
-	deadAt          time.Duration
 	// nextReconnectAt is the earliest time at which the connection may be reopened again.
 	nextReconnectAt time.Duration
 	// suspect is set when its next message is overdue, and doubted when another agent of its
@@ -84,13 +88,17 @@
 }
 
 func (c *Core) handleAgentConnected(e AgentConnected) {
+	if former, ok := c.agents[e.Former]; ok {
+		c.recordEnd(former, liveness.Restarted)
+	}
 	if a, ok := c.agents[e.Agent]; ok {
-		a.dead = false
-		c.sendHeartbeat(a)
+		a.life.Heard()
+		c.placementNeeded = true
+		c.sendHeartbeatWith(a, message.Heartbeat{WantReply: true})
 		return
 	}
 	a := &agent{
-		ref: e.Agent, domain: e.Domain, lastHeartbeatAt: c.now.Mono, lastMessageAt: c.now.Mono, idleInterval: lease.HeartbeatInterval,
+		ref: e.Agent, former: e.Former, domain: e.Domain, lastHeartbeatAt: c.now.Mono, lastMessageAt: c.now.Mono, idleInterval: lease.HeartbeatInterval,
 		isolationRank: rendezvous.Rank(isolationKey, e.Agent.ID),
 		openOffers:    make(map[uint64]*task), revokedAt: make(map[uint64]time.Duration), unreported: make(map[uint64]message.Resources),
 	}
@@ -152,7 +160,6 @@
 	a.lastTimestamp = max(a.lastTimestamp, hb.Timestamp)
 	a.lastHeartbeatAt = c.now.Mono
 	a.idleInterval = pace.StatedInterval(hb.IdleInterval)
-	a.dead = false
 	c.applySite(hb.Site)
 	c.handleCrashes(a, hb.Crashes)
 	c.applyEvidence(a, hb.Evidence)
@@ -201,6 +208,9 @@
 			"used_mcpu", r.Used.MilliCPU, "version", r.Version)
 	}
 	a.lastReport = *r
+	if r.Ready {
+		c.endRunsOfFormer(a)
+	}
 	c.recordSlowdown(a, r.Slowdown)
 	for seq := range a.unreported {
 		if seq <= r.MaxIncludedSeq {
--- a/core/dispatch/api.go
+++ b/core/dispatch/api.go
@@ -85,6 +85,9 @@
 // AgentConnected reports that a connection with an agent has been established.
 type AgentConnected struct {
 	Agent node.Ref
+	// Former is an earlier incarnation of the agent that was connected at the same address and
+	// has ended, or zero.
+	Former node.Ref
 	// Domain is the agent's failure domain.
 	Domain string
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -273,6 +273,8 @@
 		c.handleEnvelope(e.Envelope)
 	case step.PeerReset:
 		c.handlePeerReset(e.Ref)
+	case step.PeerSuspect:
+		c.handlePeerSuspect(e)
 	case step.PeerDead:
 		c.handlePeerDead(e.Ref)
 	case step.Drain:
--- a/core/dispatch/isolation.go
+++ b/core/dispatch/isolation.go
@@ -158,7 +158,7 @@
 
 // mayIsolate reports whether an agent can be among those that run isolated tasks.
 func (c *Core) mayIsolate(a *agent) bool {
-	return !a.dead && !a.suspect && !c.site.IsDomainOut(a.info.Domain)
+	return a.life.MayGetWork() && !a.suspect && !c.site.IsDomainOut(a.info.Domain)
 }
 
 // isolatedUsable returns the number of isolated upstreams of the service that can get work.
--- a/core/dispatch/silence.go
+++ b/core/dispatch/silence.go
@@ -24,7 +24,7 @@
 // expectedUsable reports whether a may get new work now, or as soon as it has answered the
 // heartbeat of doubtDomain.
 func (c *Core) expectedUsable(a *agent) bool {
-	return a.lastReport.Ready && a.lastReport.InfoVersion == a.infoVersion && !a.dead &&
+	return a.lastReport.Ready && a.lastReport.InfoVersion == a.infoVersion && a.life.MayGetWork() &&
 		c.silence(a) <= pace.SuspectAfter(a.interval()) && !c.site.IsDomainOut(a.info.Domain)
 }
 
@@ -51,10 +51,11 @@
 	if a.suspect {
 		c.logEvent("agent_heard_again", "", "agent", a.ref.String(), "silent_ms", (c.now.Mono - a.lastMessageAt).Milliseconds())
 	}
-	if a.suspect || a.doubted || c.reportAge(a) > lease.HeartbeatInterval {
+	if a.suspect || a.doubted || a.life.Suspect() != "" || c.reportAge(a) > lease.HeartbeatInterval {
 		c.placementNeeded = true
 	}
 	a.suspect, a.doubted = false, false
+	a.life.Heard()
 	a.lastMessageAt = c.now.Mono
 }
 
@@ -68,7 +69,7 @@
 	c.domainDoubtedAt[domain] = c.now.Mono
 	asked := 0
 	for _, a := range c.sortedAgents {
-		if a.domain == domain && !a.dead && !a.suspect && !a.active() && c.now.Mono-a.lastMessageAt > lease.HeartbeatInterval {
+		if a.domain == domain && a.life.MayGetWork() && !a.suspect && !a.active() && c.now.Mono-a.lastMessageAt > lease.HeartbeatInterval {
 			a.doubted = true
 			asked++
 			c.sendHeartbeatWith(a, message.Heartbeat{WantReply: true})
@@ -83,7 +84,7 @@
 // repeated offer from the state of the first one.
 func (c *Core) handlePeerReset(ref node.Ref) {
 	a, ok := c.agents[ref]
-	if !ok || a.dead {
+	if !ok || a.ended() {
 		return
 	}
 	c.logEvent("connection_reset", "", "agent", ref.String(), "offers", len(a.openOffers))
@@ -93,17 +94,6 @@
 	}
 }
 
-// handlePeerDead records that the process of an agent has ended. Its runs continue until
-// their lease at the upstream lapses.
-func (c *Core) handlePeerDead(ref node.Ref) {
-	a, ok := c.agents[ref]
-	if !ok || a.dead {
-		return
-	}
-	a.dead, a.deadAt = true, c.now.Mono
-	c.logEvent("agent_ended", "", "agent", ref.String(), "offers", len(a.openOffers))
-}
-
 // checkAgents reconnects or removes agents without heartbeats and requeues their tasks.
 func (c *Core) checkAgents() {
 	if c.now.Mono-c.agentsCheckedAt < minCheckInterval {
@@ -112,6 +102,9 @@
 	c.agentsCheckedAt = c.now.Mono
 	for _, a := range slices.Clone(c.sortedAgents) {
 		unresponsiveFor := c.silence(a)
+		if a.ended() && c.now.Mono > a.runsExpiredAt() {
+			c.requeueLost(a, unresponsiveFor)
+		}
 		if unresponsiveFor <= pace.SuspectAfter(a.interval()) {
 			continue
 		}
@@ -123,29 +116,17 @@
 		if c.now.Mono > a.runsExpiredAt() {
 			c.requeueLost(a, unresponsiveFor)
 		}
-		if reconnectAfter := pace.ReconnectAfter(a.interval()); unresponsiveFor > reconnectAfter && c.now.Mono >= a.nextReconnectAt && !a.dead {
+		if reconnectAfter := pace.ReconnectAfter(a.interval()); unresponsiveFor > reconnectAfter && c.now.Mono >= a.nextReconnectAt && !a.ended() {
 			a.nextReconnectAt = c.now.Mono + reconnectAfter
 			c.out = append(c.out, AgentUnresponsive{Agent: a.ref})
 			c.sendHeartbeat(a)
 		}
-		if a.dead && unresponsiveFor > forgetDead || unresponsiveFor > forgetUnresponsive {
+		if !a.life.MayGetWork() && unresponsiveFor > forgetDead || unresponsiveFor > forgetUnresponsive {
 			c.removeAgent(a)
 		}
 	}
 }
 
-// runsExpiredAt returns the time after which no run of the agent can be alive. Its lease of
-// the runs counts from the last of its timestamps that this process has received, and from
-// the last offer. An agent whose process has ended may have renewed the upstream's lease
-// right before.
-func (a *agent) runsExpiredAt() time.Duration {
-	at := max(a.lastHeartbeatAt, a.lastOfferAt) + lease.RunExpiry
-	if a.dead {
-		at = min(at, a.deadAt+lease.UpstreamExpiry)
-	}
-	return at
-}
-
 // requeueLost requeues the tasks of an agent's open offers when the leases of its runs have
 // lapsed.
 func (c *Core) requeueLost(a *agent, unresponsiveFor time.Duration) {
@@ -167,5 +148,7 @@
 	delete(c.agents, a.ref)
 	c.sortedAgents = slices.DeleteFunc(c.sortedAgents, func(x *agent) bool { return x == a })
 	c.workersChanged = true
+	// An open connection would keep it from being connected anew.
+	c.out = append(c.out, AgentUnresponsive{Agent: a.ref})
 	c.logEvent("agent_forgotten", "", "agent", a.ref.String())
 }
--- a/core/dispatch/speed.go
+++ b/core/dispatch/speed.go
@@ -91,7 +91,7 @@
 	maps.DeleteFunc(s.hosts, func(_ node.ID, h *hostSpeed) bool { return c.now.Mono-h.reportedAt > slowdownLifetime })
 	known := make(map[string][]int)
 	for _, a := range c.sortedAgents {
-		if slowdown := c.slowdown(a); slowdown > 0 && !a.dead {
+		if slowdown := c.slowdown(a); slowdown > 0 && a.life.MayGetWork() {
 			known[a.info.Service] = append(known[a.info.Service], slowdown)
 		}
 	}
@@ -110,7 +110,7 @@
 		slowdown, fleet := c.slowdown(a), c.speeds.fleets[a.info.Service]
 		a.relativeSlowdown = fleet.Relative(slowdown)
 		h := c.speeds.hosts[a.ref.ID]
-		if h == nil || a.dead {
+		if h == nil || !a.life.MayGetWork() {
 			continue
 		}
 		if class := nextClass(h.class, a.relativeSlowdown); class != h.class && logged < maxSpeedLogs {
--- /dev/null
+++ b/core/leasemodel/refused_test.go
@@ -0,0 +1,92 @@
+package leasemodel
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/dispatch"
+	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
+	"github.com/dogwoodgauge/dogwoodgauge/core/lessee"
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
+)
+
+// refuseConnections cuts a live agent off from the dispatchers for d. Its open connections are
+// reset, and new ones are refused.
+func (sim *simulation) refuseConnections(u *upstream, d time.Duration) {
+	a := u.agent
+	sim.logf("%s refuses connections for %v", a.ref, d)
+	for _, p := range sim.liveDispatchers() {
+		sim.cutUntil[[2]node.ID{min(p.ref.ID, a.ref.ID), max(p.ref.ID, a.ref.ID)}] = sim.now + d
+		sim.deliver(p, step.PeerReset{Ref: a.ref})
+		sim.after(sim.randomMS(0.1, 5), func() { sim.deliver(p, step.PeerSuspect{Ref: a.ref, Hint: liveness.Refused}) })
+		sim.after(d, func() { sim.connect(p, a) })
+	}
+}
+
+// TestNoTwoRunsBesideRefusedConnections guards against two runs of a task of which one is at a
+// live agent whose connections were reset and then refused, with other faults beside it. The
+// runs are longer than the leases, and the cuts begin right after a start, when the lease that
+// the agent keeps is the longest.
+func TestNoTwoRunsBesideRefusedConnections(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			sim := newFleetWith(t, seed, 2, 3, upstreamCapacity, 0, dispatch.Config{Domain: "z0"})
+			sim.estimate = accurateEstimate
+			sim.duration = func(lessee.StartRun) time.Duration { return sim.randomMS(700, 1100) }
+			sim.onStart = func(u *upstream, _ lessee.StartRun) {
+				if sim.now < modelTime && sim.rnd.IntN(10) == 0 {
+					sim.after(sim.randomMS(1, 4), func() { sim.refuseConnections(u, sim.randomMS(300, 1500)) })
+				}
+			}
+			sim.runWithFaults(80, int(seed%4))
+		})
+	}
+}
+
+// TestRefusedAgentIsUsedAgain checks that an agent whose connections are refused twice in a row
+// runs tasks again afterwards.
+func TestRefusedAgentIsUsedAgain(t *testing.T) {
+	sim := newFleetWith(t, 1, 1, 1, upstreamCapacity, 0, dispatch.Config{Domain: "z0"})
+	sim.estimate = accurateEstimate
+	sim.runUntil(2 * time.Second)
+	for range 2 {
+		sim.refuseConnections(sim.upstreams[0], 500*time.Millisecond)
+		sim.runUntil(sim.now + time.Second)
+	}
+	before := sim.starts
+	sim.newCaller(0)
+	sim.runUntil(sim.now + 100*time.Millisecond)
+	if sim.starts == before {
+		t.Error("no task was started after the last refusal")
+	}
+}
+
+// TestRestartAfterCrashOfAgent bounds the time until the tasks of a crashed agent start
+// elsewhere: after the leases of its runs, or as soon as its next incarnation is ready.
+func TestRestartAfterCrashOfAgent(t *testing.T) {
+	for _, downtime := range []time.Duration{100 * time.Millisecond, 5 * time.Second} {
+		sim := newFleetWith(t, 1, 1, 2, upstreamCapacity, 0, dispatch.Config{Domain: "z0"})
+		sim.estimate = accurateEstimate
+		sim.duration = func(lessee.StartRun) time.Duration { return 900 * time.Millisecond }
+		sim.runUntil(2 * time.Second)
+		sim.newCaller(0)
+		sim.runUntil(sim.now + 50*time.Millisecond)
+		started, killedAt := sim.starts, sim.now
+		u := sim.upstreams[0]
+		if len(u.running) == 0 {
+			u = sim.upstreams[1]
+		}
+		sim.kill(u.agent, downtime)
+		for sim.starts == started && sim.now < killedAt+3*time.Second {
+			sim.runUntil(sim.now + 5*time.Millisecond)
+		}
+		waited := sim.now - killedAt
+		t.Logf("the agent is down for %v: the first of its tasks starts again after %v", downtime, waited)
+		if limit := lease.RunExpiry + 100*time.Millisecond; waited > limit {
+			t.Errorf("first task started again %v after the crash of its agent, want at most %v", waited, limit)
+		}
+	}
+}
--- a/core/step/step.go
+++ b/core/step/step.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/clock"
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 )
@@ -38,11 +39,17 @@
 // of the protocol and the destination incarnation.
 type Received struct{ Envelope message.Envelope }
 
-// PeerDead reports that the incarnation Ref has ended: its dedicated port refused a
-// connection or is served by another incarnation. A lack of messages is never reported as
-// PeerDead.
+// PeerDead reports that the incarnation Ref has ended: its dedicated port is served by another
+// incarnation. A lack of messages is never reported as PeerDead. Only the roles with a control
+// stream also receive it after a refused connection; see docs/design/liveness.md.
 type PeerDead struct{ Ref node.Ref }
 
+// PeerSuspect reports a hint that the incarnation Ref may have ended. It may be alive.
+type PeerSuspect struct {
+	Ref  node.Ref
+	Hint liveness.Sign
+}
+
 // PeerReset reports that a connection with Ref was lost. Messages that were sent on it may
 // be lost too.
 type PeerReset struct{ Ref node.Ref }
@@ -71,6 +78,9 @@
 // IsEvent implements Event.
 func (PeerDead) IsEvent() {}
 
+// IsEvent implements Event.
+func (PeerSuspect) IsEvent() {}
+
 // IsEvent implements Event.
 func (PeerReset) IsEvent() {}
 
