--- a/core/dispatch/cancel.go
+++ b/core/dispatch/cancel.go
@@ -108,7 +108,7 @@
 	return ids
 }
 
-// replaceRelay announces again what a relay was told whose process has ended.
+// replaceRelay announces again what a relay was told whose process has ended, or may have.
 func (c *Core) replaceRelay(a *agent) {
 	s := &c.cancels
 	s.recent = slices.DeleteFunc(s.recent, func(x ownCancel) bool {
@@ -165,7 +165,7 @@
 		var bestRank uint64
 		bestApart := false
 		for _, a := range c.sortedAgents {
-			if a.dead || a.lastTimestamp == 0 || c.silence(a) > pace.SuspectAfter(a.interval()) {
+			if !a.life.MayGetWork() || a.lastTimestamp == 0 || c.silence(a) > pace.SuspectAfter(a.interval()) {
 				continue
 			}
 			apart, taken := true, false
