transport, dispatchd: an agent that may live is dialled again

Cause: a refused connection marked a link as dead for good. When the same incarnation was reached again and that connection was lost, the link dropped everything, reported nothing a second time, and keepConnected waited for ever. It did not listen to a changed record there, nobody opened the connection of an agent that the core had forgotten, and a machine that came at the address of one that vanished without a refusal was never connected.

Change: the link keeps a liveness.Incarnation. A refused connection, or another process at the address, is reported as a hint, once until the peer is reached again, and the peer is dialled once a second while messages wait. Only another incarnation with its ID at its address is reported as its end. keepConnected connects again after a hint, a proof, a changed record, or when a check every 3 s finds no connection. It names the incarnation that answered at the address before, which is the dispatcher's proof of its end.

The roles with a control stream stay as they are: process.Handler passes a refused connection on as PeerDead.

--- a/internal/capacity/peers_test.go
+++ b/internal/capacity/peers_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/transport"
@@ -60,6 +61,8 @@
 func (discardHandler) PeerReset(node.Ref)       {}
 func (discardHandler) PeerDead(node.Ref)        {}
 
+func (discardHandler) PeerSuspect(node.Ref, liveness.Sign) {}
+
 // listen opens a transport that is closed at the end of the benchmark, and returns
 // it with its address as a peer.
 func listen(b *testing.B, id string) (*transport.Transport, transport.Peer) {
--- a/internal/dispatchd/agents.go
+++ b/internal/dispatchd/agents.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/dispatch"
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/lifecycle"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/process"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/sitestore"
@@ -30,6 +32,8 @@
 	// domains. After a start, a process on a slow host first connects to the agents that it
 	// prefers.
 	otherDomainDelay = 100 * time.Millisecond
+	// defaultCheckInterval is the pause between two checks whether a connection is still open.
+	defaultCheckInterval = 3 * time.Second
 )
 
 // agentConnector keeps a connection to every known agent.
@@ -39,6 +43,8 @@
 	transport *transport.Transport
 	loop      *process.Loop
 	logs      *telemetry.Logger
+	// checkInterval is the pause between two checks whether a connection is still open.
+	checkInterval time.Duration
 
 	// addressesRead is set once the agents' addresses have been read from the store.
 	addressesRead atomic.Bool
@@ -57,13 +63,13 @@
 	cancel context.CancelFunc
 	// ref is the incarnation that answered last, or zero if none has answered yet.
 	ref node.Ref
-	// peerDied receives a value when the incarnation in ref has ended, and restarted when
-	// the agent's record names another incarnation than before.
-	peerDied, restarted chan struct{}
+	// lost receives a value when the incarnation in ref has ended or may have, and restarted
+	// when the agent's record names another incarnation than before.
+	lost, restarted chan struct{}
 }
 
 func newAgentConnection(agent sitestore.Agent) *agentConnection {
-	return &agentConnection{agent: agent, peerDied: make(chan struct{}, 1), restarted: make(chan struct{}, 1)}
+	return &agentConnection{agent: agent, lost: make(chan struct{}, 1), restarted: make(chan struct{}, 1)}
 }
 
 // setRecord replaces the agent's record.
@@ -93,7 +99,10 @@
 }
 
 func newAgentConnector(domain string, t *transport.Transport, l *process.Loop, logs *telemetry.Logger) *agentConnector {
-	return &agentConnector{domain: domain, transport: t, loop: l, logs: logs, known: make(map[netip.AddrPort]*agentConnection)}
+	return &agentConnector{
+		domain: domain, transport: t, loop: l, logs: logs, checkInterval: defaultCheckInterval,
+		known: make(map[netip.AddrPort]*agentConnection),
+	}
 }
 
 // Run opens and reopens connections until ctx ends.
@@ -144,8 +153,8 @@
 	}
 }
 
-// keepConnected connects to the agent, and connects again each time the agent's
-// incarnation has ended.
+// keepConnected connects to the agent, and connects again each time its incarnation has ended
+// or may have, its record has changed, or the connection was lost and nobody has reopened it.
 func (a *agentConnector) keepConnected(ctx context.Context, c *agentConnection) {
 	if d := c.agent.Domain; d != "" && d != a.domain {
 		lifecycle.Wait(otherDomainDelay, ctx.Done())
@@ -162,16 +171,56 @@
 			continue
 		}
 		delay = minConnectDelay
-		a.addPeer(c, ref)
-		a.loop.Post(dispatch.AgentConnected{Agent: ref, Domain: c.agent.Domain})
+		a.handleConnected(c, ref)
+		a.waitUntilLost(ctx, c, ref)
+		connectedAt = time.Now()
+	}
+}
+
+// handleConnected passes the incarnation that has answered at the address of c to the
+// transport and to the core.
+func (a *agentConnector) handleConnected(c *agentConnection, ref node.Ref) {
+	former := a.addPeer(c, ref)
+	connected := dispatch.AgentConnected{Agent: ref, Domain: c.agent.Domain}
+	switch {
+	case former.IsZero() || former == ref:
+	case former.ID == ref.ID:
+		connected.Former = former
+	default:
+		a.loop.Post(step.PeerSuspect{Ref: former, Hint: liveness.Displaced})
+	}
+	a.loop.Post(connected)
+}
+
+// waitUntilLost waits until there is a reason to connect to the address of c again, where ref
+// has answered.
+func (a *agentConnector) waitUntilLost(ctx context.Context, c *agentConnection, ref node.Ref) {
+	check := time.NewTicker(a.checkInterval)
+	defer check.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-		case <-c.peerDied:
+			return
+		case <-c.lost:
+			return
+		case <-c.restarted:
+			if a.recordedIncarnation(c) != ref.Incarnation {
+				return
+			}
+		case <-check.C:
+			if !a.transport.Connected(ref) {
+				return
+			}
 		}
-		connectedAt = time.Now()
 	}
 }
 
+func (a *agentConnector) recordedIncarnation(c *agentConnection) node.Incarnation {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return c.agent.Incarnation
+}
+
 // waitToRetry waits for the delay and returns true, or returns false as soon as the agent has
 // restarted.
 func (c *agentConnection) waitToRetry(ctx context.Context, delay time.Duration) bool {
@@ -186,12 +235,13 @@
 	return true
 }
 
-// addPeer stores the incarnation that answered at the address of c. It then passes all
-// known incarnations to the transport, which reopens broken connections to them.
-func (a *agentConnector) addPeer(c *agentConnection, ref node.Ref) {
+// addPeer stores the incarnation that answered at the address of c, and returns the one that
+// answered before. It passes all known incarnations to the transport, which reopens broken
+// connections to them.
+func (a *agentConnector) addPeer(c *agentConnection, ref node.Ref) (former node.Ref) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	c.ref = ref
+	former, c.ref = c.ref, ref
 	var peers []transport.Peer
 	for _, o := range a.known {
 		if !o.ref.IsZero() {
@@ -199,16 +249,16 @@
 		}
 	}
 	a.transport.SetPeers(peers)
+	return former
 }
 
-// peerDead makes keepConnected connect again after the incarnation ref has ended, because
-// a new incarnation may answer at the same address.
-func (a *agentConnector) peerDead(ref node.Ref) {
+// peerLost makes keepConnected connect again after the incarnation ref has ended or may have.
+func (a *agentConnector) peerLost(ref node.Ref) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, c := range a.known {
 		if c.ref == ref {
-			notify(c.peerDied)
+			notify(c.lost)
 		}
 	}
 }
--- a/internal/dispatchd/daemon.go
+++ b/internal/dispatchd/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/dispatch"
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/core/site"
@@ -157,9 +158,9 @@
 	return err
 }
 
-// handler passes received messages, and reports of lost connections and ended
-// incarnations, to the core. It also reports ended incarnations to the agentConnector,
-// which connects to the next incarnation at the same address.
+// handler passes received messages, and reports of lost connections and of hints and proofs
+// that incarnations have ended, to the core. It also passes hints and proofs to the
+// agentConnector, which connects to the addresses again.
 type handler struct{ d *Daemon }
 
 // Deliver implements transport.Handler.
@@ -168,10 +169,16 @@
 // PeerReset implements transport.Handler.
 func (h handler) PeerReset(ref node.Ref) { h.d.loop.Post(step.PeerReset{Ref: ref}) }
 
+// PeerSuspect implements transport.Handler.
+func (h handler) PeerSuspect(ref node.Ref, hint liveness.Sign) {
+	h.d.loop.Post(step.PeerSuspect{Ref: ref, Hint: hint})
+	h.d.agents.peerLost(ref)
+}
+
 // PeerDead implements transport.Handler.
 func (h handler) PeerDead(ref node.Ref) {
 	h.d.loop.Post(step.PeerDead{Ref: ref})
-	h.d.agents.peerDead(ref)
+	h.d.agents.peerLost(ref)
 }
 
 // Apply applies the settings that can change while the process runs: its memory limit and
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/core/step"
@@ -81,6 +82,14 @@
 // PeerReset implements transport.Handler.
 func (h Handler) PeerReset(ref node.Ref) { h.Loop.Post(step.PeerReset{Ref: ref}) }
 
+// PeerSuspect implements transport.Handler. The roles with a control stream take a refused
+// connection for the end of the process; see docs/design/liveness.md.
+func (h Handler) PeerSuspect(ref node.Ref, hint liveness.Sign) {
+	if hint == liveness.Refused {
+		h.Loop.Post(step.PeerDead{Ref: ref})
+	}
+}
+
 // PeerDead implements transport.Handler.
 func (h Handler) PeerDead(ref node.Ref) { h.Loop.Post(step.PeerDead{Ref: ref}) }
 
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
@@ -54,25 +55,35 @@
 	l.recordDial(err == nil && c.peer == l.ref)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		l.declareDead("its port refused a connection")
+		l.suspect(liveness.Refused)
 	case err != nil:
 		klog.V(2).Infof("transport: connection to %s at %s failed: %v", l.ref, addr, err)
 	case c.peer == l.ref:
 	case c.peer.ID == l.ref.ID:
-		l.declareDead("its port is served by another incarnation")
+		l.declareEnded()
 	default:
 		klog.Warningf("transport: %s answered at the configured address of %s", c.peer, l.ref)
 		c.close()
+		l.suspect(liveness.Displaced)
 	}
 }
 
-// declareDead reports the first proof that the incarnation has ended.
-func (l *link) declareDead(why string) {
-	if !l.markDead() {
-		return
+// suspect reports the first hint, since the incarnation was last reached, that it may have
+// ended.
+func (l *link) suspect(hint liveness.Sign) {
+	if l.observe(hint) {
+		klog.Infof("transport: %s may have ended: %s", l.ref, hint)
+		l.t.cfg.Handler.PeerSuspect(l.ref, hint)
+	}
+}
+
+// declareEnded reports the first proof that the incarnation has ended: another one serves its
+// port.
+func (l *link) declareEnded() {
+	if l.observe(liveness.Restarted) {
+		klog.Infof("transport: %s has ended: its port is served by another incarnation", l.ref)
+		l.t.cfg.Handler.PeerDead(l.ref)
 	}
-	klog.Infof("transport: %s has ended: %s", l.ref, why)
-	l.t.cfg.Handler.PeerDead(l.ref)
 }
 
 // setSocketOptions sets the keep-alive and timeout of a TCP connection. On an
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 )
@@ -21,6 +22,9 @@
 	// minBackoff and maxBackoff bound the delay between connection attempts.
 	minBackoff = 10 * time.Millisecond
 	maxBackoff = 250 * time.Millisecond
+	// suspectDialPause is the delay after a hint that the peer has ended. Its owner may open a
+	// connection sooner.
+	suspectDialPause = time.Second
 	// maxConnsPerLink bounds the connections to one incarnation; both sides may
 	// dial.
 	maxConnsPerLink = 2
@@ -51,10 +55,11 @@
 	queueBytes    int
 	conns         []*conn
 	addr          string
-	dead          bool
-	removed       bool
-	backoff       time.Duration
-	nextDial      time.Time
+	// life is what is known of the end of the incarnation.
+	life     liveness.Incarnation
+	removed  bool
+	backoff  time.Duration
+	nextDial time.Time
 }
 
 func newLink(t *Transport, ref node.Ref) *link {
@@ -175,7 +180,7 @@
 		return action{wait: l.queue[0].sendAt.Sub(now)}
 	case len(l.conns) > 0:
 		return action{conn: l.conns[len(l.conns)-1], batch: l.nextBatch(now)}
-	case l.addr == "" || l.dead:
+	case l.addr == "" || l.ended():
 		l.dropAll()
 		return action{wait: waitForever}
 	case l.nextDial.After(now):
@@ -298,14 +303,24 @@
 	l.nextDial = time.Now().Add(jittered)
 }
 
-// markDead records a proof that the incarnation has ended, and reports whether it
-// is the first.
-func (l *link) markDead() bool {
+// ended reports whether it is proven that the incarnation has ended. The caller holds l.mu.
+func (l *link) ended() bool {
+	proof, _ := l.life.Ended()
+	return proof != ""
+}
+
+// observe records a sign that the incarnation may have ended, and reports whether it is new:
+// the first proof, or the first hint since the incarnation was last reached.
+func (l *link) observe(s liveness.Sign) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	first := !l.dead
-	l.dead = true
-	return first
+	if l.ended() || !s.Proves() && len(l.conns) > 0 {
+		return false
+	}
+	l.nextDial = time.Now().Add(suspectDialPause)
+	isNew := s.Proves() || l.life.Suspect() == ""
+	l.life.Observe(time.Since(l.t.startedAt), s)
+	return isNew
 }
 
 // attach adds an open connection. When this exceeds the limit, the sending
@@ -315,6 +330,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns = append(l.conns, c)
+	l.life.Heard()
+	l.backoff, l.nextDial = 0, time.Time{}
 	if _, ok := l.conns[0].idleDeadline(); len(l.conns) > maxConnsPerLink && !ok {
 		excess = l.conns[0]
 	}
--- a/internal/transport/stream_test.go
+++ b/internal/transport/stream_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/sourcegraph/jsonrpc2"
@@ -172,6 +173,8 @@
 func (c *counter) PeerReset(node.Ref) {}
 func (c *counter) PeerDead(node.Ref)  {}
 
+func (c *counter) PeerSuspect(node.Ref, liveness.Sign) {}
+
 // BenchmarkSend sends messages from one transport to another.
 func BenchmarkSend(b *testing.B) {
 	b.ReportAllocs()
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -14,11 +14,12 @@
 // progress are sent in one envelope. Messages may be lost, but they are never
 // delivered to another incarnation than the addressed one.
 //
-// Two events at a configured address prove that the addressed incarnation has
-// ended: a refused connection, and a hello with the same ID and another
-// incarnation. A process must therefore listen before it publishes its address,
-// and must not close its transport while it can still start a task. Missing
-// replies, resets and timeouts prove nothing.
+// A hello at a configured address with the same ID and another incarnation proves
+// that the addressed incarnation has ended. A process must therefore listen before
+// it publishes its address, and must not close its transport while it can still
+// start a task. A refused connection, and a hello of another process, are reported
+// as hints, and the address is dialled again while messages wait. Missing replies,
+// resets and timeouts are not reported. See docs/design/liveness.md.
 package transport
 
 import (
@@ -27,6 +28,7 @@
 	"sync"
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/go-faster/errors"
@@ -61,6 +63,9 @@
 	// PeerReset reports that the last connection with ref was lost, so that
 	// messages sent on it may be lost too.
 	PeerReset(ref node.Ref)
+	// PeerSuspect reports the first hint, since ref was last reached, that ref may have
+	// ended: liveness.Refused or liveness.Displaced.
+	PeerSuspect(ref node.Ref, hint liveness.Sign)
 	// PeerDead reports that the incarnation ref has certainly ended.
 	PeerDead(ref node.Ref)
 }
@@ -107,6 +112,8 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	counters counters
+	// startedAt is the origin of the times of signs.
+	startedAt time.Time
 
 	mu     sync.Mutex
 	closed bool
@@ -132,6 +139,8 @@
 		listener: listener,
 		links:    make(map[node.Ref]*link),
 		conns:    make(map[*conn]struct{}),
+
+		startedAt: time.Now(),
 	}
 	t.counters.sent, t.counters.received = newKindCounters(), newKindCounters()
 	t.ctx, t.cancel = context.WithCancel(context.Background())
@@ -226,6 +235,14 @@
 	return c.peer, nil
 }
 
+// Connected reports whether a connection with an incarnation is open.
+func (t *Transport) Connected(to node.Ref) bool {
+	t.mu.Lock()
+	l, ok := t.links[to]
+	t.mu.Unlock()
+	return ok && len(l.openConns()) > 0
+}
+
 // Reset closes the connections with an incarnation that has become unresponsive
 // although its connections show no error. The next message opens a new one.
 func (t *Transport) Reset(to node.Ref) {
