--- a/core/leasemodel/refused_test.go
+++ b/core/leasemodel/refused_test.go
@@ -13,6 +13,25 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 )
 
+// connect connects a dispatcher to an agent, once no cut separates their hosts.
+func (sim *simulation) connect(d, a *process) {
+	sim.after(sim.randomMS(2, 10), func() {
+		if d.dead || a.dead {
+			return
+		}
+		if sim.isCut(d.ref.ID, a.ref.ID) {
+			sim.connect(d, a)
+			return
+		}
+		connected := dispatch.AgentConnected{Agent: a.ref, Domain: "z"}
+		if former := d.connected[a.ref.ID]; former != a.ref {
+			connected.Former = former
+		}
+		d.connected[a.ref.ID] = a.ref
+		sim.deliver(d, connected)
+	})
+}
+
 // refuseConnections cuts a live agent off from the dispatchers for d. Its open connections are
 // reset, and new ones are refused.
 func (sim *simulation) refuseConnections(u *upstream, d time.Duration) {
--- a/core/leasemodel/simulation_test.go
+++ b/core/leasemodel/simulation_test.go
@@ -245,25 +245,6 @@
 	return list
 }
 
-// connect connects a dispatcher to an agent, once no cut separates their hosts.
-func (sim *simulation) connect(d, a *process) {
-	sim.after(sim.randomMS(2, 10), func() {
-		if d.dead || a.dead {
-			return
-		}
-		if sim.isCut(d.ref.ID, a.ref.ID) {
-			sim.connect(d, a)
-			return
-		}
-		connected := dispatch.AgentConnected{Agent: a.ref, Domain: "z"}
-		if former := d.connected[a.ref.ID]; former != a.ref {
-			connected.Former = former
-		}
-		d.connected[a.ref.ID] = a.ref
-		sim.deliver(d, connected)
-	})
-}
-
 func (sim *simulation) randomMS(from, to float64) time.Duration {
 	return time.Duration((from + sim.rnd.Float64()*(to-from)) * float64(time.Millisecond))
 }
