lessee: unanswered starts outlive a refused connection

Cause: a refused connection ended the upstream and reported all its runs as lost. Its next incarnation could then execute a start call that had got no answer, until its own announcement came, while the task ran elsewhere. A cut that refuses connections did the same to live runs.

Change: after a refused connection no run starts, the token is raised, and polls go on every 40 ms at most, until 6 s after the last announcement or answer. Runs with an unanswered start call are kept until a poll with the newest token lists none, or for those 6 s. A start that was itself refused is given back as not run, and no crash is blamed on it. Crashes keep the sign of what was seen first, with ages as of that time.

--- a/core/leasemodel/falsesign_test.go
+++ b/core/leasemodel/falsesign_test.go
@@ -31,3 +31,32 @@
 		})
 	}
 }
+
+// refuseConnections lets the port of an upstream refuse connections from a time on, for d,
+// while its runs go on.
+func (sim *simulation) refuseConnections(u *upstream, from, d time.Duration) {
+	sim.after(from, func() {
+		sim.logf("u%d refuses connections for %v", u.index, d)
+		u.refusesUntil = max(u.refusesUntil, sim.now+d)
+	})
+}
+
+// TestNoTwoRunsBesideRefusedConnections guards against two runs of a task after a cut has
+// refused connections to an upstream that lives, with other faults beside it.
+func TestNoTwoRunsBesideRefusedConnections(t *testing.T) { testRefusedConnections(t, true) }
+
+// TestNoTwoRunsBesideRefusedConnectionsByDefault is the same with agents that do not wait for
+// the end of the lease.
+func TestNoTwoRunsBesideRefusedConnectionsByDefault(t *testing.T) { testRefusedConnections(t, false) }
+
+func testRefusedConnections(t *testing.T, awaitLease bool) {
+	for seed := range uint64(24) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			sim := newFleetWith(t, seed, 2, 3, upstreamCapacity, 0, dispatch.Config{Domain: "z0"}, func(sim *simulation) { sim.awaitLease = awaitLease })
+			for range 1 + sim.rnd.IntN(8) {
+				sim.refuseConnections(sim.upstreams[sim.rnd.IntN(3)], time.Second+sim.randomMS(0, float64(modelTime/time.Millisecond)), sim.randomMS(50, 300))
+			}
+			sim.runWithFaults(50, int(seed%5))
+		})
+	}
+}
--- a/core/leasemodel/late_start_test.go
+++ b/core/leasemodel/late_start_test.go
@@ -38,3 +38,41 @@
 	}
 	t.Error("the task did not move to the other agent")
 }
+
+// TestLateStartBesideLiveAgent guards against two runs of a task whose first start call got no
+// answer and is executed by the next incarnation of the upstream right after its start, while
+// the agent is alive.
+func TestLateStartBesideLiveAgent(t *testing.T) {
+	for seed := range uint64(8) {
+		sim := newFleet(t, seed, 1, 2, upstreamCapacity, 0)
+		var started *lessee.StartRun
+		sim.duration = func(a lessee.StartRun) time.Duration {
+			if started == nil {
+				started = &a
+			}
+			return 900 * time.Millisecond
+		}
+		sim.estimate = accurateEstimate
+		sim.runUntil(2 * time.Second)
+		sim.lateCallShare = 1
+		sim.newCaller(0)
+		sim.runUntil(sim.now + 100*time.Millisecond)
+		sim.lateCallShare = 0
+		sim.runUntil(sim.now + 200*time.Millisecond)
+		u := sim.upstreams[0]
+		if _, ok := u.running[started.Name]; !ok {
+			u = sim.upstreams[1]
+		}
+		const downtime = 300 * time.Millisecond
+		u.crashFor(downtime)
+		late := *started
+		sim.after(downtime, func() { u.startRun(late) })
+		sim.runUntil(sim.now + 5*time.Second)
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+		if sim.callers[0].outcome == "" {
+			t.Errorf("seed %d: no final answer", seed)
+		}
+	}
+}
--- a/core/lessee/api.go
+++ b/core/lessee/api.go
@@ -69,7 +69,7 @@
 	CallWrongIncarnation
 	// CallRejected: refused for any other reason; nothing was done.
 	CallRejected
-	// CallNoListener: the upstream's port refused the connection, so the upstream has ended.
+	// CallNoListener: the upstream's port refused the connection; nothing was done.
 	CallNoListener
 )
 
--- a/core/lessee/crash.go
+++ b/core/lessee/crash.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/containment"
 )
@@ -30,7 +29,7 @@
 // its runs. It does nothing if the upstream had no runs or was about to leave. The ages of
 // the runs count up to aliveAt, when the upstream was last known to run.
 func (c *Core) recordCrash(sign message.CrashSign, aliveAt time.Duration) message.RefuseReason {
-	leaving := c.upstream.draining || c.upstream.life.Suspect() == liveness.Withdrawn
+	leaving := c.upstream.draining || c.upstream.withdrawn
 	if len(c.runs) == 0 || leaving || c.upstream.phase != open {
 		return ""
 	}
--- a/core/lessee/incarnation.go
+++ b/core/lessee/incarnation.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 )
 
@@ -43,13 +44,18 @@
 	}
 	c.capacityChanged()
 	c.logEvent("upstream_changed", "", "upstream", c.upstream.id, "born", c.upstream.incarnation, "why", why, "runs", len(c.runs))
-	c.recordCrash(message.SignRestarted, c.now.Mono)
+	if c.upstream.refuses() {
+		c.recordCrash(message.SignRefused, c.upstream.aliveAt)
+	} else {
+		c.recordCrash(message.SignRestarted, c.now.Mono)
+	}
+	c.upstream.life.Observe(c.now.Mono, liveness.Restarted)
 	for _, h := range c.holderOrder {
 		for _, r := range h.unfinishedRuns() {
 			r.state, r.orphaned = stopping, true
 		}
 	}
-	c.orphansUntil = c.upstream.lastExtensionSentAt + lease.MaxUpstreamExpiry
+	c.orphansUntil = max(c.orphansUntil, c.upstream.lastExtensionSentAt+lease.MaxUpstreamExpiry)
 }
 
 // completeOrphans reports the orphaned runs as lost.
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -26,6 +26,9 @@
 	LearnCapacity bool
 	// RefuseFailing refuses offers while polls of the upstream fail.
 	RefuseFailing bool
+	// AwaitLease makes runs count as lost only when their lease has run out after the upstream's
+	// port has refused a connection. Otherwise a refused connection ends them at once.
+	AwaitLease bool
 }
 
 const (
@@ -36,9 +39,8 @@
 	// longPollWait is how long a long poll waits for a completion. A long poll whose answer
 	// is lost times out soon after that; until then only renewals show completions.
 	longPollWait = lease.RenewalInterval
-	// probeInterval is the pause between two polls for leftover runs of an earlier
-	// incarnation of the agent.
-	probeInterval = 60 * time.Millisecond
+	// probeInterval is the pause between two polls in phase probing.
+	probeInterval = maxPollPause
 	// announcementTTL is how long an announcement is valid. Upstreams announce themselves
 	// every 1.5 s.
 	announcementTTL = 6 * time.Second
@@ -258,7 +260,7 @@
 	if c.upstream.phase == open && !c.upstream.longPollInFlight && c.upstream.polls.Failures() > 0 {
 		at = min(at, c.upstream.polls.DueAt())
 	}
-	if len(c.runs) > 0 && c.upstream.phase == open && c.upstreamSuspected() {
+	if len(c.runs) > 0 && c.upstream.phase == open && (c.upstreamSilent() || c.upstream.refuses()) {
 		at = min(at, c.upstream.lastExtensionSentAt+lease.UpstreamExpiry)
 	}
 	for _, h := range c.holderOrder {
--- a/core/lessee/poll.go
+++ b/core/lessee/poll.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/retry"
 )
@@ -81,7 +82,7 @@
 func (c *Core) poll(renewal bool) {
 	u := &c.upstream
 	a := Poll{Upstream: u.id, Renewal: renewal, Token: c.token, AcknowledgedUpTo: u.processedUpTo}
-	if u.phase == open && !c.upstreamSuspected() {
+	if u.phase == open && !c.upstreamSilent() && !u.refuses() {
 		a.LeaseUntil = c.extendLease()
 	}
 	if renewal {
@@ -108,6 +109,7 @@
 	case CallOK:
 	case CallNoListener:
 		if e.SentAt >= u.discoveredAt {
+			u.takeBackExtension(e.SentAt)
 			c.handleRefusedConnection()
 		}
 		return
@@ -151,6 +153,10 @@
 	if len(e.Running) == 0 {
 		c.completeOrphans()
 		c.upstream.phase = open
+		if proof, _ := c.upstream.life.Ended(); proof == liveness.Expired {
+			// The runs of before have ended, but the upstream has not.
+			c.upstream.life, c.upstream.withdrawn = liveness.Incarnation{}, false
+		}
 		c.upstream.polls.Succeeded()
 		c.capacityChanged()
 		c.logEvent("upstream_open", "", "upstream", c.upstream.id, "born", c.upstream.incarnation)
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -122,7 +122,7 @@
 	if reason := c.refusal(); reason != "" {
 		return reason
 	}
-	if len(c.runs) > 0 && c.upstreamSuspected() {
+	if len(c.runs) > 0 && c.upstreamSilent() {
 		return message.RefusedNotReady
 	}
 	if m.Service != c.upstream.service {
@@ -245,7 +245,7 @@
 // refusal completes the run, unless an earlier call got no answer and may still be executed.
 func (c *Core) handleOrphanStartCompleted(r *run, result CallResult) {
 	switch result {
-	case CallUnknown, CallNoListener:
+	case CallUnknown:
 		r.startUnanswered = true
 	case CallOK:
 		c.callStop(r)
@@ -259,13 +259,15 @@
 // handleStartFailureWhileStopping completes a run that is being stopped, if the result of the
 // start call proves that the upstream has not started it.
 func (c *Core) handleStartFailureWhileStopping(r *run, result CallResult) {
-	if result == CallUnknown {
+	switch {
+	case result == CallUnknown:
 		r.startUnanswered = true
+	case !r.startUnanswered:
+		c.completeRun(r, message.RunStopped, "", 0)
 	}
-	if r.startUnanswered || result == CallNoListener {
-		return
+	if result == CallNoListener {
+		c.handleRefusedConnection()
 	}
-	c.completeRun(r, message.RunStopped, "", 0)
 }
 
 func (c *Core) handleStartFailure(r *run, result CallResult) {
@@ -288,6 +290,7 @@
 	case CallUnhealthy:
 		c.giveUpStart(r, message.RefusedUnhealthy)
 	case CallNoListener:
+		c.giveUpStart(r, message.RefusedNotReady)
 		c.handleRefusedConnection()
 	default:
 		c.giveUpStart(r, message.RefusedNotReady)
@@ -311,7 +314,7 @@
 func (c *Core) retryUnansweredStart(r *run) {
 	r.startUnanswered = true
 	c.logEvent("start_unanswered", r.name.Job, "task", r.name.String(), "run", r.number, "tries", r.startCalls)
-	if r.startCalls < maxStartCallsUnanswered {
+	if r.startCalls < maxStartCallsUnanswered && !c.upstream.refuses() {
 		c.callStart(r)
 		return
 	}
--- a/core/lessee/suspect.go
+++ b/core/lessee/suspect.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 )
 
 // withdrawalSettle is how long after its withdrawal an upstream may still answer polls: it
@@ -39,6 +41,7 @@
 	}
 	c.logEvent("upstream_alive", "", "upstream", u.id, "born", u.incarnation, "sign", u.life.Suspect())
 	u.life.Heard()
+	u.withdrawn = false
 	c.capacityChanged()
 	c.reportReadiness()
 }
@@ -51,3 +54,78 @@
 	}
 	return max(u.polls.DueAt(), u.lastRenewalSentAt+maxPollPause)
 }
+
+// refuses reports whether the upstream's port has refused a connection and no poll was
+// answered since then. The lessee then does not extend the lease.
+func (u *upstreamState) refuses() bool { return u.life.Suspect() == liveness.Refused }
+
+// handleRefusedConnection handles a connection that the upstream's port has refused.
+func (c *Core) handleRefusedConnection() {
+	u := &c.upstream
+	if u.phase != open || u.refuses() {
+		return
+	}
+	u.aliveAt = c.now.Mono
+	if c.upstreamSilent() {
+		u.aliveAt = u.lastAnsweredSentAt
+	}
+	// The first poll of the next incarnation makes it refuse the calls of before.
+	c.token++
+	c.suspectUpstream(liveness.Refused)
+}
+
+// takeBackExtension records that the poll that was sent at sentAt was not received, so that it
+// has not extended the lease.
+func (u *upstreamState) takeBackExtension(sentAt time.Duration) {
+	if sentAt == u.lastExtensionSentAt {
+		u.lastExtensionSentAt = u.previousExtensionSentAt
+	}
+}
+
+// runsExpired reports whether no run of the upstream counts as alive: the lessee no longer
+// extends the lease, and it has run out, or the port refuses connections and
+// Config.AwaitLease is not set.
+func (c *Core) runsExpired() bool {
+	u := &c.upstream
+	if u.refuses() && (len(c.runs) == 0 || !c.cfg.AwaitLease) {
+		return true
+	}
+	return len(c.runs) > 0 && (u.refuses() || c.upstreamSilent()) && c.now.Mono-u.lastExtensionSentAt > lease.UpstreamExpiry
+}
+
+// handleExpiredRuns reports the runs as lost; see runsExpired. If the upstream has ended, its next incarnation may execute a start call that got no answer: such runs are
+// kept until a poll with the newest token shows that it does not.
+func (c *Core) handleExpiredRuns() {
+	u := &c.upstream
+	refuses := u.refuses()
+	c.logEvent("upstream_lease_expired", "", "upstream", u.id, "born", u.incarnation, "sign", u.life.Suspect(), "runs", len(c.runs),
+		"held_ms_ago", (c.now.Mono - u.lastAnsweredSentAt).Milliseconds())
+	var reason message.RefuseReason
+	switch {
+	case refuses:
+		reason = c.recordCrash(message.SignRefused, u.aliveAt)
+	case c.resumedAt <= u.lastAnsweredSentAt:
+		reason = c.recordCrash(message.SignSilent, u.lastAnsweredSentAt)
+	}
+	u.life.Observe(c.now.Mono, liveness.Expired)
+	u.phase = probing
+	u.nextProbeAt = c.now.Mono
+	u.longPollInFlight, u.renewalInFlight = false, false
+	c.capacityChanged()
+	if refuses {
+		c.orphanUnansweredStarts()
+	}
+	c.reportLost(reason)
+}
+
+// orphanUnansweredStarts marks the runs with a start call that got no answer as orphaned.
+func (c *Core) orphanUnansweredStarts() {
+	for _, h := range c.holderOrder {
+		for _, r := range h.unfinishedRuns() {
+			if r.startUnanswered || r.state == starting {
+				r.state, r.orphaned = stopping, true
+				c.orphansUntil = c.now.Mono + announcementTTL
+			}
+		}
+	}
+}
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -59,10 +59,16 @@
 	// hint was seen.
 	life        liveness.Incarnation
 	suspectedAt time.Duration
+	// withdrawn is set while no poll has refuted a withdrawal, and aliveAt is when the upstream
+	// was last known to run before its port refused a connection.
+	withdrawn bool
+	aliveAt   time.Duration
 	// lastRenewalSentAt is when the last renewal was sent, lastAnsweredSentAt when the
 	// latest answered poll was sent, and lastExtensionSentAt when the last call was sent
 	// that may have extended the lease, whether answered or not.
 	lastRenewalSentAt, lastAnsweredSentAt, lastExtensionSentAt time.Duration
+	// previousExtensionSentAt is the lastExtensionSentAt before the last such call.
+	previousExtensionSentAt time.Duration
 }
 
 // suspectAfter is the time without an answered poll after which the lessee no longer
@@ -86,7 +92,7 @@
 // extendLease returns the end, on the upstream's clock, of a lease that begins now. It
 // records that a call which extends the lease is being sent.
 func (c *Core) extendLease() time.Duration {
-	c.upstream.lastExtensionSentAt = c.now.Mono
+	c.upstream.previousExtensionSentAt, c.upstream.lastExtensionSentAt = c.upstream.lastExtensionSentAt, c.now.Mono
 	return c.upstream.clock + c.now.Mono - c.upstream.clockAt + lease.UpstreamLease
 }
 
@@ -122,8 +128,8 @@
 		processedUpTo = c.upstream.processedUpTo
 	}
 	c.upstream = upstreamState{
-		discoveredAt: c.now.Mono,
-		phase:        probing, id: a.ID, incarnation: a.Incarnation, clock: a.Clock, clockAt: c.now.Mono, nextProbeAt: c.now.Mono,
+		discoveredAt: c.now.Mono, lastAnnouncedAt: c.now.Mono,
+		phase: probing, id: a.ID, incarnation: a.Incarnation, clock: a.Clock, clockAt: c.now.Mono, nextProbeAt: c.now.Mono,
 		processedUpTo: processedUpTo, acknowledgedUpTo: processedUpTo,
 		polls: c.newPacer(),
 	}
@@ -151,14 +157,18 @@
 // handleWithdrawal handles a withdrawal. It names no incarnation, so that an earlier one may
 // have sent it: polls decide.
 func (c *Core) handleWithdrawal(id string) {
-	if id == c.upstream.id && c.upstream.phase != absent {
+	if id != c.upstream.id || c.upstream.phase == absent {
+		return
+	}
+	c.upstream.withdrawn = true
+	if !c.upstream.refuses() {
 		c.suspectUpstream(liveness.Withdrawn)
 	}
 }
 
-// handleUpstreamEnd reports all runs as lost for this reason, since the upstream's
-// incarnation has ended.
-func (c *Core) handleUpstreamEnd(why string, reason message.RefuseReason) {
+// handleUpstreamEnd forgets an upstream that has not been heard of in time, and reports the
+// runs that were kept as lost.
+func (c *Core) handleUpstreamEnd(why string) {
 	if c.upstream.phase == absent {
 		return
 	}
@@ -166,20 +176,18 @@
 	c.upstream.longPollInFlight, c.upstream.renewalInFlight = false, false
 	c.capacityChanged()
 	c.logEvent("upstream_ended", "", "upstream", c.upstream.id, "born", c.upstream.incarnation, "why", why, "runs", len(c.runs))
-	c.reportAllLost(reason)
-}
-
-// handleRefusedConnection handles the end of an upstream whose port refuses connections.
-func (c *Core) handleRefusedConnection() {
-	reason := c.recordCrash(message.SignRefused, c.now.Mono)
-	c.handleUpstreamEnd("its port refused a connection", reason)
+	c.reportLost("")
 }
 
-func (c *Core) reportAllLost(reason message.RefuseReason) {
+// reportLost reports all runs that are not orphaned as lost, in phase absent the orphaned
+// ones too.
+func (c *Core) reportLost(reason message.RefuseReason) {
 	c.reportCrashes()
 	for _, h := range c.holderOrder {
 		for _, r := range h.unfinishedRuns() {
-			c.completeRun(r, message.RunLost, reason, 0)
+			if !r.orphaned || c.upstream.phase == absent {
+				c.completeRun(r, message.RunLost, reason, 0)
+			}
 		}
 	}
 }
@@ -193,6 +201,10 @@
 	u := &c.upstream
 	switch u.phase {
 	case probing:
+		if c.now.Mono-max(u.lastAnnouncedAt, u.lastAnsweredSentAt) > announcementTTL {
+			c.handleUpstreamEnd("no announcement or answer received in time")
+			return
+		}
 		if len(c.runs) > 0 && c.now.Mono > c.orphansUntil {
 			c.completeOrphans()
 		}
@@ -208,17 +220,17 @@
 func (c *Core) sendDueCallsOpen() {
 	u := &c.upstream
 	if c.now.Mono-u.lastAnnouncedAt > announcementTTL && len(c.runs) == 0 {
-		c.handleUpstreamEnd("no announcement received in time", "")
+		c.handleUpstreamEnd("no announcement received in time")
 		return
 	}
-	if len(c.runs) > 0 && c.upstreamSuspected() && c.now.Mono-u.lastExtensionSentAt > lease.UpstreamExpiry {
-		c.handleUnresponsiveUpstream()
+	if c.runsExpired() {
+		c.handleExpiredRuns()
 		return
 	}
 	if !u.renewalInFlight && c.now.Mono >= c.nextRenewalAt() {
 		c.poll(true)
 	}
-	if !u.longPollInFlight && !u.failing() && c.now.Mono >= u.polls.DueAt() && (len(c.runs) > 0 || u.hasUnacknowledged()) {
+	if !u.longPollInFlight && !u.failing() && !u.refuses() && c.now.Mono >= u.polls.DueAt() && (len(c.runs) > 0 || u.hasUnacknowledged()) {
 		c.poll(false)
 	}
 	for _, h := range c.holderOrder {
@@ -230,10 +242,10 @@
 	}
 }
 
-// upstreamSuspected reports whether the upstream has answered no poll for longer than
+// upstreamSilent reports whether the upstream has answered no poll for longer than
 // suspectAfter, and its oldest run is older than that too: while there are no runs, the
-// lessee sends no renewals. It does not extend the lease of a suspected upstream.
-func (c *Core) upstreamSuspected() bool {
+// lessee sends no renewals. It does not extend the lease of a silent upstream.
+func (c *Core) upstreamSilent() bool {
 	return c.now.Mono-c.upstream.lastAnsweredSentAt > suspectAfter && c.oldestRunAge() > suspectAfter
 }
 
@@ -245,19 +257,3 @@
 	}
 	return age
 }
-
-// handleUnresponsiveUpstream reports all runs as lost. It is called when the upstream has
-// answered no poll for so long that the leases of its runs have lapsed.
-func (c *Core) handleUnresponsiveUpstream() {
-	c.logEvent("upstream_silent", "", "upstream", c.upstream.id, "runs", len(c.runs),
-		"held_ms_ago", (c.now.Mono - c.upstream.lastAnsweredSentAt).Milliseconds())
-	var reason message.RefuseReason
-	if c.resumedAt <= c.upstream.lastAnsweredSentAt {
-		reason = c.recordCrash(message.SignSilent, c.upstream.lastAnsweredSentAt)
-	}
-	c.upstream.phase = probing
-	c.upstream.nextProbeAt = c.now.Mono
-	c.upstream.longPollInFlight, c.upstream.renewalInFlight = false, false
-	c.capacityChanged()
-	c.reportAllLost(reason)
-}
