command: a signal while a daemon starts does not end it

Seen: SIGHUP right after the start ended a dispatcher. All four daemons, dispatcher, lease agent, entry and agent, were also ended by SIGTERM then: a death by the signal instead of a planned stop.

Cause: the signals were asked for only once the settings were read and the daemon was built.

Change: each daemon's command asks for SIGHUP, SIGTERM and SIGINT first. What comes before the daemon runs is kept: SIGHUP reloads the settings once the reloader runs, SIGTERM makes a planned stop.

What remains: until the command's first line the default action holds. Most of the window is the loading of the program and the initialisation of its packages.

--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -34,16 +34,16 @@
 	cmd := app.Command("entry", "Run an entry. Example: dogwoodgauge entry --settings entry.ini")
 	path := settingsFlag(cmd)
 	cmd.Action(action(func() error {
+		signals := catchSignals()
 		s, err := settings.LoadEntry(*path)
 		if err != nil {
 			return withCode(CodeUsage, err)
 		}
-		ignoreHangup()
 		d, err := entryd.New(entryd.Config{Settings: s})
 		if err != nil {
 			return err
 		}
-		return runDaemon(d)
+		return runDaemon(d, signals)
 	}))
 }
 
@@ -51,6 +51,7 @@
 	cmd := app.Command("run", "Run the agent of upstreams that accept tasks over HTTP; the default. Example: dogwoodgauge-agent --settings agent.ini").Default()
 	path := settingsFlag(cmd)
 	cmd.Action(action(func() error {
+		signals := catchSignals()
 		s, err := settings.LoadAgent(*path)
 		if err != nil {
 			return withCode(CodeUsage, err)
@@ -58,12 +59,11 @@
 		if os.Getenv("GOGC") == "" {
 			debug.SetGCPercent(agentGCPercent)
 		}
-		ignoreHangup()
 		d, err := agentd.New(agentd.Config{Settings: s})
 		if err != nil {
 			return err
 		}
-		return runDaemon(d)
+		return runDaemon(d, signals)
 	}))
 }
 
@@ -71,12 +71,25 @@
 	return cmd.Flag("settings", "Settings file.").Required().String()
 }
 
+// processSignals receives the signals of a long-running process.
+type processSignals struct {
+	// stop receives SIGTERM and SIGINT, and reload SIGHUP.
+	stop, reload chan os.Signal
+}
+
+// catchSignals keeps signals from ending the process until its daemon handles them. It is
+// called before the settings are read, since signals may come while the daemon is built. A
+// process that reads its settings only at its start leaves SIGHUP unread.
+func catchSignals() processSignals {
+	s := processSignals{stop: make(chan os.Signal, 2), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
 // runDaemon runs d. The first SIGTERM or SIGINT makes d complete its work in flight
 // and stop; a second one stops d at once.
-func runDaemon(d daemon) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
+func runDaemon(d daemon, signals processSignals) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	stopped := make(chan struct{})
@@ -84,7 +97,7 @@
 	go func() {
 		for _, stop := range []func(){cancel, d.Kill} {
 			select {
-			case <-signals:
+			case <-signals.stop:
 				stop()
 			case <-stopped:
 				return
--- a/internal/command/leased.go
+++ b/internal/command/leased.go
@@ -17,6 +17,7 @@
 	cmd := app.Command("dispatcher", "Run a dispatcher for workers that run tasks under leases. Example: dogwoodgauge dispatcher --settings dispatcher.ini")
 	path := settingsFlag(cmd)
 	cmd.Action(action(func() error {
+		signals := catchSignals()
 		s, err := settings.LoadDispatcher(*path)
 		if err != nil {
 			return withCode(CodeUsage, err)
@@ -30,7 +31,7 @@
 			if err != nil {
 				return err
 			}
-			return runReloading(d, newReloader(*path, d.Metrics(), func() error {
+			return runReloading(d, signals, newReloader(*path, d.Metrics(), func() error {
 				s, err := settings.LoadDispatcher(*path)
 				if err == nil {
 					d.Apply(s)
@@ -45,6 +46,7 @@
 	cmd := app.Command("lease", "Run the agent of an upstream that runs tasks under leases. Example: dogwoodgauge-agent lease --settings lessee.ini")
 	path := settingsFlag(cmd)
 	cmd.Action(action(func() error {
+		signals := catchSignals()
 		s, err := settings.LoadLessee(*path)
 		if err != nil {
 			return withCode(CodeUsage, err)
@@ -58,7 +60,7 @@
 			if err != nil {
 				return err
 			}
-			return runReloading(d, newReloader(*path, d.Metrics(), func() error {
+			return runReloading(d, signals, newReloader(*path, d.Metrics(), func() error {
 				s, err := settings.LoadLessee(*path)
 				if err == nil {
 					d.Apply(s)
@@ -70,11 +72,11 @@
 }
 
 // runReloading runs d, and runs r until d stops.
-func runReloading(d daemon, r *reloader) error {
+func runReloading(d daemon, signals processSignals, r *reloader) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go r.run(ctx)
-	return runDaemon(d)
+	go r.run(ctx, signals.reload)
+	return runDaemon(d, signals)
 }
 
 // withBufferedLog calls run. Until run returns, log lines are written to standard output
--- a/internal/command/reload.go
+++ b/internal/command/reload.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/internal/telemetry"
@@ -32,18 +30,15 @@
 	return &reloader{path: path, apply: apply, metrics: metrics, logs: telemetry.NewLogger("settings"), lastContent: lastContent}
 }
 
-// run reloads the file at SIGHUP and when its content has changed, until ctx ends.
-func (r *reloader) run(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// run reloads the file at each signal and when its content has changed, until ctx ends.
+func (r *reloader) run(ctx context.Context, signals <-chan os.Signal) {
 	poll := time.NewTicker(reloadPollInterval)
 	defer poll.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-signals:
 			r.reload("signal")
 		case <-poll.C:
 			if content, err := os.ReadFile(r.path); err == nil && !bytes.Equal(content, r.lastContent) {
@@ -63,7 +58,3 @@
 	r.metrics.SettingsReloads("ok").Inc()
 	r.logs.Info("reloaded", "cause", cause, "file", r.path)
 }
-
-// ignoreHangup keeps SIGHUP from ending a process that reads its settings only at its
-// start.
-func ignoreHangup() { signal.Ignore(syscall.SIGHUP) }
