dispatch: a run that is being stopped is no proof that the job has not run

Seen: a job submitted again at another dispatcher is told that it has not run (503) although an agent has refused its offer because another run of the same task was being stopped there.

Cause: every refused offer takes back the task's start, also the refusal same_task_is_stopping, which says that the task may have run.

Change: that refusal does not take back the start, so the job is answered as interrupted. The next offer of the task then has a higher run number, as the upstream requires after the run that was stopped.

--- a/core/dispatch/completion.go
+++ b/core/dispatch/completion.go
@@ -88,7 +88,9 @@
 
 // handleRefusal requeues a task that the agent has refused to start.
 func (c *Core) handleRefusal(t *task, a *agent, reason message.RefuseReason) {
-	t.starts--
+	if reason != message.RefusedStopping {
+		t.starts-- // Otherwise a run of an earlier submission may have started.
+	}
 	c.recordPlaced(t, -1)
 	c.removeFromShare(t)
 	if reason == message.RefusedProving {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -80,7 +80,8 @@
 	// meet its objective then.
 	rank int
 	late bool
-	// starts counts the offers that were not refused, failures the runs reported as failed.
+	// starts counts the offers after which the task may have run, failures the runs reported as
+	// failed.
 	starts, failures int
 	// tooSlowRuns counts the runs that were stopped for lack of progress.
 	tooSlowRuns int
