message: the sign of a crash is a liveness.Sign

Two lists named the same signs since the signs of liveness came; reports of crashes use that one now. A report says silent and later_incarnation where it said no_poll_answered and newer_incarnation. No change of logic; tests of core/lessee and core/dispatch pass.

--- a/core/lessee/crash.go
+++ b/core/lessee/crash.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/containment"
 )
@@ -21,14 +22,14 @@
 type crash struct {
 	number uint64
 	at     time.Duration
-	sign   message.CrashSign
+	sign   liveness.Sign
 	runs   []message.CrashedRun
 }
 
 // recordCrash records that the upstream has crashed and returns the reason for the loss of
 // its runs. It does nothing if the upstream had no runs or was about to leave. The ages of
 // the runs count up to aliveAt, when the upstream was last known to run.
-func (c *Core) recordCrash(sign message.CrashSign, aliveAt time.Duration) message.RefuseReason {
+func (c *Core) recordCrash(sign liveness.Sign, aliveAt time.Duration) message.RefuseReason {
 	leaving := c.upstream.draining || c.upstream.withdrawn
 	if len(c.runs) == 0 || leaving || c.upstream.phase != open {
 		return ""
--- a/core/lessee/incarnation.go
+++ b/core/lessee/incarnation.go
@@ -45,9 +45,9 @@
 	c.capacityChanged()
 	c.logEvent("upstream_changed", "", "upstream", c.upstream.id, "born", c.upstream.incarnation, "why", why, "runs", len(c.runs))
 	if c.upstream.refuses() {
-		c.recordCrash(message.SignRefused, c.upstream.aliveAt)
+		c.recordCrash(liveness.Refused, c.upstream.aliveAt)
 	} else {
-		c.recordCrash(message.SignRestarted, c.now.Mono)
+		c.recordCrash(liveness.Restarted, c.now.Mono)
 	}
 	c.upstream.life.Observe(c.now.Mono, liveness.Restarted)
 	for _, h := range c.holderOrder {
--- a/core/lessee/suspect.go
+++ b/core/lessee/suspect.go
@@ -103,9 +103,9 @@
 	var reason message.RefuseReason
 	switch {
 	case refuses:
-		reason = c.recordCrash(message.SignRefused, u.aliveAt)
+		reason = c.recordCrash(liveness.Refused, u.aliveAt)
 	case c.resumedAt <= u.lastAnsweredSentAt:
-		reason = c.recordCrash(message.SignSilent, u.lastAnsweredSentAt)
+		reason = c.recordCrash(liveness.Silent, u.lastAnsweredSentAt)
 	}
 	u.life.Observe(c.now.Mono, liveness.Expired)
 	u.phase = probing
--- a/core/lessee/suspect_test.go
+++ b/core/lessee/suspect_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 )
@@ -121,7 +122,7 @@
 	if e := b.lastCompletion(); e.Result != message.RunLost || e.Reason != message.LostUpstreamCrashed {
 		t.Errorf("after the lease has run out: got %+v, want it lost to a crash", e)
 	}
-	if x := b.heartbeats[d0.ID].Crashes; len(x) != 1 || x[0].Sign != message.SignRefused || x[0].Runs[0].Age > 10*time.Millisecond {
+	if x := b.heartbeats[d0.ID].Crashes; len(x) != 1 || x[0].Sign != liveness.Refused || x[0].Runs[0].Age > 10*time.Millisecond {
 		t.Errorf("got crashes %+v, want one of a refused connection with the age at that time", x)
 	}
 }
--- a/core/message/offer.go
+++ b/core/message/offer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/site"
 )
 
@@ -210,26 +211,13 @@
 	Number uint64 `json:"n"`
 	// Age is the time since the crash was detected.
 	Age time.Duration `json:"age,omitempty"`
-	// Sign is what the agent took for a crash.
-	Sign CrashSign `json:"sign,omitempty"`
+	// Sign is what the agent took for a crash. Silent is one too: the upstream answered no poll
+	// until its runs had lapsed, and may be alive.
+	Sign liveness.Sign `json:"sign,omitempty"`
 	// Runs are the runs that were lost, the one that was started last first.
 	Runs []CrashedRun `json:"runs,omitempty"`
 }
 
-// CrashSign is what an agent has taken for a crash of its upstream.
-type CrashSign string
-
-// The signs of a crash.
-const (
-	// SignRefused: the upstream's port refuses connections.
-	SignRefused CrashSign = "connection_refused"
-	// SignRestarted: the upstream is in a newer incarnation.
-	SignRestarted CrashSign = "newer_incarnation"
-	// SignSilent: the upstream has answered no poll until its runs had lapsed. It may be
-	// alive.
-	SignSilent CrashSign = "no_poll_answered"
-)
-
 // CrashedRun is a run that was lost when its upstream crashed.
 type CrashedRun struct {
 	Task  TaskName `json:"task"`
