lessee: no ticks for polls that are not sent

An agent whose last poll had failed, with nothing left to poll for, woke up every millisecond for good; a silent upstream with a run did the same while its long poll was in flight. Cause: the next tick and the sending of a long poll had two conditions. They share one now. Also, a right answer of the upstream clears what a false announcement had refuted.

--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -265,7 +265,7 @@
 	if c.upstream.phase == open && !c.upstream.renewalInFlight {
 		at = min(at, c.nextRenewalAt())
 	}
-	if c.upstream.phase == open && !c.upstream.longPollInFlight && c.upstream.polls.Failures() > 0 {
+	if c.wantsLongPoll() && c.upstream.polls.Failures() > 0 {
 		at = min(at, c.upstream.polls.DueAt())
 	}
 	if len(c.runs) > 0 && c.upstream.phase == open && (c.upstreamSilent() || c.upstream.refuses()) {
--- a/core/lessee/poll.go
+++ b/core/lessee/poll.go
@@ -132,6 +132,7 @@
 		}
 		return
 	}
+	u.refuted = false
 	u.observeClock(e.Clock, c.now.Mono)
 	u.lastAnsweredSentAt = max(u.lastAnsweredSentAt, e.SentAt)
 	c.refuteSuspicion(e.SentAt)
--- a/core/lessee/suspect.go
+++ b/core/lessee/suspect.go
@@ -93,8 +93,9 @@
 	return len(c.runs) > 0 && (u.refuses() || c.upstreamSilent()) && c.now.Mono-u.lastExtensionSentAt > lease.UpstreamExpiry
 }
 
-// handleExpiredRuns reports the runs as lost; see runsExpired. If the upstream has ended, its next incarnation may execute a start call that got no answer: such runs are
-// kept until a poll with the newest token shows that it does not.
+// handleExpiredRuns reports the runs as lost; see runsExpired. After a refused connection, the
+// next incarnation may execute a start call that got no answer: such runs are kept until a poll
+// with the newest token shows that it runs none, or until orphansUntil.
 func (c *Core) handleExpiredRuns() {
 	u := &c.upstream
 	refuses := u.refuses()
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -246,7 +246,7 @@
 	if !u.renewalInFlight && c.now.Mono >= c.nextRenewalAt() {
 		c.poll(true)
 	}
-	if !u.longPollInFlight && !u.failing() && !u.refuses() && c.now.Mono >= u.polls.DueAt() && (len(c.runs) > 0 || u.hasUnacknowledged()) {
+	if c.wantsLongPoll() && c.now.Mono >= u.polls.DueAt() {
 		c.poll(false)
 	}
 	for _, h := range c.holderOrder {
@@ -258,6 +258,13 @@
 	}
 }
 
+// wantsLongPoll reports whether a long poll is sent as soon as the pause after failures has
+// passed.
+func (c *Core) wantsLongPoll() bool {
+	u := &c.upstream
+	return u.phase == open && !u.longPollInFlight && !u.failing() && !u.refuses() && (len(c.runs) > 0 || u.hasUnacknowledged())
+}
+
 // upstreamSilent reports whether the upstream has answered no poll for longer than
 // suspectAfter, and its oldest run is older than that too: while there are no runs, the
 // lessee sends no renewals. It does not extend the lease of a silent upstream.
