containment: a mass event lifts only its own condemnations, and counts agents once

Found in review. Clearing a task dropped the condemnations of all tasks of its job, so that their route was confined too late. An agent counted as often as incarnations of it were remembered, so that a mass event took more upstreams after a restart of the fleet: 22 for 11. TestClearedTaskLeavesOtherCondemnations and TestRestartedAgentsCountOnce fail without the first two.

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/containment"
 )
 
@@ -67,11 +68,14 @@
 	}
 }
 
-// upstreamsOf returns the number of known upstreams of a service.
+// upstreamsOf returns the number of known upstreams of a service. An agent counts once,
+// whatever the number of its incarnations that are remembered.
 func (c *Core) upstreamsOf(service string) int {
 	n := 0
+	var last node.ID
 	for _, a := range c.sortedAgents {
-		if a.info.Service == service {
+		if a.info.Service == service && a.ref.ID != last {
+			last = a.ref.ID
 			n++
 		}
 	}
--- a/core/dispatch/isolation_test.go
+++ b/core/dispatch/isolation_test.go
@@ -311,3 +311,15 @@
 		t.Errorf("got offers %+v after the crash, want the task placed at once on an upstream that is not isolated", again)
 	}
 }
+
+// TestRestartedAgentsCountOnce guards against mass events that are not recognised after agents
+// have restarted: each of their incarnations counted as an upstream of its own.
+func TestRestartedAgentsCountOnce(t *testing.T) {
+	b := newTestBed(t)
+	b.connectAgents(4, 10)
+	b.step(AgentConnected{Agent: node.Ref{ID: ref(0).ID, Incarnation: 2}, Domain: "z0", Former: ref(0)})
+	b.core.agents[node.Ref{ID: ref(0).ID, Incarnation: 2}].info.Service = "s"
+	if n := b.core.upstreamsOf("s"); n != 4 {
+		t.Errorf("got %d upstreams after one of 4 agents has restarted, want 4", n)
+	}
+}
--- a/core/policy/containment/containment.go
+++ b/core/policy/containment/containment.go
@@ -6,7 +6,7 @@
 // them as a rule, so a task is given up only after a further crash that it is blamed for.
 // Blame is never proof, since something else may have crashed the upstream: the verdicts say
 // where and whether a task may start, and nothing about its result. All dispatchers get the
-// same reports and come to the same verdicts.
+// same reports and come to nearly the same verdicts: these depend on the order of the reports.
 package containment
 
 import (
@@ -183,7 +183,7 @@
 	if !blamed {
 		return
 	}
-	t.condemnations = append(t.condemnations, condemnation{now, run.Route, run.Task.Job})
+	t.condemnations = append(t.condemnations, condemnation{now, run.Route, run.Task})
 	for i := range t.crashes {
 		if x := &t.crashes[i]; x.jobs[run.Task.Job] {
 			x.shares = map[string]float64{run.Route: 1}
--- a/core/policy/containment/containment_test.go
+++ b/core/policy/containment/containment_test.go
@@ -208,3 +208,24 @@
 		}
 	}
 }
+
+// TestClearedTaskLeavesOtherCondemnations guards against a mass event that lifts the
+// condemnation of another task of the job, which earlier crashes have shown.
+func TestClearedTaskLeavesOtherCondemnations(t *testing.T) {
+	tr := New()
+	for i := range 2 {
+		tr.Record(time.Duration(i)*200*ms, "s", upstreams, crash([]string{"bad"}, nil))
+	}
+	other := message.TaskName{Job: "bad", Index: 1}
+	tr.Record(400*ms, "s", upstreams, &message.Crash{Runs: []message.CrashedRun{{Task: other, Route: "r"}}})
+	for i := range 4 {
+		x := &message.Crash{Runs: []message.CrashedRun{{Task: name(string(rune('a' + i))), Route: "r"}}}
+		if i == 0 {
+			x.Runs[0].Task = other
+		}
+		tr.Record(time.Second+time.Duration(i)*ms, "s", upstreams, x)
+	}
+	if tr.Verdict(other) == Condemned || !tr.JobCondemned("bad") || tr.condemnedJobsOf("r") != 1 {
+		t.Errorf("condemned jobs of the route: got %d, want the one that crashed two upstreams before", tr.condemnedJobsOf("r"))
+	}
+}
--- a/core/policy/containment/event.go
+++ b/core/policy/containment/event.go
@@ -11,9 +11,9 @@
 	// sameEvent is the time within which crashes count as one towards the blame of routes: a
 	// failure of several hosts is no evidence against what they ran.
 	sameEvent = 50 * time.Millisecond
-	// Crashes within sameEvent have a common cause from outside if they are massCrashes or
-	// more and massShare or more of the upstreams of the service. Those under one task, which
-	// moves from upstream to upstream, count as one.
+	// Crashes within sameEvent are taken to have a common cause from outside if they are
+	// massCrashes or more and massShare or more of the upstreams of the service. Those under
+	// one task, which moves from upstream to upstream, count as one.
 	massCrashes = 3
 	massShare   = 0.3
 )
@@ -24,8 +24,8 @@
 	service string
 	at      time.Duration
 	// count is the number of crashes that have no blamed task in common with an earlier one,
-	// and blamed how often each task is blamed. Once there are enough for a mass event, mass
-	// is set, and crashes holds only crashes that were not cleared.
+	// blamed how often each task is blamed. mass is set once they are a mass event; crashes
+	// holds the crashes until then, maxCrashRecords at most.
 	count   int
 	blamed  map[message.TaskName]int
 	crashes []eventCrash
@@ -53,7 +53,9 @@
 	if separate {
 		e.count++
 	}
-	e.crashes = append(e.crashes, x)
+	if len(e.crashes) < maxCrashRecords {
+		e.crashes = append(e.crashes, x)
+	}
 	e.mass = e.mass || e.count >= massCrashes && float64(e.count) >= massShare*float64(upstreams)
 	if !e.mass {
 		return nil
@@ -96,7 +98,7 @@
 	r.blame -= share
 	if before == Condemned && r.verdict() != Condemned {
 		decrement(t.condemnedJobs, name.Job)
-		t.condemnations = slices.DeleteFunc(t.condemnations, func(x condemnation) bool { return x.job == name.Job })
+		t.condemnations = slices.DeleteFunc(t.condemnations, func(x condemnation) bool { return x.task == name })
 	}
 	return true
 }
--- a/core/policy/containment/routes.go
+++ b/core/policy/containment/routes.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 )
 
 const (
@@ -29,8 +31,9 @@
 
 // condemnation is when a task of a job was condemned that was blamed for crashes.
 type condemnation struct {
-	at         time.Duration
-	route, job string
+	at    time.Duration
+	route string
+	task  message.TaskName
 }
 
 // confinedRoute is a route that is confined until a time, and its service.
@@ -74,7 +77,7 @@
 	jobs := make(map[string]bool)
 	for _, x := range t.condemnations {
 		if x.route == route {
-			jobs[x.job] = true
+			jobs[x.task.Job] = true
 		}
 	}
 	return len(jobs)
