--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -27,8 +27,8 @@
 	LearnCapacity bool
 	// RefuseFailing refuses offers while polls of the upstream fail.
 	RefuseFailing bool
-	// AwaitLease makes runs count as lost only when their lease has run out after the upstream's
-	// port has refused a connection. Otherwise a refused connection ends them at once.
+	// AwaitLease keeps runs, after the upstream's port has refused a connection, until their
+	// lease has run out. Otherwise those whose start calls were answered count as lost at once.
 	AwaitLease bool
 }
 
@@ -80,8 +80,9 @@
 	cancelsForgotten uint64
 	// resumedAt is when the last long pause of the process ended, or zero.
 	resumedAt time.Duration
-	// orphansUntil is the time after which no orphaned run can be alive, since the longest
-	// lease of the calls sent to the previous incarnation of the upstream has lapsed.
+	// orphansUntil is when orphaned runs are reported as lost even if no poll has shown that
+	// they do not run. For a run with an unanswered start call this is no proof: the call may
+	// be executed later.
 	orphansUntil time.Duration
 	lastHandle   uint64
 	// used is the sum of the demands of runs.
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -46,8 +46,8 @@
 	stopReason message.RefuseReason
 	// startCalls is the number of start calls sent.
 	startCalls int
-	// orphaned is set when a newer incarnation of the upstream was found after the last
-	// start call was sent: the newer incarnation may have executed that call.
+	// orphaned is set when the upstream has ended, or may have, and its next incarnation may
+	// execute a start call of the run.
 	orphaned bool
 	// startUnanswered is set when a start call got no answer: the upstream may still
 	// execute it.
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -42,8 +42,8 @@
 	// lastAnnouncedAt is when that last happened.
 	announced       bool
 	lastAnnouncedAt time.Duration
-	// refuted is set once an answered poll has shown that the upstream is not, and was not,
-	// in this incarnation: another writer has announced it.
+	// refuted is set once a poll has shown that the upstream is in another incarnation than the
+	// announced one.
 	refuted bool
 	// clock is the upstream's clock as of clockAt, in its answers. An announcement may come
 	// from another writer; a wrong clock would make a lease too long.
