lessee: runs outlive a refused connection of their upstream until the lease is over

What callers saw: tasks ran twice at the same time. A port that refuses connections for a moment, while the upstream lives, made its agent report all runs with an answered start as lost at once, and dispatchers started their tasks elsewhere while the first runs went on.

Cause: a hint was taken for a proof. Config.AwaitLease, which waits for the proof, was off by default, and no setting turned it on.

Change: the option is gone, and the wait is the behaviour. The runs are lost when a poll of the next incarnation or the end of the last lease shows it. Two things that made the wait cost more than it has to: a crash keeps the date of its first sign, so that the crashes of one wave are still taken for one event; and a call that was refused itself no longer counts as an extension of the lease. That was meant before, but polls were dated by another clock reading than the extension, so that it never matched outside of the tests.

--- a/core/lessee/api.go
+++ b/core/lessee/api.go
@@ -120,8 +120,9 @@
 type PollCompleted struct {
 	Renewal bool
 	Result  CallResult
-	// SentAt is the monotonic time at which the call was sent.
-	SentAt time.Duration
+	// SentAt is Poll.SentAt, and Extends is set if Poll.LeaseUntil was.
+	SentAt  time.Duration
+	Extends bool
 	// Token is the fencing token that the call carried.
 	Token int64
 	// AcknowledgedUpTo is the CompletedRun.Number that the call acknowledged.
@@ -181,7 +182,9 @@
 type Poll struct {
 	Upstream string
 	Renewal  bool
-	Token    int64
+	// SentAt is the monotonic time of the request, for PollCompleted.SentAt.
+	SentAt time.Duration
+	Token  int64
 	// AcknowledgedUpTo acknowledges the completions up to this CompletedRun.Number.
 	AcknowledgedUpTo int64
 	// LeaseUntil is the end of the lease on the upstream's clock. Zero extends nothing.
--- a/core/lessee/crash.go
+++ b/core/lessee/crash.go
@@ -27,14 +27,16 @@
 }
 
 // recordCrash records that the upstream has crashed and returns the reason for the loss of
-// its runs. It does nothing if the upstream had no runs or was about to leave. The ages of
-// the runs count up to aliveAt, when the upstream was last known to run.
-func (c *Core) recordCrash(sign liveness.Sign, aliveAt time.Duration) message.RefuseReason {
+// its runs. It does nothing if the upstream had no runs or was about to leave. The crash is
+// dated at the time at of its first sign, so that crashes with one cause have about the same
+// date, however long the leases last. The ages of the runs count up to aliveAt, when the
+// upstream was last known to run.
+func (c *Core) recordCrash(sign liveness.Sign, at, aliveAt time.Duration) message.RefuseReason {
 	leaving := c.upstream.draining || c.upstream.withdrawn
 	if len(c.runs) == 0 || leaving || c.upstream.phase != open {
 		return ""
 	}
-	recorded := crash{number: c.lastCrash + 1, at: c.now.Mono, sign: sign}
+	recorded := crash{number: c.lastCrash + 1, at: at, sign: sign}
 	for _, r := range c.runs {
 		recorded.runs = append(recorded.runs, message.CrashedRun{Task: r.name, Route: r.route, Age: max(0, aliveAt-r.startedAt)})
 	}
--- a/core/lessee/incarnation.go
+++ b/core/lessee/incarnation.go
@@ -45,9 +45,9 @@
 	c.capacityChanged()
 	c.logEvent("upstream_changed", "", "upstream", c.upstream.id, "born", c.upstream.incarnation, "why", why, "runs", len(c.runs))
 	if c.upstream.refuses() {
-		c.recordCrash(liveness.Refused, c.upstream.aliveAt)
+		c.recordCrash(liveness.Refused, c.upstream.suspectedAt, c.upstream.aliveAt)
 	} else {
-		c.recordCrash(liveness.Restarted, c.now.Mono)
+		c.recordCrash(liveness.Restarted, c.now.Mono, c.now.Mono)
 	}
 	c.upstream.life.Observe(c.now.Mono, liveness.Restarted)
 	for _, h := range c.holderOrder {
@@ -55,7 +55,7 @@
 			r.state, r.orphaned = stopping, true
 		}
 	}
-	c.orphansUntil = max(c.orphansUntil, c.upstream.lastExtensionSentAt+lease.MaxUpstreamExpiry)
+	c.orphansUntil = max(c.orphansUntil, c.upstream.extensions.last()+lease.MaxUpstreamExpiry)
 }
 
 // completeOrphans reports the orphaned runs as lost.
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -27,9 +27,6 @@
 	LearnCapacity bool
 	// RefuseFailing refuses offers while polls of the upstream fail.
 	RefuseFailing bool
-	// AwaitLease keeps runs, after the upstream's port has refused a connection, until their
-	// lease has run out. Otherwise those whose start calls were answered count as lost at once.
-	AwaitLease bool
 }
 
 const (
@@ -270,7 +267,7 @@
 		at = min(at, c.upstream.polls.DueAt())
 	}
 	if len(c.runs) > 0 && c.upstream.phase == open && (c.upstreamSilent() || c.upstream.refuses()) {
-		at = min(at, c.upstream.lastExtensionSentAt+lease.UpstreamExpiry)
+		at = min(at, c.upstream.extensions.last()+lease.UpstreamExpiry)
 	}
 	for _, h := range c.holderOrder {
 		if h.unfinished > 0 && !h.lapsed {
--- a/core/lessee/poll.go
+++ b/core/lessee/poll.go
@@ -81,7 +81,7 @@
 
 func (c *Core) poll(renewal bool) {
 	u := &c.upstream
-	a := Poll{Upstream: u.id, Renewal: renewal, Token: c.token, AcknowledgedUpTo: u.processedUpTo}
+	a := Poll{Upstream: u.id, Renewal: renewal, SentAt: c.now.Mono, Token: c.token, AcknowledgedUpTo: u.processedUpTo}
 	if u.phase == open && !c.upstreamSilent() && !u.refuses() {
 		a.LeaseUntil = c.extendLease()
 	}
@@ -109,7 +109,7 @@
 	case CallOK:
 	case CallNoListener:
 		if e.SentAt >= u.discoveredAt {
-			u.takeBackExtension(e.SentAt)
+			u.takeBackExtension(e)
 			c.handleRefusedConnection()
 		}
 		return
--- a/core/lessee/suspect.go
+++ b/core/lessee/suspect.go
@@ -74,23 +74,22 @@
 	c.suspectUpstream(liveness.Refused)
 }
 
-// takeBackExtension records that the poll that was sent at sentAt was not received, so that it
-// has not extended the lease.
-func (u *upstreamState) takeBackExtension(sentAt time.Duration) {
-	if sentAt == u.lastExtensionSentAt {
-		u.lastExtensionSentAt = u.previousExtensionSentAt
+// takeBackExtension records that the poll was not received, so that it has not extended the
+// lease.
+func (u *upstreamState) takeBackExtension(e PollCompleted) {
+	if e.Extends {
+		u.extensions.notReceived(e.SentAt)
 	}
 }
 
-// runsExpired reports whether no run of the upstream counts as alive: the lessee no longer
-// extends the lease, and it has run out, or the port refuses connections and
-// Config.AwaitLease is not set.
+// runsExpired reports whether no run of the upstream can be alive, and whether there may have
+// been any: the lessee no longer extends the lease, and it has run out.
 func (c *Core) runsExpired() bool {
 	u := &c.upstream
-	if u.refuses() && (len(c.runs) == 0 || !c.cfg.AwaitLease) {
-		return true
+	if len(c.runs) == 0 {
+		return u.refuses()
 	}
-	return len(c.runs) > 0 && (u.refuses() || c.upstreamSilent()) && c.now.Mono-u.lastExtensionSentAt > lease.UpstreamExpiry
+	return (u.refuses() || c.upstreamSilent()) && c.now.Mono-u.extensions.last() > lease.UpstreamExpiry
 }
 
 // handleExpiredRuns reports the runs as lost; see runsExpired. After a refused connection, the
@@ -104,9 +103,9 @@
 	var reason message.RefuseReason
 	switch {
 	case refuses:
-		reason = c.recordCrash(liveness.Refused, u.aliveAt)
+		reason = c.recordCrash(liveness.Refused, u.suspectedAt, u.aliveAt)
 	case c.resumedAt <= u.lastAnsweredSentAt:
-		reason = c.recordCrash(liveness.Silent, u.lastAnsweredSentAt)
+		reason = c.recordCrash(liveness.Silent, c.now.Mono, u.lastAnsweredSentAt)
 	}
 	u.life.Observe(c.now.Mono, liveness.Expired)
 	u.phase = probing
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -67,12 +67,11 @@
 	// was last known to run before its port refused a connection.
 	withdrawn bool
 	aliveAt   time.Duration
-	// lastRenewalSentAt is when the last renewal was sent, lastAnsweredSentAt when the
-	// latest answered poll was sent, and lastExtensionSentAt when the last call was sent
-	// that may have extended the lease, whether answered or not.
-	lastRenewalSentAt, lastAnsweredSentAt, lastExtensionSentAt time.Duration
-	// previousExtensionSentAt is the lastExtensionSentAt before the last such call.
-	previousExtensionSentAt time.Duration
+	// lastRenewalSentAt is when the last renewal was sent, and lastAnsweredSentAt when the
+	// latest answered poll was sent.
+	lastRenewalSentAt, lastAnsweredSentAt time.Duration
+	// extensions holds the calls that may have extended the lease, answered or not.
+	extensions extensions
 }
 
 // suspectAfter is the time without an answered poll after which the lessee no longer
@@ -93,13 +92,6 @@
 	}
 }
 
-// extendLease returns the end, on the upstream's clock, of a lease that begins now. It
-// records that a call which extends the lease is being sent.
-func (c *Core) extendLease() time.Duration {
-	c.upstream.previousExtensionSentAt, c.upstream.lastExtensionSentAt = c.upstream.lastExtensionSentAt, c.now.Mono
-	return c.upstream.clock + c.now.Mono - c.upstream.clockAt + lease.UpstreamLease
-}
-
 // handleAnnouncement applies an announcement, unless a newer one has been applied before.
 func (c *Core) handleAnnouncement(a Announcement) {
 	u := &c.upstream
--- a/internal/lesseed/calls.go
+++ b/internal/lesseed/calls.go
@@ -35,7 +35,7 @@
 	case lessee.StopRun:
 		go d.stop(a)
 	case lessee.Poll:
-		go d.poll(a, d.loop.Mono())
+		go d.poll(a)
 	case lessee.PersistAnnouncement:
 		d.queueAnnouncement(a.Announcement)
 	case step.LogEvent:
@@ -65,8 +65,8 @@
 	d.loop.Post(lessee.StopCallCompleted{Name: a.Name, RunNumber: a.RunNumber, Result: result})
 }
 
-// poll polls the upstream and posts the result. The core requested the poll at sentAt.
-func (d *Daemon) poll(a lessee.Poll, sentAt time.Duration) {
+// poll polls the upstream and posts the result.
+func (d *Daemon) poll(a lessee.Poll) {
 	timeout := callTimeout
 	if !a.Renewal {
 		timeout = a.Wait + longPollSlack
@@ -78,7 +78,8 @@
 	if a.Renewal {
 		d.recordCallDuration("renew", polled.Result, startedAt)
 	}
-	polled.Renewal, polled.SentAt, polled.Token, polled.AcknowledgedUpTo = a.Renewal, sentAt, a.Token, a.AcknowledgedUpTo
+	polled.Renewal, polled.SentAt, polled.Extends = a.Renewal, a.SentAt, a.LeaseUntil > 0
+	polled.Token, polled.AcknowledgedUpTo = a.Token, a.AcknowledgedUpTo
 	d.loop.Post(polled)
 }
 
