lessee: a lease counts from the least that the upstream's clock can read

What callers could see: a task ran twice at the same time, after an upstream that had been idle for some seconds started it and was then cut off from its agent or fell silent.

Cause: the end of a lease is stated on the upstream's clock, which may be 2% slow. The agent reads that clock in the upstream's answers only, and an idle upstream is not polled. After 10 s it took the clock for up to 200 ms further than it was, so that the first lease lasted for up to 1 s, while UpstreamExpiry (610 ms) counts as its end.

Change: the lease counts from the last reading plus 98% of the time since then. After a long time without an answer it is short, or over already; the start is then refused as late and repeated with the clock of the refusal, and a renewal follows as soon as the clock has been read.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -23,20 +23,26 @@
 	// RunLease - MaxOfferDelay exceeds two heartbeat intervals.
 	MaxOfferDelay = 150 * time.Millisecond
 
+	// maxClockDrift is the reciprocal of the share by which an upstream's clock may be slow: 2%.
+	maxClockDrift = 50
+
 	// stopSlack covers the time to carry out a stop (50 ms) and late timers.
 	stopSlack = 100 * time.Millisecond
 )
 
 // UpstreamExpiry is the time, from the sending of the last renewal, after which the
-// upstream has stopped every run. It allows for an upstream whose clock is 2% slow.
-const UpstreamExpiry = UpstreamLease + UpstreamLease/50 + stopSlack
+// upstream has stopped every run. It allows for an upstream whose clock is slow.
+const UpstreamExpiry = UpstreamLease + UpstreamLease/maxClockDrift + stopSlack
 
 // MaxUpstreamExpiry is the same for a call that was meant for one incarnation of the
 // upstream and executed by a newer one. On the clock of the newer one, the requested end of
 // the lease may be far in the future, so the longest lease that the platform permits, 1 s,
 // applies.
-const MaxUpstreamExpiry = time.Second + time.Second/50 + stopSlack
+const MaxUpstreamExpiry = time.Second + time.Second/maxClockDrift + stopSlack
 
 // RunExpiry is the time, from the last heartbeat received from an agent, after which no run
 // that the agent had at that heartbeat is alive.
 const RunExpiry = RunLease + UpstreamExpiry
+
+// MaxDrift is how much less than d an upstream's clock may have advanced in that time.
+func MaxDrift(d time.Duration) time.Duration { return d / maxClockDrift }
--- a/core/leasemodel/falsesign_test.go
+++ b/core/leasemodel/falsesign_test.go
@@ -54,3 +54,28 @@
 		})
 	}
 }
+
+// TestNoTwoRunsBesideUpstreamsThatRefuseAfterAStart is the same with runs that are longer than
+// the leases and ports that refuse connections right after a start, also of an upstream that
+// has been idle for so long that the agent no longer knows its clock well.
+func TestNoTwoRunsBesideUpstreamsThatRefuseAfterAStart(t *testing.T) {
+	for seed := range uint64(24) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			sim := newFleetWith(t, seed, 2, 3, upstreamCapacity, 0, dispatch.Config{Domain: "z0"})
+			sim.estimate = accurateEstimate
+			sim.duration = func(lessee.StartRun) time.Duration { return sim.randomMS(900, 1300) }
+			sim.onStart = func(u *upstream, _ lessee.StartRun) {
+				if sim.rnd.IntN(4) == 0 {
+					sim.refuseUpstream(u, sim.randomMS(1, 4), sim.randomMS(300, 1500))
+				}
+			}
+			for i := range 3 {
+				sim.runUntil(time.Duration(i) * 30 * time.Second)
+				for j := range 6 {
+					sim.after(sim.randomMS(500, 3000), func() { sim.newCaller(6*i + j) })
+				}
+			}
+			sim.runUntil(sim.now + settleTime)
+		})
+	}
+}
--- a/core/lessee/extension.go
+++ b/core/lessee/extension.go
@@ -42,10 +42,17 @@
 	return e.recent[len(e.recent)-1]
 }
 
+// maxShortening is by how much a lease may be shortened for want of a recent reading of the
+// upstream's clock before a renewal is due at once.
+const maxShortening = lease.UpstreamLease / 10
+
 // extendLease returns the end, on the upstream's clock, of a lease that begins now. It
-// records that a call which extends the lease is being sent.
+// records that a call which extends the lease is being sent. The lease counts from the least
+// that the clock can read, and so is short after a long time without an answer.
 func (c *Core) extendLease() time.Duration {
 	u := &c.upstream
 	u.extensions.sent(c.now.Mono)
-	return u.clock + c.now.Mono - u.clockAt + lease.UpstreamLease
+	age := c.now.Mono - u.clockAt
+	u.leaseShortened = lease.MaxDrift(age) > maxShortening
+	return u.clock + age - lease.MaxDrift(age) + lease.UpstreamLease
 }
--- a/core/lessee/poll.go
+++ b/core/lessee/poll.go
@@ -38,6 +38,8 @@
 		return u.nextSuspectPollAt()
 	case u.failing():
 		return u.polls.DueAt()
+	case len(c.runs) > 0 && u.leaseShortened && u.clockAt > u.lastRenewalSentAt:
+		return u.clockAt
 	case len(c.runs) > 0:
 		return u.lastRenewalSentAt + lease.RenewalInterval
 	default:
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -70,6 +70,8 @@
 	// lastRenewalSentAt is when the last renewal was sent, and lastAnsweredSentAt when the
 	// latest answered poll was sent.
 	lastRenewalSentAt, lastAnsweredSentAt time.Duration
+	// leaseShortened is set if the last extension was shortened by more than maxShortening.
+	leaseShortened bool
 	// extensions holds the calls that may have extended the lease, answered or not.
 	extensions extensions
 }
