lessee: the lease is not extended for runs that must have ended

What callers could see: a task ran twice at the same time, after its agent had been cut off from the dispatchers, or its caller had given up and submitted the job again, and the upstream executed the stop of the first run only seconds later.

Cause: an agent that is cut off stops its runs RunLease (600 ms) after the last proof that their dispatcher lives, and RunExpiry counts on the upstream's lease if that fails. But the lease is that of all runs, and the agent went on to renew it, for the sake of runs of other dispatchers and of the very run that it could not stop. Stop calls may be executed late like any other call.

Change: a run of a dispatcher whose lease has lapsed must end within StopTime (500 ms), a revoked one within RevokeTime (1 s), before its task can start elsewhere. No lease is extended beyond that, and no run starts meanwhile; in the end all runs of the upstream lapse.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -23,6 +23,14 @@
 	// RunLease - MaxOfferDelay exceeds two heartbeat intervals.
 	MaxOfferDelay = 150 * time.Millisecond
 
+	// StopTime is how long the upstream's lease is extended for others after the lease of a
+	// dispatcher has lapsed, if the upstream does not confirm the stops of that dispatcher's
+	// runs. They have then ended before RunExpiry.
+	StopTime = 500 * time.Millisecond
+	// RevokeTime is the same after an offer was revoked. The caller submits the job again
+	// after 1.3 s at the earliest.
+	RevokeTime = time.Second
+
 	// maxClockDrift is the reciprocal of the share by which an upstream's clock may be slow: 2%.
 	maxClockDrift = 50
 
--- a/core/leasemodel/refused_test.go
+++ b/core/leasemodel/refused_test.go
@@ -65,6 +65,29 @@
 	}
 }
 
+// TestNoTwoRunsBesideLateStops guards against two runs of a task after a cut has separated its
+// agent from the dispatchers, or its caller has given up, and the upstream executes the calls
+// that stop the first run only seconds later, while it executes the renewals of its lease.
+func TestNoTwoRunsBesideLateStops(t *testing.T) {
+	for seed := range uint64(24) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			sim := newFleetWith(t, seed, 2, 3, upstreamCapacity, 0, dispatch.Config{Domain: "z0"})
+			sim.estimate = accurateEstimate
+			sim.lateStopShare = 0.8
+			sim.duration = func(lessee.StartRun) time.Duration { return sim.randomMS(1000, 4000) }
+			sim.onStart = func(u *upstream, _ lessee.StartRun) {
+				if sim.now < modelTime && sim.rnd.IntN(8) == 0 {
+					sim.after(sim.randomMS(1, 400), func() { sim.refuseConnections(u, sim.randomMS(1000, 2500)) })
+				}
+			}
+			for i := range 12 {
+				sim.after(time.Second+sim.randomMS(0, float64(modelTime/time.Millisecond)), func() { sim.newCaller(i) })
+			}
+			sim.runUntil(modelTime + settleTime)
+		})
+	}
+}
+
 // TestRefusedAgentIsUsedAgain checks that an agent whose connections are refused twice in a row
 // runs tasks again afterwards.
 func TestRefusedAgentIsUsedAgain(t *testing.T) {
--- a/core/leasemodel/simulation_test.go
+++ b/core/leasemodel/simulation_test.go
@@ -84,6 +84,7 @@
 	// cutUntil holds, for pairs of hosts, the time until which no message passes between them.
 	cutUntil      map[[2]node.ID]time.Duration
 	lateCallShare float64 // share of calls to upstreams that are executed late
+	lateStopShare float64 // the same of the calls that stop a run
 	site          *site.State
 	starts        int
 	// capacity is that of every upstream, in thousandths of a core, and dispatcherCount the
@@ -292,6 +293,13 @@
 			return lessee.StartCallCompleted{Handle: a.Handle, Result: r.(lessee.CallResult), Clock: p.upstream.clock()}
 		}, 150*time.Millisecond)
 	case lessee.StopRun:
+		if sim.lateStopShare > 0 && sim.rnd.Float64() < sim.lateStopShare {
+			sim.after(sim.randomMS(2000, 12000), func() { p.upstream.stopRun(a) })
+			sim.after(150*time.Millisecond, func() {
+				sim.deliver(p, lessee.StopCallCompleted{Name: a.Name, RunNumber: a.RunNumber, Result: lessee.CallUnknown})
+			})
+			return
+		}
 		sim.call(p, func() any { return p.upstream.stopRun(a) }, func(r any) step.Event {
 			if r == nil {
 				return lessee.StopCallCompleted{Name: a.Name, RunNumber: a.RunNumber, Result: lessee.CallUnknown}
--- a/core/lessee/extension.go
+++ b/core/lessee/extension.go
@@ -57,9 +57,21 @@
 	age := c.now.Mono - u.clockAt
 	clock := u.clock + age - lease.MaxDrift(age)
 	if renewal || u.leaseEnd-clock < lease.UpstreamLease/2 {
-		u.leaseEnd, u.leaseFrom = clock+lease.UpstreamLease, c.now.Mono
+		u.leaseEnd, u.leaseFrom = clock+c.leaseLeft(), c.now.Mono
 		u.leaseShortened = lease.MaxDrift(age) > maxShortening
 	}
 	u.extensions.sent(u.leaseFrom)
 	return u.leaseEnd
 }
+
+// leaseLeft returns the length of a lease that begins now, or zero: no run may outlast its
+// endBy, and the lease is that of all runs.
+func (c *Core) leaseLeft() time.Duration {
+	left := lease.UpstreamLease
+	for _, r := range c.runs {
+		if r.endBy > 0 {
+			left = min(left, max(r.endBy-c.now.Mono, 0))
+		}
+	}
+	return left
+}
--- a/core/lessee/extension_test.go
+++ b/core/lessee/extension_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 )
 
 // TestLeaseOnSlowClock guards against a lease that outlasts UpstreamExpiry, since the agent has
@@ -47,3 +48,32 @@
 		}
 	}
 }
+
+// TestLeaseIsNotExtendedForUnconfirmedStops guards against a run that goes on after its
+// dispatcher has started the task elsewhere, since the upstream has not executed the stop and
+// the lease is that of all runs.
+func TestLeaseIsNotExtendedForUnconfirmedStops(t *testing.T) {
+	b := newTestBed(t)
+	b.open()
+	b.startRun(d1, "lost")
+	b.startRun(d0, "kept")
+	lapsesAt := b.now + lease.RunLease
+	running := []ActiveRun{{Name: b.starts[0].Name, RunNumber: 1}, {Name: b.starts[1].Name, RunNumber: 1}}
+	var until time.Duration
+	b.drive(2*time.Second, func(p Poll, at time.Duration) (PollCompleted, time.Duration) {
+		until = max(until, p.LeaseUntil)
+		return PollCompleted{Incarnation: 1, Clock: at, Running: running}, min(p.Wait, 50*time.Millisecond)
+	})
+	if limit := lapsesAt + lease.StopTime; len(b.stops) < 3 || until > limit || until < limit-lease.UpstreamLease {
+		t.Errorf("got %d stops and a lease until %v, want repeated stops and a lease that ends at %v or a little before", len(b.stops), until, limit)
+	}
+	if b.offer(d0, "next"); b.lastCompletion().Reason != message.RefusedNotReady {
+		t.Errorf("an offer without a lease: got %+v, want it refused", b.lastCompletion())
+	}
+	b.step(PollCompleted{Renewal: true, SentAt: b.now, Incarnation: 1, Clock: b.now, Completed: []CompletedRun{
+		{Number: 1, Name: b.starts[0].Name, RunNumber: 1, Completion: CompletionLapsed}, {Number: 2, Name: b.starts[1].Name, RunNumber: 1, Completion: CompletionLapsed},
+	}})
+	if starts := len(b.starts); !b.core.Ready() || b.startRun(d0, "after").LeaseUntil == 0 || len(b.starts) != starts+1 {
+		t.Error("nothing starts after the runs have lapsed")
+	}
+}
--- a/core/lessee/leaseholder.go
+++ b/core/lessee/leaseholder.go
@@ -239,8 +239,11 @@
 		h.lapsed = true
 		c.logEvent("dispatcher_lease_lapsed", "", "dispatcher", h.ref.String(), "runs", h.unfinished,
 			"silent_ms", (c.now.Mono - h.lastMessageAt).Milliseconds())
-		for _, r := range h.liveRuns() {
-			c.stop(r)
+		for _, r := range h.unfinishedRuns() {
+			r.mustEndBy(h.leaseUntil + lease.StopTime)
+			if r.state != stopping {
+				c.stop(r)
+			}
 		}
 	}
 }
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -202,7 +202,7 @@
 	switch {
 	case c.draining:
 		return message.RefusedDraining
-	case c.upstream.phase != open || !c.upstream.announced || c.upstream.draining || c.upstream.suspected():
+	case c.upstream.phase != open || !c.upstream.announced || c.upstream.draining || c.upstream.suspected() || c.leaseLeft() < lease.RenewalInterval:
 		return message.RefusedNotReady
 	case c.cfg.RefuseFailing && c.upstream.failing():
 		return message.RefusedUnhealthy
--- a/core/lessee/poll.go
+++ b/core/lessee/poll.go
@@ -84,7 +84,7 @@
 func (c *Core) poll(renewal bool) {
 	u := &c.upstream
 	a := Poll{Upstream: u.id, Renewal: renewal, SentAt: c.now.Mono, Token: c.token, AcknowledgedUpTo: u.processedUpTo}
-	if u.phase == open && !c.upstreamSilent() && !u.refuses() {
+	if u.phase == open && !c.upstreamSilent() && !u.refuses() && c.leaseLeft() > 0 {
 		a.LeaseUntil = c.extendLease(renewal)
 		a.LeaseFrom = u.leaseFrom
 	}
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -64,8 +64,11 @@
 	observed *interference.Run
 	// lastStopSentAt is when the last stop call was sent.
 	lastStopSentAt time.Duration
-	completedAt    time.Duration
-	completion     message.RunCompletion
+	// endBy is when the run must have ended at the latest, or zero if its task starts elsewhere
+	// only after the run has ended: the lease is not extended beyond that.
+	endBy       time.Duration
+	completedAt time.Duration
+	completion  message.RunCompletion
 }
 
 // handleOffer starts a task or refuses the offer with a reason. A repeated offer starts
@@ -191,9 +194,17 @@
 		c.reportCompletion(r)
 		return
 	}
+	r.mustEndBy(c.now.Mono + lease.RevokeTime)
 	c.stop(r)
 }
 
+// mustEndBy limits the time until the run must have ended.
+func (r *run) mustEndBy(at time.Duration) {
+	if r.endBy == 0 || at < r.endBy {
+		r.endBy = at
+	}
+}
+
 // stop calls the upstream to stop a run.
 func (c *Core) stop(r *run) {
 	if r.state == completed {
@@ -284,6 +295,11 @@
 }
 
 func (c *Core) handleStartFailure(r *run, result CallResult) {
+	if result != CallNoListener && c.leaseLeft() == 0 {
+		r.startUnanswered = r.startUnanswered || result == CallUnknown
+		c.giveUpStart(r, message.RefusedNotReady)
+		return
+	}
 	switch result {
 	case CallUnknown:
 		c.retryUnansweredStart(r)
