lessee: a refused run number after an unanswered start is no reason to start again

What callers saw: a task ran again that had just ended; 63 starts of 60 tasks in TestWholePath beside a busy machine.

Cause: a start call got no answer within 30 ms, its run ended before the repeated call came, and the upstream refused that one, as it refuses the number of every run that has ended there. The agent took that for a number of an earlier submission and started the next one.

Change: after an unanswered start, the refusal says that the run may have ended. It is kept until a poll that was sent later lists its end, or does not list it and it counts as lost. What the upstream has confirmed and since when the run runs are kept apart now, so that the duration of such a run is measured from its start.

Evidence: TestRunThatEndedBeforeItsRepeatedStart got a third start call before.

--- a/core/lessee/poll.go
+++ b/core/lessee/poll.go
@@ -228,7 +228,7 @@
 	}
 	for _, h := range c.holderOrder {
 		for _, r := range h.unfinishedRuns() {
-			if r.state == starting || !r.confirmed || r.startedAt >= e.SentAt {
+			if r.state == starting || r.confirmedAt == 0 || r.confirmedAt >= e.SentAt {
 				continue
 			}
 			if number, ok := listed[r.name]; ok && number == r.number {
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -52,13 +52,13 @@
 	// startUnanswered is set when a start call got no answer: the upstream may still
 	// execute it.
 	startUnanswered bool
-	// confirmed is set once the upstream has answered a start or stop call. From then on
-	// its polls list the run as active, unless the run has completed.
-	confirmed bool
+	// confirmedAt is when the upstream last answered that it has executed a start or stop call,
+	// or zero. From then on its polls list the run as active, unless the run has completed.
+	confirmedAt time.Duration
 	// leaseFrom is the time from which the lease of the last start call counts.
 	leaseFrom time.Duration
-	// startedAt is when the upstream last confirmed a start or stop call, or before that
-	// when the run was accepted.
+	// startedAt is when the upstream confirmed the start or, before that, when the run was
+	// accepted.
 	startedAt time.Duration
 	// observed is the run in observer, or nil.
 	observed *interference.Run
@@ -246,10 +246,9 @@
 		c.lowerCapacity(r, e.Clock)
 	}
 	if e.Result == CallOK {
-		r.confirmed = true
-		r.startedAt = c.now.Mono
+		r.confirmedAt = c.now.Mono
 		if r.state == starting {
-			r.state = running
+			r.state, r.startedAt = running, c.now.Mono
 		} else if r.state == stopping {
 			c.callStop(r)
 		}
@@ -308,8 +307,7 @@
 		c.logEvent("fencing_token_raised", r.name.Job, "token", c.token)
 		c.retryRefusedStart(r, message.RefusedNotReady)
 	case CallStaleRun:
-		r.number++
-		c.retryRefusedStart(r, message.RefusedNotReady)
+		c.handleStaleRun(r)
 	case CallLeaseExpired:
 		c.retryRefusedStart(r, message.RefusedNotReady)
 	case CallNoCapacity:
@@ -326,6 +324,18 @@
 	}
 }
 
+// handleStaleRun handles the refusal of a run number. If an earlier call got no answer, that call
+// may have started the run, and polls will show how it has ended. Otherwise the number is one of
+// an earlier submission of the job.
+func (c *Core) handleStaleRun(r *run) {
+	if r.startUnanswered {
+		r.state, r.confirmedAt = running, c.now.Mono
+		return
+	}
+	r.number++
+	c.retryRefusedStart(r, message.RefusedNotReady)
+}
+
 // giveUpStart completes a run whose start the upstream has refused. If an earlier start
 // call got no answer, the run is stopped instead, since the upstream may still execute
 // that call.
@@ -374,8 +384,7 @@
 		return
 	}
 	if ok && r.number == e.RunNumber && r.state == stopping && e.Result == CallOK {
-		r.confirmed = true
-		r.startedAt = c.now.Mono
+		r.confirmedAt = c.now.Mono
 	}
 }
 
