soak: ports that refuse connections while their process lives

Two kinds of fault: the port of an upstream refuses connections for up to 600 ms and its connections are closed, while its runs go on; and the links of some agents and dispatchers refuse connections for up to 4 s and reset the open ones. No fault of the soak had shown either, so that it never found the runs that were started twice because of them.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -26,6 +26,9 @@
 	// jobs come, and crashDelay the time from the start of the task to the crash.
 	crashingJobShare = 0.1
 	crashDelay       = 10 * time.Millisecond
+	// maxRefusal is the longest time for which the port of an upstream refuses connections while
+	// its runs go on: about as long as their lease.
+	maxRefusal = 600 * time.Millisecond
 	// maxRestartDelay is the longest delay before a process that has exited is started
 	// again.
 	maxRestartDelay = time.Second
@@ -87,6 +90,19 @@
 			l.resetAll()
 		}
 	}},
+	{"connections_refused", func(s *Soak, rnd *rand.Rand, stop <-chan struct{}) {
+		links, end := s.randomLinks(rnd)
+		defer end()
+		for _, l := range links {
+			l.refuse()
+		}
+		lifecycle.Wait(randomDuration(rnd, maxFaultDuration), stop)
+		for _, l := range links {
+			if err := l.open(); err != nil {
+				s.checks.addViolation("start", "open a link again: %v", err)
+			}
+		}
+	}},
 	{"connections_silent", func(s *Soak, rnd *rand.Rand, stop <-chan struct{}) {
 		links, end := s.randomLinks(rnd)
 		defer end()
@@ -110,6 +126,17 @@
 		defer a.beginLinkFault()()
 		s.replaceUpstream(a, randomDuration(rnd, maxFaultDuration), stop)
 	}},
+	{"upstream_refuses", func(s *Soak, rnd *rand.Rand, stop <-chan struct{}) {
+		a := s.randomAgent(rnd)
+		defer a.beginLinkFault()()
+		a.restartMu.Lock()
+		defer a.restartMu.Unlock()
+		a.closeUpstream()
+		lifecycle.Wait(randomDuration(rnd, maxRefusal), stop)
+		if err := a.serveUpstream(); err != nil {
+			s.checks.addViolation("start", "open the port of the upstream of %s: %v", a.name, err)
+		}
+	}},
 	{"crashing_tasks", func(s *Soak, rnd *rand.Rand, stop <-chan struct{}) {
 		s.setCrashingShare(crashingJobShare)
 		lifecycle.Wait(randomDuration(rnd, maxFaultDuration), stop)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -30,13 +30,18 @@
 
 // link is a TCP proxy between a dispatcher and an agent, the target.
 type link struct {
-	target   string
-	listener net.Listener
+	addr, target string
 
-	mu     sync.Mutex
-	faults LinkFaults
-	conns  map[*proxiedConn]bool
-	closed bool
+	mu       sync.Mutex
+	listener net.Listener
+	faults   LinkFaults
+	conns    map[*proxiedConn]bool
+	closed   bool
+
+	// portMu is held while the port is closed or opened. refusals counts the faults that keep it
+	// closed.
+	portMu   sync.Mutex
+	refusals int
 }
 
 // proxiedConn is one proxied connection.
@@ -48,20 +53,49 @@
 }
 
 func newLink(listen, target string) (*link, error) {
-	l, err := net.Listen("tcp", listen)
+	k := &link{addr: listen, target: target, conns: map[*proxiedConn]bool{}}
+	return k, k.listen()
+}
+
+// listen opens the port.
+func (k *link) listen() error {
+	l, err := listenWithRetry(k.addr)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	k := &link{target: target, listener: l, conns: map[*proxiedConn]bool{}}
-	go k.acceptLoop()
-	return k, nil
+	k.mu.Lock()
+	k.listener = l
+	k.mu.Unlock()
+	go k.acceptLoop(l)
+	return nil
 }
 
-func (k *link) addr() string { return k.listener.Addr().String() }
+// refuse closes the port and resets all connections, until open is called as often.
+func (k *link) refuse() {
+	k.portMu.Lock()
+	defer k.portMu.Unlock()
+	k.refusals++
+	k.mu.Lock()
+	l := k.listener
+	k.mu.Unlock()
+	_ = l.Close()
+	k.resetAll()
+}
+
+// open ends a call of refuse.
+func (k *link) open() error {
+	k.portMu.Lock()
+	defer k.portMu.Unlock()
+	k.refusals--
+	if k.refusals > 0 {
+		return nil
+	}
+	return k.listen()
+}
 
-func (k *link) acceptLoop() {
+func (k *link) acceptLoop(l net.Listener) {
 	for {
-		conn, err := k.listener.Accept()
+		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -173,10 +207,11 @@
 
 // close closes the listener and resets all connections.
 func (k *link) close() {
-	_ = k.listener.Close()
 	k.mu.Lock()
 	k.closed = true
+	l := k.listener
 	k.mu.Unlock()
+	_ = l.Close()
 	k.resetAll()
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -184,7 +184,7 @@
 		if json.Unmarshal(value, &record) != nil {
 			return value
 		}
-		record.Addr = netip.MustParseAddrPort(l.addr())
+		record.Addr = netip.MustParseAddrPort(l.addr)
 		return record.Encode()
 	}
 	return value
