lessee: a renewal without an answer does not hold the next one up

Cause: a lease of 300 ms that is renewed each 100 ms lapses after two renewals without an answer, while the comment of RenewalInterval says that two may fail: the third came when the lease was over, and a call timeout of one interval left no time for a slow answer.

Change: a renewal of the lease is sent while another is in flight, each 95 ms.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -14,7 +14,7 @@
 	UpstreamLease = 300 * time.Millisecond
 	// RenewalInterval is the pause between two renewals of an upstream's lease. Two
 	// renewals in a row may fail before the lease lapses.
-	RenewalInterval = 100 * time.Millisecond
+	RenewalInterval = 95 * time.Millisecond
 	// HeartbeatInterval is the pause between two heartbeats of an agent. Two heartbeats in
 	// a row may be lost before RunLease has passed.
 	HeartbeatInterval = 200 * time.Millisecond
--- a/internal/lesseed/calls.go
+++ b/internal/lesseed/calls.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// callTimeout bounds a call to the local upstream, which answers within a fraction of
-	// a millisecond. It is one renewal interval, so that a renewal without an answer is
-	// followed by another before the lease expires.
-	callTimeout = lease.RenewalInterval
+	// callTimeout bounds a call to the local upstream, which answers within a fraction of a
+	// millisecond. It is half of the lease, so that an upstream whose answers fail is noticed
+	// before its lease expires.
+	callTimeout = lease.UpstreamLease / 2
 	// longPollSlack is added to the wait of a long poll to get its timeout.
 	longPollSlack = lease.RenewalInterval / 2
 	// firstStartTimeout bounds the first call that starts a run. The timeout doubles with
