lesseed: the timeout of a long poll keeps its slack

With the shorter interval of renewals, the slack of a long poll had fallen from 75 to 47 ms; a late answer counts as a failed poll. It is half of the timeout of the other calls again. docs/design has the shorter lease and the wait for its end.

--- a/internal/lesseed/calls.go
+++ b/internal/lesseed/calls.go
@@ -15,7 +15,7 @@
 	// before its lease expires.
 	callTimeout = lease.UpstreamLease / 2
 	// longPollSlack is added to the wait of a long poll to get its timeout.
-	longPollSlack = lease.RenewalInterval / 2
+	longPollSlack = callTimeout / 2
 	// firstStartTimeout bounds the first call that starts a run. The timeout doubles with
 	// each retry, up to callTimeout. It starts low because a start whose answer is lost
 	// occupies capacity until it is retried, while a repeated start is harmless.
