--- a/core/lessee/poll.go
+++ b/core/lessee/poll.go
@@ -87,9 +87,13 @@
 func (c *Core) poll(renewal bool) {
 	u := &c.upstream
 	a := Poll{Upstream: u.id, Renewal: renewal, SentAt: c.now.Mono, Token: c.token, AcknowledgedUpTo: u.processedUpTo}
-	if u.phase == open && !c.upstreamSilent() && !u.refuses() && c.leaseLeft() > 0 {
-		a.LeaseUntil = c.extendLease(renewal)
-		a.LeaseFrom = u.leaseFrom
+	if u.phase == open && !c.upstreamSilent() && !u.refuses() {
+		if c.leaseLeft() > 0 {
+			a.LeaseUntil = c.extendLease(renewal)
+			a.LeaseFrom = u.leaseFrom
+		} else if renewal {
+			c.logEvent("lease_not_extended", "", "upstream", u.id, "born", u.incarnation, "runs", len(c.runs), "why", "a run that was to be stopped has not ended")
+		}
 	}
 	if renewal {
 		u.renewalInFlight, u.lastRenewalSentAt = true, c.now.Mono
