known red: TestNoTwoRunsOfOneTask draws the late start at the next incarnation

TestNoTwoRunsWithinAnIncarnation keeps a check of the rule that is not passed over: 60 fixed seeds with the same faults, but without calls that a newer incarnation executes.

--- a/core/leasemodel/model_test.go
+++ b/core/leasemodel/model_test.go
@@ -242,6 +242,18 @@
 	})
 }
 
+// TestNoTwoRunsWithinAnIncarnation is the same with fixed seeds and without the calls that a newer
+// incarnation of the upstream executes late, which TestLateStartAtNextIncarnation is about.
+func TestNoTwoRunsWithinAnIncarnation(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			sim := newSimulation(t, seed)
+			sim.dropsLateCalls = true
+			sim.runWithFaults(50, 1+int(seed%16))
+		})
+	}
+}
+
 // recorder records a failure instead of failing the test.
 type recorder struct {
 	testing.TB
