lessee: one renewal at a time again

A renewal times out after 100 ms; starts and stops keep their 150 ms. So one renewal may fail, and the next one be late, before the lease lapses.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -12,9 +12,9 @@
 	// UpstreamLease is the lease that an agent requests from its upstream. The platform
 	// permits at most 1 s; RunLease and UpstreamLease together stay below 1.3 s.
 	UpstreamLease = 300 * time.Millisecond
-	// RenewalInterval is the pause between two renewals of an upstream's lease. Two
-	// renewals in a row may fail before the lease lapses.
-	RenewalInterval = 95 * time.Millisecond
+	// RenewalInterval is the pause between two renewals of an upstream's lease. One renewal may
+	// fail, and the next one be late, before the lease lapses.
+	RenewalInterval = 100 * time.Millisecond
 	// HeartbeatInterval is the pause between two heartbeats of an agent. Two heartbeats in
 	// a row may be lost before RunLease has passed.
 	HeartbeatInterval = 200 * time.Millisecond
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -260,7 +260,7 @@
 	if len(c.runs) > 0 && c.upstream.phase == probing {
 		at = min(at, c.orphansUntil+time.Millisecond)
 	}
-	if c.upstream.phase == open {
+	if c.upstream.phase == open && !c.upstream.renewalInFlight {
 		at = min(at, c.nextRenewalAt())
 	}
 	if c.wantsLongPoll() && c.upstream.polls.Failures() > 0 {
--- a/core/lessee/poll.go
+++ b/core/lessee/poll.go
@@ -30,13 +30,10 @@
 const never = time.Duration(math.MaxInt64)
 
 // nextRenewalAt returns when the next renewal is due, or never. An upstream that fails gets
-// renewals, which are answered at once, in place of long polls. Only a lease is renewed while
-// another renewal is in flight, whose answer may be lost.
+// renewals, which are answered at once, in place of long polls.
 func (c *Core) nextRenewalAt() time.Duration {
 	u := &c.upstream
 	switch {
-	case u.renewalInFlight && (u.suspected() || u.failing() || len(c.runs) == 0):
-		return never
 	case u.suspected():
 		return u.nextSuspectPollAt()
 	case u.failing():
--- a/core/lessee/progress.go
+++ b/core/lessee/progress.go
@@ -3,13 +3,14 @@
 import (
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 )
 
 const (
 	// progressCheckAge is the age at which a run's progress is first checked: by then one or
 	// two renewals have listed it.
-	progressCheckAge = 150 * time.Millisecond
+	progressCheckAge = lease.RenewalInterval
 	// slowFactor limits the remaining time of a run, as a multiple of its expected
 	// duration. Estimates are off by a fraction of up to 0.4, and slow workers take up to
 	// 1.3 times as long. The rest is a margin: stopping a run discards its work, which does
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -240,7 +240,7 @@
 		c.handleExpiredRuns()
 		return
 	}
-	if c.now.Mono >= c.nextRenewalAt() {
+	if !u.renewalInFlight && c.now.Mono >= c.nextRenewalAt() {
 		c.poll(true)
 	}
 	if c.wantsLongPoll() && c.now.Mono >= u.polls.DueAt() {
--- a/internal/lesseed/calls.go
+++ b/internal/lesseed/calls.go
@@ -10,10 +10,12 @@
 )
 
 const (
-	// callTimeout bounds a call to the local upstream, which answers within a fraction of a
-	// millisecond. It is half of the lease, so that an upstream whose answers fail is noticed
-	// before its lease expires.
-	callTimeout = lease.UpstreamLease / 2
+	// callTimeout bounds a start or stop call to the local upstream, which answers within a
+	// fraction of a millisecond.
+	callTimeout = 150 * time.Millisecond
+	// renewalTimeout bounds a renewal, so that one without an answer is followed by another
+	// before the lease expires.
+	renewalTimeout = lease.RenewalInterval
 	// longPollSlack is added to the wait of a long poll to get its timeout.
 	longPollSlack = callTimeout / 2
 	// firstStartTimeout bounds the first call that starts a run. The timeout doubles with
@@ -67,7 +69,7 @@
 
 // poll polls the upstream and posts the result.
 func (d *Daemon) poll(a lessee.Poll) {
-	timeout := callTimeout
+	timeout := renewalTimeout
 	if !a.Renewal {
 		timeout = a.Wait + longPollSlack
 	}
