--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -14,7 +14,7 @@
 
 // main plays the case that the first argument names and writes the record to the second.
 func main() {
-	cases := map[string]func(w *world) int{"cancel": playCancel, "config": playConfig, "dropped": playDropped}
+	cases := map[string]func(w *world) int{"cancel": playCancel, "config": playConfig, "dropped": playDropped, "drain": playDrain}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins-2 CASE RECORD")
 		os.Exit(failed)
@@ -23,7 +23,7 @@
 }
 
 func play(record string, f func(w *world) int) int {
-	w, err := newWorld(record, 3, 4)
+	w, err := newWorld(record, 3, 11)
 	if w == nil {
 		fmt.Fprintln(os.Stderr, err)
 		return failed
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -52,8 +53,14 @@
 	upstream *platform.StandinUpstream
 	server   *http.Server
 	addr     string
-	// listen is where the runner accepts calls, app the address in the agent's settings.
+	// listen is where the runner accepts calls.
 	listen string
+
+	mu sync.Mutex
+	// drainingAckedAt is when the agent first acknowledged that the runner is draining.
+	drainingAckedAt time.Time
+	// lastBeat is the body of the last heartbeat.
+	lastBeat map[string]any
 }
 
 // world is a small deployment.
@@ -217,23 +224,51 @@
 
 // heartbeats sends the runner's heartbeats to its agent, until the process ends.
 func (r *runner) heartbeats() {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for {
 		pause := heartbeatTime
-		method, path, body := r.upstream.Announcement(service)
-		req, err := http.NewRequest(method, "http://"+r.addr+path, bytes.NewReader(body))
-		if err != nil {
+		_, path, raw := r.upstream.Announcement(service)
+		var body map[string]any
+		if err := json.Unmarshal(raw, &body); err != nil {
 			panic(err)
 		}
-		if resp, err := client.Do(req); err == nil {
-			_ = resp.Body.Close()
-		} else {
+		// The stand-in leaves out what the agent does not read.
+		body["address"], body["version"], body["slots"], body["coldLeftMs"] = r.listen, "v1", 8, 0
+		if status := r.beat(path, body); status != http.StatusOK {
 			pause = 100 * time.Millisecond
+		} else if _, draining := r.upstream.Incarnation(); draining && body["state"] == "draining" {
+			r.mu.Lock()
+			if r.drainingAckedAt.IsZero() {
+				r.drainingAckedAt = time.Now()
+			}
+			r.mu.Unlock()
 		}
+		r.mu.Lock()
+		r.lastBeat = body
+		r.mu.Unlock()
 		time.Sleep(pause)
 	}
 }
 
+// beat sends one heartbeat and returns the status, or zero without an answer.
+func (r *runner) beat(path string, body map[string]any) int {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	req, err := http.NewRequest(http.MethodPut, "http://"+r.addr+path, bytes.NewReader(raw))
+	if err != nil {
+		panic(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
 // start starts the program. It ends with this one.
 func (p *proc) start() error {
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
