--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -28,10 +28,15 @@
 		return nil, err
 	}
 	s := &standinStore{topics: platform.NewStandinStore(), addr: addr, down: make(chan struct{})}
-	go func() { _ = (&http.Server{Handler: s}).Serve(l) }()
+	go func() { _ = (&http.Server{Handler: s.handlerFor("all")}).Serve(l) }()
 	return s, nil
 }
 
+// handlerFor returns the handler for the calls of one process, or of all others.
+func (s *standinStore) handlerFor(process string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(process, w, r) })
+}
+
 // setDown takes the store down, or brings it back.
 func (s *standinStore) setDown(down bool) {
 	s.mu.Lock()
@@ -47,8 +52,7 @@
 	}
 }
 
-// ServeHTTP implements http.Handler.
-func (s *standinStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *standinStore) serve(process string, w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	down := s.down
 	s.mu.Unlock()
@@ -59,7 +63,7 @@
 		select {
 		case <-down:
 		default:
-			s.topics.HandlerFor("all").ServeHTTP(answer, r)
+			s.topics.HandlerFor(process).ServeHTTP(answer, r)
 		}
 	}()
 	select {
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -75,6 +75,9 @@
 	starts []runStart
 
 	store       *standinStore
+	// cutStore is the store's address for edge-2, and links are the ways from edge-2 to the agents.
+	cutStore string
+	links    []*link
 	fleet       platform.StandinFleet
 	dispatchers []*proc
 	runners     []*runner
@@ -130,6 +133,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := w.addLinks(agents); err != nil {
+		return w, err
+	}
 	for i := range dispatchers {
 		if err := w.addDispatcher(i); err != nil {
 			return w, err
@@ -174,9 +180,13 @@
 
 func (w *world) addDispatcher(i int) error {
 	ip, name := w.ip(1, i+1), fmt.Sprintf("edge-%d", i+1)
+	store := w.store.addr
+	if name == cutDispatcher {
+		store = w.cutStore
+	}
 	path, err := w.fill("dispatcher.ini", name, map[string]string{
 		"nodeName": name, "zone": zone(i), "listenAddrs.front": ip + ":8161", "listenAddrs.ready": ip + ":8167",
-		"ip": ip, "internalPorts.0": "7720", "platform.address": w.store.addr, "limits.memoryMb": "284",
+		"ip": ip, "internalPorts.0": "7720", "platform.address": store, "limits.memoryMb": "284",
 	})
 	if err != nil {
 		return err
