--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -74,10 +74,10 @@
 	record *os.File
 	starts []runStart
 
-	store       *standinStore
+	store *standinStore
 	// cutStore is the store's address for edge-2, and links are the ways from edge-2 to the agents.
-	cutStore string
-	links    []*link
+	cutStore    string
+	links       []*link
 	fleet       platform.StandinFleet
 	dispatchers []*proc
 	runners     []*runner
