--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,7 +3,7 @@
 # leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/standins-2 ] && [ -x target/dogwoodgauge ] && [ -x target/dogwoodgauge-agent ] || exit 2
-timeout 100 target/standins-2 cancel review/6/record.txt
+timeout 100 target/standins-2 restart review/6/record.txt
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -14,7 +14,7 @@
 
 // main plays the case that the first argument names and writes the record to the second.
 func main() {
-	cases := map[string]func(w *world) int{"cancel": playCancel, "config": playConfig, "dropped": playDropped, "drain": playDrain, "relay": playRelay}
+	cases := map[string]func(w *world) int{"cancel": playCancel, "config": playConfig, "dropped": playDropped, "drain": playDrain, "relay": playRelay, "restart": playRestart}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins-2 CASE RECORD")
 		os.Exit(failed)
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -209,7 +208,7 @@
 	r.agent = &proc{name: name, ip: ip, argv: []string{"target/dogwoodgauge-agent", "lease", "--settings", path}, log: filepath.Join(w.dir, name+".log")}
 	w.runners = append(w.runners, r)
 	r.upstream = w.fleet.Add("i-"+name, zone(i%zones), message.Resources{MilliCPU: 64000, MemoryMB: 131072}, 1)
-	if err := r.serve(); err != nil {
+	if err := r.serveWith(r.upstream); err != nil {
 		return err
 	}
 	if err := r.agent.start(); err != nil {
@@ -221,17 +220,6 @@
 
 func zone(i int) string { return "zone-" + string(rune('a'+i)) }
 
-// serve opens the runner's port.
-func (r *runner) serve() error {
-	l, err := net.Listen("tcp", r.listen)
-	if err != nil {
-		return err
-	}
-	r.server = &http.Server{Handler: r.upstream}
-	go func(s *http.Server) { _ = s.Serve(l) }(r.server)
-	return nil
-}
-
 // heartbeats sends the runner's heartbeats to its agent, until the process ends.
 func (r *runner) heartbeats() {
 	for {
