--- a/review/standins-2/cancel.go
+++ b/review/standins-2/cancel.go
@@ -26,12 +26,12 @@
 	go func() {
 		w.logf("the client sends POST %s to edge-1", path)
 		status, body := call(http.MethodPost, first.addr, path, job, wait)
-		w.logf("the client's POST to edge-1 gets %d %s", status, body)
+		w.logf("the client's POST to edge-1 gets %d %s", status, strings.TrimSpace(body))
 		if status == 0 {
 			time.Sleep(resendPause)
 			w.logf("the client sends POST %s again, to edge-2", path)
 			status, body = call(http.MethodPost, retry.addr, path, job, wait)
-			w.logf("the client's POST to edge-2 gets %d %s", status, body)
+			w.logf("the client's POST to edge-2 gets %d %s", status, strings.TrimSpace(body))
 		}
 		ended <- status
 	}()
--- a/review/standins-2/drain.go
+++ b/review/standins-2/drain.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -49,7 +50,12 @@
 	limit := acked.Add(drainTime + margin)
 	for n := 0; time.Since(acked) < observeTime; n++ {
 		d := w.dispatchers[n%len(w.dispatchers)]
-		go call(http.MethodPost, d.ip+":8161", fmt.Sprintf("/check/%08x%08x", acked.UnixNano()&0xffffffff, n), chain(1, 8, 60*time.Millisecond), 1500*time.Millisecond)
+		path := fmt.Sprintf("/check/%08x%08x", acked.UnixNano()&0xffffffff, n)
+		go func() {
+			w.logf("POST %s to %s", path, d.name)
+			status, body := call(http.MethodPost, d.ip+":8161", path, chain(1, 8, 60*time.Millisecond), 1500*time.Millisecond)
+			w.logf("the POST %s to %s gets %d %s", path, d.name, status, strings.TrimSpace(body))
+		}()
 		time.Sleep(jobInterval)
 	}
 	time.Sleep(time.Second)
--- a/review/standins-2/dropped.go
+++ b/review/standins-2/dropped.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -22,7 +23,7 @@
 	go func() {
 		w.logf("the client sends POST %s", path)
 		status, body := call(http.MethodPost, front.addr, path, chain(10, 2, 1500*time.Millisecond), wait)
-		w.logf("the client's POST gets %d %s", status, body)
+		w.logf("the client's POST gets %d %s", status, strings.TrimSpace(body))
 		ended <- status
 	}()
 	time.Sleep(time.Second)
--- a/review/standins-2/relay.go
+++ b/review/standins-2/relay.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -33,7 +34,7 @@
 		defer wg.Done()
 		w.logf("POST %s arrives at %s", path, d.name)
 		status, body := call(http.MethodPost, d.ip+":8161", path, chain(1, 1, 2*time.Second), 8*time.Second)
-		w.logf("the POST %s at %s gets %d %s", path, d.name, status, body)
+		w.logf("the POST %s at %s gets %d %s", path, d.name, status, strings.TrimSpace(body))
 	}
 	ids := make([]string, cancelledJobs)
 	for i := range ids {
--- a/review/standins-2/restart.go
+++ b/review/standins-2/restart.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -161,14 +162,14 @@
 			id := fmt.Sprintf("%08x%08x", w.startAt.UnixNano()&0xffffffff, n)
 			for try := range resends + 1 {
 				d := w.dispatchers[(n+try)%len(w.dispatchers)]
-				status, _ := call(http.MethodPost, d.ip+":8161", "/check/"+id, job, 1500*time.Millisecond)
+				w.logf("POST /check/%s to %s", id, d.name)
+				status, body := call(http.MethodPost, d.ip+":8161", "/check/"+id, job, 1500*time.Millisecond)
+				w.logf("the POST /check/%s to %s gets %d %s", id, d.name, status, strings.TrimSpace(body))
 				if status != 0 && status != http.StatusBadGateway && status != http.StatusGatewayTimeout {
 					return
 				}
-				w.logf("%s gets %d at %s", id, status, d.name)
 				if try < resends {
 					time.Sleep(resendPause)
-					w.logf("%s is sent again", id)
 				}
 			}
 		}()
