dispatch, lessee: a job is held while a start call of an earlier submission may be executed

Cause: that a task may start late was known with the open offer of one dispatcher only, and dropped with the job's answer. Neither that dispatcher nor another one held the job when it came again.

A dispatcher now holds such a job beyond its answer, and agents pass the hold on to the other dispatchers, as they do with cancellations. A held job is not placed; it is released when the offers have completed, when the next incarnation of the agent is ready, or when the call is too old (13.1 s, lease.LateStartExpiry). If it can no longer be done in time it is answered with may_start_late at once, and never as not run.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -54,6 +54,9 @@
 	// revokedAt holds the revoked offers that have not completed, with the time at which
 	// the last RevokeOffer was sent.
 	revokedAt map[uint64]time.Duration
+	// heldOffers holds the offers of which a start call may be executed late, with the holds of
+	// their jobs.
+	heldOffers map[uint64]*ownHold
 	// unreported holds the demand of each offer that lastReport does not include, and
 	// unreportedSum the sum of these demands.
 	unreported    map[uint64]message.Resources
@@ -100,14 +103,14 @@
 	a := &agent{
 		ref: e.Agent, former: e.Former, domain: e.Domain, lastHeartbeatAt: c.now.Mono, lastMessageAt: c.now.Mono, idleInterval: lease.HeartbeatInterval,
 		isolationRank: rendezvous.Rank(isolationKey, e.Agent.ID),
-		openOffers:    make(map[uint64]*task), revokedAt: make(map[uint64]time.Duration), unreported: make(map[uint64]message.Resources),
+		openOffers:    make(map[uint64]*task), revokedAt: make(map[uint64]time.Duration), heldOffers: make(map[uint64]*ownHold), unreported: make(map[uint64]message.Resources),
 	}
 	c.agents[a.ref] = a
 	i, _ := slices.BinarySearchFunc(c.sortedAgents, a, func(x, y *agent) int { return compareRefs(x.ref, y.ref) })
 	c.sortedAgents = slices.Insert(c.sortedAgents, i, a)
 	c.workersChanged = true
 	c.logEvent("agent_connected", "", "agent", a.ref.String(), "domain", a.domain)
-	c.sendHeartbeatWith(a, message.Heartbeat{Cancelled: c.recentCancels()})
+	c.sendHeartbeatWith(a, c.recentNotices())
 }
 
 func compareRefs(a, b node.Ref) int {
@@ -163,6 +166,7 @@
 	c.applySite(hb.Site)
 	c.learnCancelled(a, hb.Cancelled)
 	c.recordUnanswered(a, hb.Unanswered)
+	c.learnHolds(a, hb.LateStarts)
 	c.applyEvidence(a, hb.Evidence)
 	// The report names the service, which the crashes count for.
 	if hb.Capacity != nil {
--- a/core/dispatch/cancel_test.go
+++ b/core/dispatch/cancel_test.go
@@ -149,8 +149,8 @@
 	if limit := relayCount * int(3*time.Second/(agentCount*announcePause)); sent == 0 || sent > limit {
 		t.Errorf("got %d announcements within 3 s, want 1 to %d", sent, limit)
 	}
-	if n := b.core.Stats().CancelsForgotten; n == 0 || len(b.core.cancels.unannounced) != 0 {
-		t.Errorf("%d jobs counted as not announced, %d still wait; want them dropped and counted", n, len(b.core.cancels.unannounced))
+	if n := b.core.Stats().CancelsForgotten; n == 0 || len(b.core.announcements.queue) != 0 {
+		t.Errorf("%d jobs counted as not announced, %d still wait; want them dropped and counted", n, len(b.core.announcements.queue))
 	}
 }
 
--- a/core/dispatch/completion.go
+++ b/core/dispatch/completion.go
@@ -10,6 +10,7 @@
 // revoke asks the agent to stop or never start a run whose result is no longer needed.
 func (c *Core) revoke(t *task) {
 	a := t.agent
+	c.holdOffer(t)
 	delete(c.openOffers, t.seq)
 	delete(a.openOffers, t.seq)
 	a.revokedAt[t.seq] = c.now.Mono
@@ -42,6 +43,7 @@
 		c.applyCapacity(a, e.Capacity)
 	}
 	delete(a.revokedAt, e.Seq)
+	c.releaseOffer(a, e.Seq)
 	a.removeUnreported(e.Seq)
 	c.placementNeeded = true
 	t, ok := c.openOffers[e.Seq]
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/interference"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/pressure"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/quarantine"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/recent"
 	"github.com/dogwoodgauge/dogwoodgauge/core/site"
 	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 	"github.com/dogwoodgauge/dogwoodgauge/core/timerqueue"
@@ -36,6 +37,8 @@
 
 // Config holds the parameters of a Core.
 type Config struct {
+	// Self is this incarnation of the process.
+	Self node.Ref
 	// Domain is the failure domain of this process.
 	Domain string
 	// LearnSpeed makes placement take the measured speed of upstreams into account.
@@ -102,9 +105,12 @@
 	// that may have caused them.
 	crashes   *containment.Tracker
 	isolation isolationState
-	cancels   cancelState
-	ran       ranState
-	speeds    speedState
+	// cancelled holds the jobs that were cancelled, here or at another dispatcher.
+	cancelled     recent.Memory
+	holds         holdState
+	announcements announcements
+	ran           ranState
+	speeds        speedState
 	// interference holds the routes found to slow each other down, or is nil if tasks are not
 	// placed by it. watch is the request for evidence in heartbeats.
 	interference *interference.Detector
@@ -173,6 +179,11 @@
 	// CancelsForgotten the cancelled jobs that were forgotten or made known to no other
 	// process, for lack of memory or bytes.
 	CancelledResubmissions, CancelsForgotten uint64
+	// JobsMayStartLate is the number of jobs that are held, or will be when they are submitted
+	// again, since a start call of theirs may be executed late. HeldResubmissions counts the jobs
+	// that were held, and HoldsForgotten the holds that were forgotten for lack of memory.
+	JobsMayStartLate                  int
+	HeldResubmissions, HoldsForgotten uint64
 }
 
 // New returns a dispatcher without agents.
@@ -221,6 +232,7 @@
 	c.checkDeadlines()
 	c.updateIsolation()
 	c.updateInterference()
+	c.releaseJobs()
 	c.place()
 	c.refuseInfeasible()
 	c.refuseHopeless()
@@ -228,9 +240,12 @@
 	c.updateBacklogged()
 	c.updateShares()
 	c.notifyWaiting()
-	c.announceCancelled()
-	c.reportOverload()
 	if c.draining && len(c.jobs) == 0 {
+		c.announceAllHolds()
+	}
+	c.announce()
+	c.reportOverload()
+	if c.draining && len(c.jobs) == 0 && !c.announcements.pending(c.now.Mono) {
 		c.out = append(c.out, step.Drained{})
 	}
 	c.out = append(c.out, step.SetTimer{At: c.nextTick()})
@@ -298,6 +313,7 @@
 	if c.interference != nil {
 		s.InterferingPairs = len(c.interference.Findings())
 	}
+	s.JobsMayStartLate = c.holds.known.Len()
 	s.OpenJobs, s.WaitingJobs, s.Agents, s.Revision = len(c.jobs), len(c.waiting), len(c.agents), c.site.Revision
 	for _, a := range c.sortedAgents {
 		if c.usable(a) {
--- a/core/dispatch/ended.go
+++ b/core/dispatch/ended.go
@@ -28,6 +28,7 @@
 		c.replaceRelay(a)
 	}
 	a.life.Observe(c.now.Mono, e.Hint)
+	c.announceHoldsOf(a)
 	c.sendHeartbeatWith(a, message.Heartbeat{WantReply: true})
 }
 
@@ -45,6 +46,7 @@
 	a.life.Observe(c.now.Mono, proof)
 	c.logEvent("agent_ended", "", "agent", a.ref.String(), "proof", string(proof), "offers", len(a.openOffers))
 	c.replaceRelay(a)
+	c.announceHoldsOf(a)
 }
 
 // runsExpiredAt returns the time after which no run of the agent can be alive. Its lease of
@@ -68,6 +70,7 @@
 func (c *Core) endRunsOfFormer(a *agent) {
 	for former, ok := c.agents[a.former]; ok && !former.leftNothing; former, ok = c.agents[former.former] {
 		former.leftNothing = true
+		c.releaseHoldsOf(former.ref)
 		if len(former.openOffers) > 0 {
 			c.logEvent("runs_left_ended", "", "agent", former.ref.String(), "offers", len(former.openOffers))
 		}
--- /dev/null
+++ b/core/dispatch/hold_test.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/latestart"
+	"github.com/dogwoodgauge/dogwoodgauge/core/step"
+)
+
+var otherDispatcher = node.Ref{ID: "d9", Incarnation: 1}
+
+// learnHold lets agent 0 pass on that another dispatcher holds a job for agent 1, or no longer.
+func (b *testBed) learnHold(job string, released bool, left time.Duration) {
+	b.receive(0, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now, Revision: 1, LateStarts: []message.LateStart{{
+		Hold: latestart.Hold{Key: latestart.Key{Job: job, Agent: ref(1), Dispatcher: otherDispatcher}, Offer: 1, Released: released}, Left: left,
+	}}}})
+}
+
+// TestHeldJobIsNotStarted guards against starting a job of which a start call of an earlier
+// submission may still be executed, and against one that is held although that is ruled out.
+func TestHeldJobIsNotStarted(t *testing.T) {
+	for name, end := range map[string]func(b *testBed){
+		"the other dispatcher releases it": func(b *testBed) { b.learnHold("j", true, lease.LateStartExpiry) },
+		"the next incarnation is ready": func(b *testBed) {
+			next := node.Ref{ID: ref(1).ID, Incarnation: 2}
+			b.step(AgentConnected{Agent: next, Former: ref(1), Domain: "z1"})
+			b.step(step.Received{Envelope: message.Envelope{From: next, Messages: []message.Message{{Heartbeat: &message.Heartbeat{
+				Timestamp: b.now, Revision: 1, Capacity: &message.CapacityReport{Version: 1, Ready: true, InfoVersion: 1},
+			}}}}})
+		},
+		"it expires": func(b *testBed) {
+			b.advance(450 * time.Millisecond)
+			b.sendHeartbeats(2)
+			b.advance(100 * time.Millisecond)
+		},
+	} {
+		b := newTestBed(t)
+		b.connectAgents(2, 4)
+		b.learnHold("j", false, 600*time.Millisecond)
+		call := b.submit("j", 0, 2, 100*time.Millisecond)
+		b.submit("other", 0, 1, 100*time.Millisecond)
+		b.advance(100 * time.Millisecond)
+		if offers := b.takeOffers(); len(offers) != 1 || offers[0].Task.Job != "other" {
+			t.Errorf("%s: got offers of %q while the job was held, want only the other job", name, jobIDs(offers))
+		}
+		end(b)
+		if offers := b.takeOffers(); len(offers) != 2 {
+			t.Errorf("%s: got %d offers after that, want 2; answer %+v", name, len(offers), b.answers[call])
+		}
+	}
+}
+
+// TestHeldJobIsNeverSaidNotToHaveRun guards against an answer that promises that nothing of a job
+// runs while a start call of an earlier submission may be executed, and against a caller that waits
+// although its job can no longer be done in time.
+func TestHeldJobIsNeverSaidNotToHaveRun(t *testing.T) {
+	b := newTestBed(t)
+	b.connectAgents(2, 4)
+	b.learnHold("j", false, lease.LateStartExpiry)
+	call := b.submit("j", 0, 1, time.Second)
+	for range 10 {
+		b.advance(100 * time.Millisecond)
+		b.sendHeartbeats(2)
+	}
+	if a := b.answers[call]; a.Outcome != Interrupted || a.Reason != reasonMayStartLate {
+		t.Errorf("got %+v once a task of 1 s could not be done within 1.5 s, want %s", a, Interrupted)
+	}
+	b.step(step.Drain{}) // refuses all jobs
+	if a := b.answers[b.submit("j", 0, 1, time.Millisecond)]; a.Outcome != Interrupted {
+		t.Errorf("got %+v for the held job, want %s", a, Interrupted)
+	}
+	if a := b.answers[b.submit("k", 0, 1, time.Millisecond)]; a.Outcome != Refused {
+		t.Errorf("got %+v for another job, want %s", a, Refused)
+	}
+}
+
+// TestOpenJobThatIsHeld guards against two runs of a task whose job was submitted here before the
+// hold was learned: by a dispatcher that has just started, or after a delayed message.
+func TestOpenJobThatIsHeld(t *testing.T) {
+	b := newTestBed(t)
+	b.connectAgents(2, 1)
+	running, waiting := b.submit("running", 0, 2, time.Second), b.submit("waiting", 0, 1, 100*time.Millisecond)
+	offers := b.takeOffers()
+	b.learnHold("running", false, lease.LateStartExpiry)
+	b.learnHold("waiting", false, lease.LateStartExpiry)
+	if a := b.answers[running]; a.Outcome != Interrupted || len(b.revoked) != len(offers) {
+		t.Errorf("got %+v and %d revoked offers for the running job, want %s and %d", a, len(b.revoked), Interrupted, len(offers))
+	}
+	for _, o := range offers {
+		b.complete(o, message.RunStopped, "")
+	}
+	if got := b.takeOffers(); len(got) != 0 || b.answers[waiting].Outcome != "" {
+		t.Errorf("got offers of %q and answer %+v for the waiting job, want it held", jobIDs(got), b.answers[waiting])
+	}
+	b.learnHold("waiting", true, lease.LateStartExpiry)
+	if got := b.takeOffers(); len(got) != 1 {
+		t.Errorf("got %d offers of the waiting job once it was released, want 1", len(got))
+	}
+}
+
+// TestHoldsAreAnnounced guards against another dispatcher that starts a job since nobody has told it
+// that a start call may be executed, or that holds it although the run has ended.
+func TestHoldsAreAnnounced(t *testing.T) {
+	b := newTestBed(t)
+	b.connectAgents(4, 1)
+	told := func() (agents int, last message.LateStart) {
+		for _, hb := range b.heartbeats {
+			if n := len(hb.LateStarts); n > 0 {
+				agents, last = agents+1, hb.LateStarts[n-1]
+			}
+		}
+		return agents, last
+	}
+	call := b.submit("j", 0, 1, 100*time.Millisecond)
+	o := b.takeOffers()[0]
+	at := int(b.offeredTo[o.Seq][1] - '0')
+	b.receive(at, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now, Revision: 1, Unanswered: []uint64{o.Seq}}})
+	if agents, _ := told(); agents != 0 {
+		t.Errorf("%d agents were told of a job that is open at an agent in reach, want none", agents)
+	}
+	clear(b.heartbeats)
+	b.step(CallerGone{Call: call})
+	if agents, l := told(); agents != relayCount || l.Job != "j" || l.Agent != ref(at) || l.Released || l.Left != lease.LateStartExpiry {
+		t.Errorf("%d agents were told of %+v, want %d of the hold", agents, l, relayCount)
+	}
+	b.submit("j", 0, 1, 100*time.Millisecond)
+	if got := b.takeOffers(); len(got) != 0 {
+		t.Errorf("got %d offers of the job that was submitted again here, want none", len(got))
+	}
+	clear(b.heartbeats)
+	b.advance(50 * time.Millisecond)
+	b.complete(o, message.RunStopped, "")
+	if agents, l := told(); agents != relayCount || l.Job != "j" || !l.Released {
+		t.Errorf("%d agents were told of %+v once the run had ended, want %d of the release", agents, l, relayCount)
+	}
+	if got := b.takeOffers(); len(got) != 1 {
+		t.Errorf("got %d offers once the run had ended, want 1", len(got))
+	}
+}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -53,6 +53,8 @@
 	crashed bool
 	// acceptedAttempts is the highest Route.MaxAttempts of its submissions.
 	acceptedAttempts int
+	// held is set while a start call of an earlier submission may be executed.
+	held bool
 	// ranBefore is set if a task may have run in an earlier submission that was answered here.
 	ranBefore  bool
 	offerCount int
@@ -118,7 +120,8 @@
 		c.answerJob(j, Interrupted, reasonPaused, 0)
 		return
 	}
-	j.crashed, j.ranBefore = c.crashes.JobKnown(j.spec.ID), c.ranBefore(j.spec.ID)
+	held := c.holds.known.Held(c.now.Mono, j.spec.ID)
+	j.crashed, j.ranBefore = c.crashes.JobKnown(j.spec.ID), c.ranBefore(j.spec.ID) || held
 	if c.crashes.JobCondemned(j.spec.ID) {
 		c.answerJob(j, Interrupted, reasonCrashes, 0)
 		return
@@ -152,6 +155,10 @@
 	c.byID[j.spec.ID] = j
 	c.deadlines.Add(j.deadline, j.call)
 	c.latestStarts.Add(j.latestStart(c.cfg.UsefulFactor), j.call)
+	if held {
+		c.holdJob(j)
+		return
+	}
 	c.unblock(j)
 	c.enqueue(j)
 	c.recordArrival(j)
@@ -351,39 +358,6 @@
 	}
 }
 
-// checkDeadlines gives up the jobs whose callers no longer wait.
-func (c *Core) checkDeadlines() {
-	for call, ok := c.deadlines.Pop(c.now.Mono); ok; call, ok = c.deadlines.Pop(c.now.Mono) {
-		if j, open := c.jobs[call]; open {
-			c.giveUp(j, reasonDeadline)
-		}
-	}
-}
-
-// refuseInfeasible refuses the waiting jobs that cannot meet their deadlines and of which
-// no task may have run.
-func (c *Core) refuseInfeasible() {
-	for call, ok := c.latestStarts.Pop(c.now.Mono); ok; call, ok = c.latestStarts.Pop(c.now.Mono) {
-		if j, open := c.jobs[call]; open && j.queued && !j.mayHaveRun {
-			c.giveUp(j, j.lateReason(c.cfg.UsefulFactor))
-		}
-	}
-}
-
-// estimateError is the share by which a task may take less time than estimated.
-const estimateError = 0.4
-
-// latestStart returns the time from which a job that has not started misses its deadline, or
-// its answer comes too late to be of use.
-func (j *job) latestStart(usefulFactor float64) time.Duration {
-	return j.usefulUntil(usefulFactor, j.longestEstimate) - leastDuration(j.longestEstimate)
-}
-
-// leastDuration returns the least time that a task takes, given the error of its estimate.
-func leastDuration(estimate time.Duration) time.Duration {
-	return time.Duration(float64(estimate) * (1 - estimateError))
-}
-
 // openJobs returns the open jobs in the order of their calls.
 func (c *Core) openJobs() []*job {
 	list := make([]*job, 0, len(c.jobs))
--- a/core/dispatch/late_start.go
+++ b/core/dispatch/late_start.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "github.com/dogwoodgauge/dogwoodgauge/core/lease"
+
 // recordUnanswered marks the tasks of an agent's offers of which a start call got no answer.
 func (c *Core) recordUnanswered(a *agent, seqs []uint64) {
 	for _, seq := range seqs {
@@ -12,10 +14,10 @@
 
 // holdForLateStart holds a task of a lost agent if the task must not start elsewhere, and reports
 // whether it does. The upstream may have restarted with its agent; it may then execute a start
-// call that got no answer at any time until the agent's next incarnation has polled it. No
-// lease bounds that. If the task could no longer be done in time, its job is given up.
+// call that got no answer at any time until the agent's next incarnation has polled it, or
+// the call is too old. If the task could no longer be done in time, its job is given up.
 func (c *Core) holdForLateStart(t *task, a *agent) bool {
-	if !t.mayStartLate || a.leftNothing {
+	if !t.mayStartLate || a.leftNothing || c.now.Mono > max(a.lastHeartbeatAt, a.lastOfferAt)+lease.LateStartExpiry {
 		return false
 	}
 	estimate := t.stepSpec().Estimate
@@ -26,11 +28,11 @@
 	return true
 }
 
-// heldBefore reports whether a, or an incarnation before it, has open offers. Only the next ready
-// incarnation can release those, and finds them through a.
+// heldBefore reports whether a, or an incarnation before it, has open offers, or jobs are held for
+// it. Only the next ready incarnation can release those, and finds them through a.
 func (c *Core) heldBefore(a *agent) bool {
 	for known := true; known; a, known = c.agents[a.former] {
-		if len(a.openOffers) > 0 {
+		if len(a.openOffers) > 0 || len(c.holds.known.Of(c.now.Mono, a.ref)) > 0 {
 			return true
 		}
 	}
--- a/core/dispatch/silence.go
+++ b/core/dispatch/silence.go
@@ -114,6 +114,7 @@
 		if !a.suspect {
 			a.suspect = true
 			c.logEvent("agent_silent", "", "agent", a.ref.String(), "silent_ms", unresponsiveFor.Milliseconds(), "offers", len(a.openOffers))
+			c.announceHoldsOf(a)
 			c.doubtDomain(a.domain)
 		}
 		if c.now.Mono > a.runsExpiredAt() {
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -38,6 +38,9 @@
 	// is known; see docs/design/liveness.md.
 	lateStart = 90 * time.Millisecond
 
+	// MaxCallDelay is how late an upstream executes a call that got no answer.
+	MaxCallDelay = 12 * time.Second
+
 	// stopSlack covers the time to carry out a stop (50 ms) and late timers.
 	stopSlack = 100 * time.Millisecond
 )
@@ -52,6 +55,10 @@
 // applies.
 const MaxUpstreamExpiry = time.Second + time.Second/maxClockDrift + stopSlack
 
+// LateStartExpiry is the time, from the sending of a start call that got no answer, after which
+// neither the call can be executed by any incarnation of the upstream nor its run be alive.
+const LateStartExpiry = MaxCallDelay + MaxUpstreamExpiry
+
 // RunExpiry is the time, from the last heartbeat received from an agent or the last offer to
 // it, after which no run that the agent had then is alive: neither one that a live agent was to
 // stop after RunLease, nor one that a newer incarnation of the upstream has started from a call
--- a/core/lessee/leaseholder.go
+++ b/core/lessee/leaseholder.go
@@ -9,6 +9,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/latestart"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/pace"
 )
 
@@ -70,6 +71,8 @@
 	completedRuns []*run
 	// untoldCancels lists the cancelled jobs that it has not been told of.
 	untoldCancels []string
+	// untoldHolds lists the changes of holds that it has not been told of.
+	untoldHolds []latestart.Hold
 	// unfinished counts the runs that have not completed.
 	unfinished int
 }
@@ -79,7 +82,10 @@
 	if h, ok := c.holders[ref]; ok {
 		return h
 	}
-	h := &leaseHolder{ref: ref, runsBySeq: make(map[uint64]*run), leaseUntil: c.now.Mono + lease.RunLease, untoldCancels: c.cancelled.Jobs(c.now.Mono)}
+	h := &leaseHolder{
+		ref: ref, runsBySeq: make(map[uint64]*run), leaseUntil: c.now.Mono + lease.RunLease,
+		untoldCancels: c.cancelled.Jobs(c.now.Mono), untoldHolds: c.holds.Holds(c.now.Mono),
+	}
 	c.holders[ref] = h
 	c.holderOrder = append(c.holderOrder, h)
 	c.logEvent("dispatcher_seen", "", "dispatcher", ref.String())
@@ -118,6 +124,7 @@
 	}
 	c.applySite(hb.Site)
 	c.handleCancelled(h, hb.Cancelled, first)
+	c.handleLateStarts(h, hb.LateStarts, first)
 	wantSite := c.siteRequester.ShouldRequest(c.now.Mono, c.site.Revision, hb.Revision)
 	giveSite := hb.WantSite && hb.Revision < c.site.Revision && c.siteLimiter.Allow(c.now.Mono, c.site)
 	if first || wantSite || giveSite || hb.WantReply {
@@ -199,7 +206,7 @@
 	hb := &message.Heartbeat{
 		Timestamp: c.now.Mono, EchoedTimestamp: h.lastTimestamp, Revision: c.site.Revision, WantSite: wantSite,
 		IdleInterval: h.statedInterval, Crashes: c.unknownCrashes(h), Evidence: c.dueEvidence(h),
-		Cancelled: h.takeUntoldCancels(), Unanswered: c.unansweredStarts(h),
+		Cancelled: h.takeUntoldCancels(), LateStarts: c.takeUntoldHolds(h), Unanswered: c.unansweredStarts(h),
 	}
 	if giveSite {
 		hb.Site = c.site
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -8,6 +8,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/interference"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/latestart"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/recent"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/speed"
 	"github.com/dogwoodgauge/dogwoodgauge/core/site"
@@ -75,6 +76,10 @@
 	// those that were forgotten for lack of memory.
 	cancelled        recent.Memory
 	cancelsForgotten uint64
+	// holds are the jobs that dispatchers hold since a start call may be executed late, and
+	// holdsForgotten counts those that were forgotten for lack of memory.
+	holds          latestart.Memory
+	holdsForgotten uint64
 	// resumedAt is when the last long pause of the process ended, or zero.
 	resumedAt time.Duration
 	// orphansUntil is when orphaned runs are reported as lost even if no poll has shown that
@@ -184,8 +189,9 @@
 	Slowdown int
 	// StartsRefused counts the start calls that the upstream refused for lack of capacity.
 	StartsRefused uint64
-	// CancelsForgotten counts the cancelled jobs that were forgotten for lack of memory.
-	CancelsForgotten uint64
+	// CancelsForgotten counts the cancelled jobs, and HoldsForgotten the held ones, that were
+	// forgotten for lack of memory.
+	CancelsForgotten, HoldsForgotten uint64
 }
 
 // Stats returns the current values for metrics.
@@ -193,7 +199,7 @@
 	return Stats{
 		Runs: len(c.runs), Dispatchers: len(c.holders), Used: c.used, Capacity: c.upstream.estimate.announced, Usable: c.upstream.capacity,
 		Ready: c.Ready(), Revision: c.site.Revision, Crashes: c.lastCrash, Slowdown: c.speed.Slowdown(c.now.Mono), StartsRefused: c.startsRefused,
-		CancelsForgotten: c.cancelsForgotten,
+		CancelsForgotten: c.cancelsForgotten, HoldsForgotten: c.holdsForgotten,
 	}
 }
 
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -63,7 +63,7 @@
 	"unsupported_kind_of_job":    "the job uses options that are not supported: stored, scheduled, repeated or long-running jobs, gangs, speculative copies",
 	"stopped":                    "the dispatcher had stopped",
 	"submitted_again_elsewhere":  "the caller submitted the job again, and another dispatcher runs it now",
-	"may_start_late":             "the host of a task was lost, and its upstream may still execute a start call that got no answer",
+	"may_start_late":             "the host of a task was lost, and its upstream may still execute a start call that got no answer, of this submission or an earlier one; see job_may_start_late, hold_learned and job_held lines",
 	"id_in_use":                  "another job with this ID was open; nothing of this one has run",
 }
 
--- a/internal/dispatchd/daemon.go
+++ b/internal/dispatchd/daemon.go
@@ -112,6 +112,7 @@
 	d.site.Store(&site.State{})
 	d.Apply(cfg.Settings)
 	d.core = dispatch.New(dispatch.Config{
+		Self:       d.self,
 		Domain:     cfg.Settings.Node.Domain,
 		LearnSpeed: cfg.Settings.Placement.LearnSpeed, SeparateInterfering: cfg.Settings.Placement.SeparateInterfering,
 		OrderAcross:  cfg.Settings.Overload.OrderAcross,
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -58,4 +58,7 @@
 
 	CancelledResubmissionsTotal = "dogwoodgauge_cancelled_resubmissions_total"
 	CancelsForgottenTotal       = "dogwoodgauge_cancels_forgotten_total"
+	JobsMayStartLate            = "dogwoodgauge_jobs_may_start_late"
+	HeldResubmissionsTotal      = "dogwoodgauge_held_resubmissions_total"
+	HoldsForgottenTotal         = "dogwoodgauge_holds_forgotten_total"
 )
