dispatch, lessee: tasks of a lost host start elsewhere only if their start calls were answered

Cause: a start call counted as answered until the agent stated the contrary. Heartbeats now list the open runs of which every call was answered (Heartbeat.Started). The other tasks of a lost host wait for its next incarnation or for the age of the call, and their jobs are held.

"A call that receives no response may have been executed. It may also be executed seconds later" (the platform's protocol): the dispatcher can't know that these calls were answered. The unit tests of the lease times let the agent report the start first; the bounds are the same.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -166,6 +166,7 @@
 	c.applySite(hb.Site)
 	c.learnCancelled(a, hb.Cancelled)
 	c.recordUnanswered(a, hb.Unanswered)
+	c.recordStarted(a, hb.Started)
 	c.learnHolds(a, hb.LateStarts)
 	c.applyEvidence(a, hb.Evidence)
 	// The report names the service, which the crashes count for.
--- a/core/dispatch/cancel_test.go
+++ b/core/dispatch/cancel_test.go
@@ -59,7 +59,9 @@
 	b := newTestBed(t)
 	b.connectAgents(2, 4)
 	b.submit("j", 0, 1, 100*time.Millisecond)
+	o := b.takeOffers()[0]
 	b.cancel("j")
+	b.complete(o, message.RunStopped, "")
 	b.now += 300 * time.Millisecond
 	b.sendHeartbeats(2)
 	b.expectWithdrawn("j")
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -114,6 +114,7 @@
 	b.connectAgents(2, 4)
 	b.submit("j", 0, 1, time.Millisecond)
 	first := b.takeOffers()[0]
+	b.confirmStart(first)
 	unresponsive := b.offeredTo[first.Seq]
 	lastHeartbeat := b.now
 	other := 0
--- a/core/dispatch/harness_test.go
+++ b/core/dispatch/harness_test.go
@@ -117,6 +117,11 @@
 	return b.calls
 }
 
+// confirmStart lets the core know that the start call of an offer was answered.
+func (b *testBed) confirmStart(o message.Offer) {
+	b.core.recordStarted(b.core.openOffers[o.Seq].agent, []uint64{o.Seq})
+}
+
 // takeOffers returns the offers since the last call.
 func (b *testBed) takeOffers() []message.Offer {
 	offers := b.offers
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -28,11 +28,12 @@
 	announced bool
 }
 
-// holdOffer holds the job of an open or revoked offer of which a start call got no answer. The
-// other dispatchers are told, since the caller may submit the job again to one of them.
+// holdOffer holds the job of an open or revoked offer, unless all its start calls were answered.
+// The other dispatchers are told if a call is known to be unanswered, or if the agent may have
+// ended: the caller may submit the job again to one of them.
 func (c *Core) holdOffer(t *task) {
 	a := t.agent
-	if !t.mayStartLate || a.leftNothing {
+	if t.startsAnswered || a.leftNothing {
 		return
 	}
 	key := latestart.Key{Job: t.job.spec.ID, Agent: a.ref, Dispatcher: c.cfg.Self}
@@ -50,7 +51,9 @@
 		h.Offer, h.ExpiresAt = max(h.Offer, t.seq), c.now.Mono+lease.LateStartExpiry
 		c.remember(h.Hold)
 	}
-	c.announceHold(h)
+	if t.mayStartLate || a.suspect || !a.life.MayGetWork() {
+		c.announceHold(h)
+	}
 }
 
 func (c *Core) announceHold(h *ownHold) {
@@ -92,6 +95,16 @@
 	return changed
 }
 
+// recordStarted records the offers of which an agent states that every start call was answered.
+func (c *Core) recordStarted(a *agent, seqs []uint64) {
+	for _, seq := range seqs {
+		if t, ok := a.openOffers[seq]; ok {
+			t.startsAnswered = true
+		}
+		c.releaseOffer(a, seq)
+	}
+}
+
 // releaseOffer records that no start call of an offer will be executed late.
 func (c *Core) releaseOffer(a *agent, seq uint64) {
 	h, ok := a.heldOffers[seq]
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -89,8 +89,9 @@
 	// starts counts the offers after which the task may have run, failures the runs reported as
 	// failed.
 	starts, failures int
-	// mayStartLate is set if a start call of the open offer got no answer, by the agent's report.
-	mayStartLate bool
+	// mayStartLate is set if a start call of the open offer got no answer, and startsAnswered if
+	// every start call was answered, by the agent's reports.
+	mayStartLate, startsAnswered bool
 	// held is set while the task waits for its lost agent, since it may start late.
 	held bool
 	// tooSlowRuns counts the runs that were stopped for lack of progress.
--- a/core/dispatch/late_start.go
+++ b/core/dispatch/late_start.go
@@ -5,6 +5,9 @@
 // recordUnanswered marks the tasks of an agent's offers of which a start call got no answer.
 func (c *Core) recordUnanswered(a *agent, seqs []uint64) {
 	for _, seq := range seqs {
+		if h, ok := a.heldOffers[seq]; ok {
+			c.announceHold(h)
+		}
 		if t, ok := a.openOffers[seq]; ok && !t.mayStartLate {
 			t.mayStartLate = true
 			c.logEvent("start_unanswered", t.job.spec.ID, "task", t.name().String(), "agent", a.ref.String(), "seq", seq)
@@ -15,9 +18,10 @@
 // holdForLateStart holds a task of a lost agent if the task must not start elsewhere, and reports
 // whether it does. The upstream may have restarted with its agent; it may then execute a start
 // call that got no answer at any time until the agent's next incarnation has polled it, or
-// the call is too old. If the task could no longer be done in time, its job is given up.
+// the call is too old. That is so unless the agent has stated that every call was answered. If the
+// task could no longer be done in time, its job is given up.
 func (c *Core) holdForLateStart(t *task, a *agent) bool {
-	if !t.mayStartLate || a.leftNothing || c.now.Mono > max(a.lastHeartbeatAt, a.lastOfferAt)+lease.LateStartExpiry {
+	if t.startsAnswered || a.leftNothing || c.now.Mono > max(a.lastHeartbeatAt, a.lastOfferAt)+lease.LateStartExpiry {
 		return false
 	}
 	estimate := t.stepSpec().Estimate
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -258,7 +258,7 @@
 	c.lastSeq++
 	t.seq, t.agent, t.state = c.lastSeq, a, offered
 	t.starts++
-	t.mayStartLate, t.held = false, false
+	t.startsAnswered, t.mayStartLate, t.held = false, false, false
 	t.job.unplaced--
 	t.rank, t.late = c.rankOf(t), c.missesObjective(t.job)
 	t.job.mayHaveRun = true
--- a/core/dispatch/silence_test.go
+++ b/core/dispatch/silence_test.go
@@ -54,6 +54,7 @@
 	b.advance(largeFleetInterval - 100*time.Millisecond)
 	b.submit("j", 0, 1, time.Millisecond)
 	first := b.takeOffers()[0]
+	b.confirmStart(first)
 	offeredAt, silent := b.now, 0
 	if b.offeredTo[first.Seq] == "a1" {
 		silent = 1
--- a/core/leasemodel/model_test.go
+++ b/core/leasemodel/model_test.go
@@ -244,6 +244,14 @@
 	})
 }
 
+// TestNoTwoRunsWithLateCalls replays seeds of TestNoTwoRunsOfOneTask that have failed: a new
+// incarnation of an upstream carried out a start call of before.
+func TestNoTwoRunsWithLateCalls(t *testing.T) {
+	t.Parallel()
+	sim := newSimulation(t, 346190)
+	sim.runWithFaults(50, 14)
+}
+
 // TestNoTwoRunsWithinAnIncarnation is the same with fixed seeds and without the calls that a newer
 // incarnation of the upstream executes late, which TestLateStartAtNextIncarnation is about.
 func TestNoTwoRunsWithinAnIncarnation(t *testing.T) {
--- a/core/lessee/leaseholder.go
+++ b/core/lessee/leaseholder.go
@@ -206,8 +206,9 @@
 	hb := &message.Heartbeat{
 		Timestamp: c.now.Mono, EchoedTimestamp: h.lastTimestamp, Revision: c.site.Revision, WantSite: wantSite,
 		IdleInterval: h.statedInterval, Crashes: c.unknownCrashes(h), Evidence: c.dueEvidence(h),
-		Cancelled: h.takeUntoldCancels(), LateStarts: c.takeUntoldHolds(h), Unanswered: c.unansweredStarts(h),
+		Cancelled: h.takeUntoldCancels(), LateStarts: c.takeUntoldHolds(h),
 	}
+	hb.Unanswered, hb.Started = c.startCalls(h)
 	if giveSite {
 		hb.Site = c.site
 	}
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -40,8 +40,9 @@
 	slowdown int
 	// stopReason is why the run is being stopped, if the completion reports the reason.
 	stopReason message.RefuseReason
-	// startCalls is the number of start calls sent.
-	startCalls int
+	// startCalls is the number of start calls sent, and startsInFlight that of those without a
+	// result.
+	startCalls, startsInFlight int
 	// orphaned is set when the upstream has ended, or may have, and its next incarnation may
 	// execute a start call of the run.
 	orphaned bool
--- a/core/lessee/start.go
+++ b/core/lessee/start.go
@@ -8,6 +8,7 @@
 
 func (c *Core) callStart(r *run) {
 	r.startCalls++
+	r.startsInFlight++
 	c.out = append(c.out, StartRun{
 		Handle: r.handle, Upstream: c.upstream.id, Name: r.name, RunNumber: r.number, Spec: r.spec,
 		Token: c.token, LeaseUntil: c.extendLease(false), Try: r.startCalls,
@@ -21,6 +22,7 @@
 	if !ok {
 		return
 	}
+	r.startsInFlight--
 	if r.orphaned {
 		c.handleOrphanStartCompleted(r, e.Result)
 		return
--- a/core/lessee/unanswered.go
+++ b/core/lessee/unanswered.go
@@ -12,15 +12,22 @@
 	c.sendHeartbeat(r.holder)
 }
 
-// unansweredStarts returns the offers of a dispatcher with an open run of which a start call
-// got no answer.
-func (c *Core) unansweredStarts(h *leaseHolder) []uint64 {
-	var list []uint64
+// startCalls returns the offers of a dispatcher with an open run of which a start call got no
+// answer, and those of which every start call was answered.
+func (c *Core) startCalls(h *leaseHolder) (unanswered, answered []uint64) {
+	if h.unfinished == 0 {
+		return nil, nil
+	}
 	for _, r := range c.runs {
-		if r.holder == h && r.startUnanswered {
-			list = append(list, r.seq)
+		switch {
+		case r.holder != h:
+		case r.startUnanswered:
+			unanswered = append(unanswered, r.seq)
+		case r.startsInFlight == 0:
+			answered = append(answered, r.seq)
 		}
 	}
-	slices.Sort(list)
-	return list
+	slices.Sort(unanswered)
+	slices.Sort(answered)
+	return unanswered, answered
 }
--- a/core/lessee/unanswered_test.go
+++ b/core/lessee/unanswered_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 )
 
@@ -32,3 +33,29 @@
 		t.Errorf("got %v reported after the run has ended, want none", got)
 	}
 }
+
+// TestAnsweredStartIsReported guards against a task that is held although its start call was
+// answered, and against one that is not held since its calls are said to be answered too soon.
+func TestAnsweredStartIsReported(t *testing.T) {
+	b := newTestBed(t)
+	b.open()
+	first, second := b.offer(d0, "answered").Seq, b.offer(d0, "repeated").Seq
+	complete := func(i int, result CallResult) {
+		b.step(StartCallCompleted{Handle: b.starts[i].Handle, Result: result, Clock: b.now})
+	}
+	expect := func(when string, unanswered ...uint64) {
+		t.Helper()
+		b.now += lease.HeartbeatInterval
+		b.heartbeat(d0)
+		hb := b.heartbeats[d0.ID]
+		if !slices.Equal(hb.Started, []uint64{first}) || !slices.Equal(hb.Unanswered, unanswered) {
+			t.Errorf("%s: got started %v and unanswered %v, want %d and %v", when, hb.Started, hb.Unanswered, first, unanswered)
+		}
+	}
+	complete(0, CallOK)
+	expect("while the second call is in flight")
+	complete(1, CallUnknown)
+	expect("while it is repeated", second)
+	complete(1, CallOK)
+	expect("when the repeated call was answered", second)
+}
--- a/core/message/offer.go
+++ b/core/message/offer.go
@@ -208,6 +208,9 @@
 	// Unanswered, from an agent, lists the Seq of the receiver's offers whose runs are open and of
 	// which a start call got no answer: the upstream, or its next incarnation, may execute it yet.
 	Unanswered []uint64 `json:"unanswered,omitempty"`
+	// Started, from an agent, lists the Seq of the receiver's offers whose runs are open and of
+	// which every start call was answered.
+	Started []uint64 `json:"started,omitempty"`
 	// LateStarts, from a dispatcher, are the changes of its own holds. From an agent, they are those
 	// of other dispatchers.
 	LateStarts []LateStart `json:"late,omitempty"`
