lessee: runs with an unanswered start call are kept until they can't start any more

Cause: a run with an unanswered call was kept for the next incarnation only if connections were refused, for 6 s at most, and only if its first call had timed out. Three ways led past that: a silent upstream, a newer incarnation that answers no poll, and a run that is stopped while its first call is in flight.

Such runs are now kept in all three, until a poll with the newest token shows that they do not run, or for lease.LateStartExpiry. Their dispatchers hold the jobs meanwhile.

--- a/core/leasemodel/calls_test.go
+++ b/core/leasemodel/calls_test.go
@@ -11,6 +11,10 @@
 // executed late and gets no answer. A call names the upstream but not its incarnation: a
 // newer incarnation executes late calls that were sent to the previous one.
 func (sim *simulation) call(p *process, do func() any, event func(any) step.Event, limit time.Duration) {
+	if sim.now < p.upstream.silentUntil {
+		sim.after(limit, func() { sim.deliver(p, event(nil)) })
+		return
+	}
 	if sim.now < p.upstream.resetsUntil {
 		if sim.rnd.IntN(2) == 0 {
 			do()
@@ -52,6 +56,10 @@
 		return
 	}
 	u := p.upstream
+	if sim.now < u.silentUntil {
+		sim.after(limit, func() { sim.deliver(p, event(nil)) })
+		return
+	}
 	if sim.now < u.resetsUntil {
 		sim.after(sim.randomMS(0.1, 1), func() { sim.deliver(p, event(nil)) })
 		return
--- a/core/leasemodel/late_resubmission_test.go
+++ b/core/leasemodel/late_resubmission_test.go
@@ -115,9 +115,9 @@
 }
 
 // startLateBeside lets the upstream of run 1 execute the first start call again right after the
-// task has started elsewhere, while the agent there is down.
+// task has started elsewhere, while the agent there is down or cut off.
 func (m *lateResubmission) startLateBeside(u *upstream, _ lessee.StartRun) {
-	if m.lost == nil || u == m.lost || !m.lost.agent.dead {
+	if m.lost == nil || u == m.lost || !m.lost.agent.dead && m.now >= m.lost.silentUntil {
 		return
 	}
 	m.after(5*time.Millisecond, func() {
@@ -213,3 +213,20 @@
 		}
 	}
 }
+
+// TestNoTwoRunsBehindACut guards against two runs of a task whose start call got no answer, and
+// whose agent lives but is cut off from its upstream, which restarts behind the cut and executes
+// the call.
+func TestNoTwoRunsBehindACut(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(12) {
+		m := newLateResubmission(t, seed)
+		const cut = 4 * time.Second
+		m.lost.silentUntil = m.now + cut
+		m.after(100*time.Millisecond, func() { m.lost.crashFor(upstreamDowntime) })
+		m.expectCompleted(cut + 6*time.Second)
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
--- a/core/leasemodel/upstream_test.go
+++ b/core/leasemodel/upstream_test.go
@@ -37,6 +37,8 @@
 	// resetsUntil is when it stops to reset connections. Until then it executes half of the
 	// calls, and answers none.
 	resetsUntil time.Duration
+	// silentUntil is when a cut between it and its agent ends. Until then calls are lost.
+	silentUntil time.Duration
 	// down is set while its port refuses connections, between two incarnations.
 	down bool
 	// refusesUntil is when its port stops to refuse connections while its runs go on.
--- a/core/lessee/incarnation.go
+++ b/core/lessee/incarnation.go
@@ -1,6 +1,8 @@
 package lessee
 
 import (
+	"time"
+
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
@@ -37,7 +39,7 @@
 // orphanRuns marks all runs as orphaned, since the upstream is in a newer incarnation. The
 // runs of the previous incarnation have ended, but the newer one may have executed start
 // calls that were sent to the previous one. The lessee therefore reports the runs as lost
-// only when a poll shows that the newer incarnation runs nothing, or after orphansUntil.
+// only when a poll shows that the newer incarnation runs nothing, or when none can be alive.
 func (c *Core) orphanRuns(why string) {
 	if c.upstream.phase == absent {
 		return
@@ -52,19 +54,39 @@
 	c.upstream.life.Observe(c.now.Mono, liveness.Restarted)
 	for _, h := range c.holderOrder {
 		for _, r := range h.unfinishedRuns() {
-			r.state, r.orphaned = stopping, true
+			c.orphan(r, c.upstream.extensions.last()+lease.MaxUpstreamExpiry)
 		}
 	}
-	c.orphansUntil = max(c.orphansUntil, c.upstream.extensions.last()+lease.MaxUpstreamExpiry)
 }
 
-// completeOrphans reports the orphaned runs as lost.
-func (c *Core) completeOrphans() {
+// orphan marks a run as orphaned until a time, or until a start call that got no answer can no
+// longer be executed. That counts from now, when the upstream may have been called last.
+func (c *Core) orphan(r *run, until time.Duration) {
+	if r.mayStartLate() && !r.orphaned {
+		until = max(until, c.now.Mono+lease.LateStartExpiry)
+	}
+	r.state, r.orphaned, r.orphanedUntil = stopping, true, max(r.orphanedUntil, until)
+}
+
+// completeOrphans reports the orphaned runs as lost: all, or those of which none can be alive any
+// more.
+func (c *Core) completeOrphans(all bool) {
 	for _, h := range c.holderOrder {
 		for _, r := range h.stoppingRuns() {
-			if r.orphaned {
+			if r.orphaned && (all || c.now.Mono > r.orphanedUntil) {
 				c.completeRun(r, message.RunLost, message.LostUpstreamCrashed, 0)
 			}
 		}
 	}
 }
+
+// nextOrphanExpiry returns when the next orphaned run can no longer be alive, or never.
+func (c *Core) nextOrphanExpiry() time.Duration {
+	at := never
+	for _, r := range c.runs {
+		if r.orphaned {
+			at = min(at, r.orphanedUntil+time.Millisecond)
+		}
+	}
+	return at
+}
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -81,12 +81,8 @@
 	holds          latestart.Memory
 	holdsForgotten uint64
 	// resumedAt is when the last long pause of the process ended, or zero.
-	resumedAt time.Duration
-	// orphansUntil is when orphaned runs are reported as lost even if no poll has shown that
-	// they do not run. For a run with an unanswered start call this is no proof: the call may
-	// be executed later.
-	orphansUntil time.Duration
-	lastHandle   uint64
+	resumedAt  time.Duration
+	lastHandle uint64
 	// used is the sum of the demands of runs.
 	used message.Resources
 	// token is the fencing token of calls to the upstream.
@@ -263,9 +259,7 @@
 	if c.upstream.phase == probing && !c.upstream.renewalInFlight {
 		at = min(at, c.upstream.nextProbeAt)
 	}
-	if len(c.runs) > 0 && c.upstream.phase == probing {
-		at = min(at, c.orphansUntil+time.Millisecond)
-	}
+	at = min(at, c.nextOrphanExpiry())
 	if c.upstream.phase == open && !c.upstream.renewalInFlight {
 		at = min(at, c.nextRenewalAt())
 	}
--- a/core/lessee/orphan_test.go
+++ b/core/lessee/orphan_test.go
@@ -40,25 +40,39 @@
 }
 
 // TestOrphanedRunExpires checks that an orphaned run is reported as lost although the new
-// incarnation answers no poll, but only after the longest lease that it may have granted has
-// lapsed.
+// incarnation answers no poll, but only when no run can be alive: after the longest lease that the
+// new incarnation may have granted, or, if a start call got no answer, that long after the latest
+// time at which the call may be executed.
 func TestOrphanedRunExpires(t *testing.T) {
-	b := newTestBed(t)
-	b.open()
-	b.offer(d0, "j")
-	started := b.now
-	b.announce(2, 1, false)
-	for b.now < started+lease.MaxUpstreamExpiry {
-		if len(b.completions) != 0 {
-			t.Fatalf("got completions %+v after %v, want none before the longest lease has lapsed", b.completions, b.now-started)
-		}
-		b.now += 20 * time.Millisecond
-		b.heartbeat(d0)
-	}
-	b.now += 20 * time.Millisecond
-	b.heartbeat(d0)
-	if e := b.lastCompletion(); e.Result != message.RunLost {
-		t.Errorf("completion after the longest lease: got %+v, want result lost", e)
+	for name, tt := range map[string]struct {
+		answered bool
+		limit    time.Duration
+	}{
+		"answered":   {true, lease.MaxUpstreamExpiry},
+		"unanswered": {false, lease.LateStartExpiry},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestBed(t)
+			b.open()
+			b.offer(d0, "j")
+			if tt.answered {
+				b.step(StartCallCompleted{Handle: b.starts[0].Handle, Result: CallOK, Clock: b.now})
+			}
+			started := b.now
+			b.announce(2, 1, false)
+			for b.now < started+tt.limit {
+				if len(b.completions) != 0 {
+					t.Fatalf("got completions %+v after %v, want none within %v", b.completions, b.now-started, tt.limit)
+				}
+				b.now += 20 * time.Millisecond
+				b.heartbeat(d0)
+			}
+			b.now += 20 * time.Millisecond
+			b.heartbeat(d0)
+			if e := b.lastCompletion(); e.Result != message.RunLost {
+				t.Errorf("completion after %v: got %+v, want result lost", tt.limit, e)
+			}
+		})
 	}
 }
 
@@ -80,3 +94,38 @@
 		t.Errorf("completion after a poll with the new token: got %+v, want result lost", e)
 	}
 }
+
+// TestUnansweredStartOutlivesItsUpstream guards against a run that is reported as lost while its
+// start call may still be executed: the upstream is silent, is withdrawn, or refuses connections
+// while the run is stopped, and does not come back.
+func TestUnansweredStartOutlivesItsUpstream(t *testing.T) {
+	for name, tt := range map[string]struct {
+		before func(b *testBed, o message.Offer)
+		result CallResult
+	}{
+		"silent":    {func(*testBed, message.Offer) {}, CallUnknown},
+		"withdrawn": {func(b *testBed, _ message.Offer) { b.step(Withdrawn{ID: "u"}) }, CallUnknown},
+		"refuses while the run is stopped": {func(b *testBed, o message.Offer) {
+			b.step(received(d0, message.Message{RevokeOffer: &message.RevokeOffer{Seq: o.Seq}}))
+		}, CallNoListener},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestBed(t)
+			b.open()
+			o := b.offer(d0, "j")
+			tt.before(b, o)
+			calledAt := b.now
+			b.drive(lease.LateStartExpiry-100*time.Millisecond, func(Poll, time.Duration) (PollCompleted, time.Duration) {
+				return PollCompleted{Result: tt.result}, time.Millisecond
+			})
+			if len(b.completions) != 0 {
+				t.Fatalf("got completions %+v within %v, want none", b.completions, b.now-calledAt)
+			}
+			b.announce(2, 1, false)
+			b.step(PollCompleted{Renewal: true, SentAt: b.now, Token: b.core.token, Incarnation: 2, Clock: time.Second})
+			if e := b.lastCompletion(); e.Seq != o.Seq || e.Result != message.RunLost && e.Result != message.RunStopped {
+				t.Errorf("got completion %+v once the next incarnation ran nothing, want the offer's", e)
+			}
+		})
+	}
+}
--- a/core/lessee/poll.go
+++ b/core/lessee/poll.go
@@ -164,7 +164,7 @@
 		c.upstream.processedUpTo = max(c.upstream.processedUpTo, completion.Number)
 	}
 	if len(e.Running) == 0 {
-		c.completeOrphans()
+		c.completeOrphans(true)
 		c.upstream.phase = open
 		if proof, _ := c.upstream.life.Ended(); proof == liveness.Expired {
 			// The runs of before have ended, but the upstream has not.
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -44,8 +44,9 @@
 	// result.
 	startCalls, startsInFlight int
 	// orphaned is set when the upstream has ended, or may have, and its next incarnation may
-	// execute a start call of the run.
-	orphaned bool
+	// execute a start call of the run. From orphanedUntil on it cannot.
+	orphaned      bool
+	orphanedUntil time.Duration
 	// startUnanswered is set when a start call got no answer: the upstream may still
 	// execute it.
 	startUnanswered bool
--- a/core/lessee/suspect.go
+++ b/core/lessee/suspect.go
@@ -92,9 +92,9 @@
 	return (u.refuses() || c.upstreamSilent()) && c.now.Mono-u.extensions.last() > lease.UpstreamExpiry
 }
 
-// handleExpiredRuns reports the runs as lost; see runsExpired. After a refused connection, the
-// next incarnation may execute a start call that got no answer: such runs are kept until a poll
-// with the newest token shows that it runs none, or until orphansUntil.
+// handleExpiredRuns reports the runs as lost; see runsExpired. The next incarnation, if there is
+// one, may execute a start call that got no answer: such runs are kept until a poll with the newest
+// token shows that it runs none, or the call is too old.
 func (c *Core) handleExpiredRuns() {
 	u := &c.upstream
 	refuses := u.refuses()
@@ -112,19 +112,16 @@
 	u.nextProbeAt = c.now.Mono
 	u.longPollInFlight, u.renewalInFlight = false, false
 	c.capacityChanged()
-	if refuses {
-		c.orphanUnansweredStarts()
-	}
+	c.orphanUnansweredStarts()
 	c.reportLost(reason)
 }
 
-// orphanUnansweredStarts marks the runs with a start call that got no answer as orphaned.
+// orphanUnansweredStarts marks the runs as orphaned of which a start call may be executed late.
 func (c *Core) orphanUnansweredStarts() {
 	for _, h := range c.holderOrder {
 		for _, r := range h.unfinishedRuns() {
-			if r.startUnanswered || r.state == starting {
-				r.state, r.orphaned = stopping, true
-				c.orphansUntil = c.now.Mono + announcementTTL
+			if r.mayStartLate() {
+				c.orphan(r, 0)
 			}
 		}
 	}
--- a/core/lessee/unanswered.go
+++ b/core/lessee/unanswered.go
@@ -31,3 +31,7 @@
 	slices.Sort(answered)
 	return unanswered, answered
 }
+
+// mayStartLate reports whether a newer incarnation of the upstream may execute a start call of
+// the run.
+func (r *run) mayStartLate() bool { return r.startUnanswered || r.startsInFlight > 0 }
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -192,13 +192,13 @@
 	c.reportLost("")
 }
 
-// reportLost reports all runs that are not orphaned as lost, in phase absent the orphaned
-// ones too.
+// reportLost reports all runs that are not orphaned as lost, in phase absent also those of which
+// no start call may be executed late.
 func (c *Core) reportLost(reason message.RefuseReason) {
 	c.reportCrashes()
 	for _, h := range c.holderOrder {
 		for _, r := range h.unfinishedRuns() {
-			if !r.orphaned || c.upstream.phase == absent {
+			if !r.orphaned || c.upstream.phase == absent && !r.mayStartLate() {
 				c.completeRun(r, message.RunLost, reason, 0)
 			}
 		}
@@ -212,15 +212,15 @@
 // sendDueCalls sends the polls and stop calls that are due.
 func (c *Core) sendDueCalls() {
 	u := &c.upstream
+	if u.phase != open {
+		c.completeOrphans(false)
+	}
 	switch u.phase {
 	case probing:
 		if c.now.Mono-max(u.lastAnnouncedAt, u.lastAnsweredSentAt) > announcementTTL {
 			c.handleUpstreamEnd("no announcement or answer received in time")
 			return
 		}
-		if len(c.runs) > 0 && c.now.Mono > c.orphansUntil {
-			c.completeOrphans()
-		}
 		if !u.renewalInFlight && c.now.Mono >= u.nextProbeAt {
 			u.nextProbeAt = c.now.Mono + probeInterval
 			c.poll(true)
