dispatch, lessee: witnesses hold the jobs of a host that is lost together with its dispatcher

Two runs of one task: the dispatcher that had offered the task was killed, cut off from the agents or stood still when its host was lost, so that nobody told the dispatcher to which the job was submitted again that a start call might still be executed.

An agent now tells two other dispatchers of a run with an unanswered start call, and with the next heartbeat after its end that it has ended. If the agent is silent, refuses connections or has ended before that, they hold the job and announce it. That is two messages at the call and two later; agents with such runs send heartbeats to their witnesses at the interval of the leases.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -9,6 +9,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/latestart"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/pace"
 	"github.com/dogwoodgauge/dogwoodgauge/core/rendezvous"
 )
@@ -57,6 +58,8 @@
 	// heldOffers holds the offers of which a start call may be executed late, with the holds of
 	// their jobs.
 	heldOffers map[uint64]*ownHold
+	// witnessed holds what the agent has stated of its runs for other dispatchers.
+	witnessed map[witnessed]latestart.Hold
 	// unreported holds the demand of each offer that lastReport does not include, and
 	// unreportedSum the sum of these demands.
 	unreported    map[uint64]message.Resources
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -74,6 +74,7 @@
 	for _, seq := range sortedKeys(a.heldOffers) {
 		c.announceHold(a.heldOffers[seq])
 	}
+	c.announceWitnessed(a)
 }
 
 // announceAllHolds tells the other dispatchers of all holds of this process, which ends.
@@ -143,7 +144,7 @@
 
 // learnHolds processes the holds of other dispatchers.
 func (c *Core) learnHolds(from *agent, list []message.LateStart) {
-	for _, l := range list {
+	for _, l := range c.recordWitnessed(from, list) {
 		c.learnHold(from, l.Received(c.now.Mono, lease.LateStartExpiry))
 	}
 }
--- a/core/dispatch/hold_test.go
+++ b/core/dispatch/hold_test.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
+	"github.com/dogwoodgauge/dogwoodgauge/core/liveness"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/latestart"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/pace"
 	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 )
 
@@ -141,3 +143,44 @@
 		t.Errorf("got %d offers once the run had ended, want 1", len(got))
 	}
 }
+
+// TestWitnessHoldsTheJobOfALostAgent guards against a job that is started elsewhere although an agent
+// that may have ended has stated that a start call got no answer: the dispatcher that had offered
+// the task may be lost too.
+func TestWitnessHoldsTheJobOfALostAgent(t *testing.T) {
+	for name, tt := range map[string]struct {
+		released, held bool
+		lose           func(b *testBed)
+	}{
+		"the agent lives":               {false, false, func(*testBed) {}},
+		"the agent refuses connections": {false, true, func(b *testBed) { b.step(step.PeerSuspect{Ref: ref(1), Hint: liveness.Refused}) }},
+		"the agent has restarted":       {false, true, func(b *testBed) { b.step(step.PeerDead{Ref: ref(1)}) }},
+		"the agent is silent":           {false, true, func(b *testBed) { b.advance(pace.SuspectAfter(lease.HeartbeatInterval) + 50*time.Millisecond) }},
+		"the run has ended before":      {true, false, func(b *testBed) { b.step(step.PeerDead{Ref: ref(1)}) }},
+	} {
+		b := newTestBed(t)
+		b.connectAgents(4, 4)
+		b.sendIdleHeartbeats(4)
+		for _, released := range []bool{false, true} {
+			if released && !tt.released {
+				continue
+			}
+			b.receive(1, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now, Revision: 1, IdleInterval: largeFleetInterval, LateStarts: []message.LateStart{{
+				Hold: latestart.Hold{Key: latestart.Key{Job: "j", Dispatcher: otherDispatcher}, Offer: 3, Released: released}, Left: lease.LateStartExpiry,
+			}}}})
+		}
+		clear(b.heartbeats)
+		tt.lose(b)
+		announced := 0
+		for _, hb := range b.heartbeats {
+			announced += len(hb.LateStarts)
+		}
+		if want := map[bool]int{true: relayCount}[tt.held]; announced != want {
+			t.Errorf("%s: got %d announcements, want %d", name, announced, want)
+		}
+		b.submit("j", 0, 1, 100*time.Millisecond)
+		if offers := b.takeOffers(); (len(offers) == 0) != tt.held {
+			t.Errorf("%s: got %d offers of the job, want it held: %t", name, len(offers), tt.held)
+		}
+	}
+}
--- a/core/dispatch/silence.go
+++ b/core/dispatch/silence.go
@@ -30,7 +30,7 @@
 
 // interval returns the pause between the heartbeats that a sends now.
 func (a *agent) interval() time.Duration {
-	if a.active() {
+	if a.active() || len(a.witnessed) > 0 {
 		return lease.HeartbeatInterval
 	}
 	return a.idleInterval
@@ -101,6 +101,7 @@
 	}
 	c.agentsCheckedAt = c.now.Mono
 	for _, a := range slices.Clone(c.sortedAgents) {
+		c.expireWitnessed(a)
 		unresponsiveFor := c.silence(a)
 		if a.ended() && c.now.Mono > a.runsExpiredAt() {
 			c.requeueLost(a, unresponsiveFor)
--- a/core/leasemodel/late_resubmission_test.go
+++ b/core/leasemodel/late_resubmission_test.go
@@ -168,6 +168,9 @@
 		"the first is frozen": func(m *lateResubmission) {
 			m.onInterrupted = func() { m.processes["d0"].frozenUntil = m.now + 4*time.Second }
 		},
+		"the first is killed with the host":           func(m *lateResubmission) { kill(m) },
+		"the first is cut off before the host":        func(m *lateResubmission) { m.isolate("d0", 10*time.Second) },
+		"the first is frozen before the host is lost": func(m *lateResubmission) { m.processes["d0"].frozenUntil = m.now + 4*time.Second },
 		"the caller leaves": func(m *lateResubmission) {
 			m.after(300*time.Millisecond, func() { m.deliver(m.processes["d0"], dispatch.CallerGone{Call: 1}) })
 		},
--- a/core/lessee/late_start_test.go
+++ b/core/lessee/late_start_test.go
@@ -1,6 +1,7 @@
 package lessee
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
@@ -43,3 +44,46 @@
 	b.heartbeat(d3)
 	expect(d3, 0, false)
 }
+
+// TestWitnessesOfUnansweredStart guards against a start call without an answer that nobody knows of
+// once the host and the dispatcher of the run are lost together, and against a job that is held by
+// a witness after the run has ended.
+func TestWitnessesOfUnansweredStart(t *testing.T) {
+	b := newTestBed(t)
+	b.open()
+	dispatchers := []node.Ref{d0, d1, {ID: "d2", Incarnation: 1}, {ID: "d3", Incarnation: 1}}
+	for _, d := range dispatchers {
+		b.heartbeat(d)
+	}
+	told := func() (released, held []node.ID) {
+		for _, d := range dispatchers {
+			for _, l := range b.heartbeats[d.ID].LateStarts {
+				if l.Job != "j" || l.Dispatcher != d0 || !l.Agent.IsZero() {
+					t.Errorf("%s was told %+v, want the run of j for %s here", d, l, d0)
+				}
+				if l.Released {
+					released = append(released, d.ID)
+				} else {
+					held = append(held, d.ID)
+				}
+			}
+		}
+		clear(b.heartbeats)
+		return released, held
+	}
+	b.offer(d0, "j")
+	told()
+	b.step(StartCallCompleted{Handle: b.starts[0].Handle, Result: CallUnknown})
+	_, witnesses := told()
+	if len(witnesses) != witnessCount || slices.Contains(witnesses, d0.ID) {
+		t.Fatalf("%v were told of the call, want %d besides %s", witnesses, witnessCount, d0)
+	}
+	b.step(PollCompleted{Renewal: true, SentAt: b.now, Incarnation: 1, Clock: b.now, Completed: []CompletedRun{
+		{Number: 1, Name: message.TaskName{Job: "j"}, RunNumber: 1, Completion: CompletionDone},
+	}})
+	b.now += lease.HeartbeatInterval
+	b.heartbeat(d0)
+	if released, held := told(); !slices.Equal(released, witnesses) || len(held) != 0 {
+		t.Errorf("%v were told that the run has ended, want %v", released, witnesses)
+	}
+}
--- a/core/lessee/leaseholder.go
+++ b/core/lessee/leaseholder.go
@@ -73,6 +73,8 @@
 	untoldCancels []string
 	// untoldHolds lists the changes of holds that it has not been told of.
 	untoldHolds []latestart.Hold
+	// witnessedRuns counts the open runs of other dispatchers of which it is a witness.
+	witnessedRuns int
 	// unfinished counts the runs that have not completed.
 	unfinished int
 }
@@ -165,10 +167,10 @@
 }
 
 // needsEveryHeartbeat reports whether a dispatcher gets a heartbeat in each round. It does
-// if it has runs here, does not know the upstream's info, readiness or last crash, does not
+// if it has runs here or is a witness of runs, does not know the upstream's info, readiness or last crash, does not
 // accept idle intervals, or was told a shorter one than the present one.
 func (h *leaseHolder) needsEveryHeartbeat(c *Core) bool {
-	return h.unfinished > 0 || !h.acceptsIdleInterval || h.knownInfoVersion != c.infoVersion || h.reportedReady != c.Ready() ||
+	return h.unfinished > 0 || h.witnessedRuns > 0 || len(h.untoldHolds) > 0 || !h.acceptsIdleInterval || h.knownInfoVersion != c.infoVersion || h.reportedReady != c.Ready() ||
 		h.statedInterval < c.idleInterval() || len(c.unknownCrashes(h)) > 0
 }
 
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -7,6 +7,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/interference"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/latestart"
 )
 
 type runState uint8
@@ -50,6 +51,9 @@
 	// startUnanswered is set when a start call got no answer: the upstream may still
 	// execute it.
 	startUnanswered bool
+	// witnesses are the other dispatchers that were told so, and witnessed is what they were told.
+	witnesses []*leaseHolder
+	witnessed latestart.Hold
 	// confirmedAt is when the upstream last answered that it has executed a start or stop call,
 	// or zero. From then on its polls list the run as active, unless the run has completed.
 	confirmedAt time.Duration
@@ -168,7 +172,8 @@
 	h.unfinished++
 	c.capacityChanged()
 	if r.startUnanswered {
-		c.sendHeartbeat(h)
+		c.dismissWitnesses(r)
+		c.tellUnanswered(r)
 	}
 }
 
@@ -250,6 +255,7 @@
 	r.completion = message.RunCompletion{Seq: r.seq, Result: result, Reason: reason, Duration: duration}
 	delete(c.runs, r.handle)
 	delete(c.runsByTask, r.name)
+	c.dismissWitnesses(r)
 	c.completedAt[r.name] = c.now.Mono
 	c.used = c.used.Sub(r.demand)
 	c.observeEnd(r, result, duration)
