lessee, dispatch: holds are repeated until a dispatcher confirms them

Two runs of one task: a dispatcher that was cut off from the agents for less than a second, while they passed a hold on, did not know of it when the job was submitted there again.

Cause: an agent stated a hold in one heartbeat to each dispatcher, and did not notice its loss. Agents now number what they state, repeat it after 500 ms until the dispatcher has confirmed the number, and send it every heartbeat meanwhile. A dispatcher announces its notices again when the connection to an agent was reset, and through another agent when a relay is silent.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -58,6 +58,8 @@
 	// heldOffers holds the offers of which a start call may be executed late, with the holds of
 	// their jobs.
 	heldOffers map[uint64]*ownHold
+	// lateStartSeq is the highest Heartbeat.LateStartSeq that was received.
+	lateStartSeq uint64
 	// witnessed holds what the agent has stated of its runs for other dispatchers.
 	witnessed map[witnessed]latestart.Hold
 	// unreported holds the demand of each offer that lastReport does not include, and
@@ -141,7 +143,7 @@
 	a.heartbeatSentAt = c.now.Mono
 	hb.Timestamp, hb.EchoedTimestamp, hb.Revision = c.now.Mono, a.lastTimestamp, c.site.Revision
 	hb.FirstWaiting, hb.KnownInfoVersion, hb.AcceptsIdleInterval = c.firstWaiting(a), a.infoVersion, true
-	hb.KnownCrash, hb.Watch = a.knownCrash, c.watch
+	hb.KnownCrash, hb.KnownLateStart, hb.Watch = a.knownCrash, a.lateStartSeq, c.watch
 	c.send(a.ref, message.Message{Heartbeat: &hb})
 }
 
@@ -171,6 +173,7 @@
 	c.recordUnanswered(a, hb.Unanswered)
 	c.recordStarted(a, hb.Started)
 	c.learnHolds(a, hb.LateStarts)
+	a.lateStartSeq = max(a.lateStartSeq, hb.LateStartSeq)
 	c.applyEvidence(a, hb.Evidence)
 	// The report names the service, which the crashes count for.
 	if hb.Capacity != nil {
--- a/core/dispatch/silence.go
+++ b/core/dispatch/silence.go
@@ -88,7 +88,7 @@
 		return
 	}
 	c.logEvent("connection_reset", "", "agent", ref.String(), "offers", len(a.openOffers))
-	c.sendHeartbeat(a)
+	c.sendHeartbeatWith(a, c.recentNotices())
 	for _, seq := range sortedKeys(a.openOffers) {
 		c.sendOffer(a.openOffers[seq])
 	}
@@ -115,6 +115,7 @@
 		if !a.suspect {
 			a.suspect = true
 			c.logEvent("agent_silent", "", "agent", a.ref.String(), "silent_ms", unresponsiveFor.Milliseconds(), "offers", len(a.openOffers))
+			c.replaceRelay(a)
 			c.announceHoldsOf(a)
 			c.doubtDomain(a.domain)
 		}
--- a/core/leasemodel/late_resubmission_test.go
+++ b/core/leasemodel/late_resubmission_test.go
@@ -41,7 +41,7 @@
 }
 
 func newLateResubmission(t testing.TB, seed uint64) *lateResubmission {
-	m := &lateResubmission{simulation: newFleet(t, seed, 3, 4, upstreamCapacity, []float64{0, 1}[seed%2])}
+	m := &lateResubmission{simulation: newFleet(t, seed, 5, 4, upstreamCapacity, []float64{0, 1}[seed%2])}
 	m.estimate = 900 * time.Millisecond
 	m.duration = func(a lessee.StartRun) time.Duration {
 		if m.first == nil {
@@ -153,7 +153,7 @@
 	for name, play := range map[string]func(m *lateResubmission){
 		"another dispatcher":  func(*lateResubmission) {},
 		"the same dispatcher": func(m *lateResubmission) { m.next = func() *process { return m.processes["d0"] } },
-		"any dispatcher":      func(m *lateResubmission) { m.next = func() *process { return m.liveDispatchers()[m.rnd.IntN(3)] } },
+		"any dispatcher":      func(m *lateResubmission) { m.next = func() *process { return m.liveDispatchers()[m.rnd.IntN(4)] } },
 		"a new dispatcher": func(m *lateResubmission) {
 			m.onInterrupted = func() { m.kill(m.processes["d1"], resubmitPause-200*time.Millisecond) }
 		},
@@ -171,6 +171,13 @@
 		"the first is killed with the host":           func(m *lateResubmission) { kill(m) },
 		"the first is cut off before the host":        func(m *lateResubmission) { m.isolate("d0", 10*time.Second) },
 		"the first is frozen before the host is lost": func(m *lateResubmission) { m.processes["d0"].frozenUntil = m.now + 4*time.Second },
+		"the others are cut off for a time": func(m *lateResubmission) {
+			for _, id := range []node.ID{"d1", "d2", "d3", "d4"} {
+				m.isolate(id, m.randomMS(200, 1000))
+			}
+			m.onInterrupted = func() { kill(m) }
+			m.next = func() *process { return m.liveDispatchers()[m.rnd.IntN(4)] }
+		},
 		"the caller leaves": func(m *lateResubmission) {
 			m.after(300*time.Millisecond, func() { m.deliver(m.processes["d0"], dispatch.CallerGone{Call: 1}) })
 		},
@@ -208,7 +215,7 @@
 	t.Parallel()
 	for seed := range uint64(8) {
 		m := newLateResubmission(t, seed)
-		m.next = func() *process { return m.liveDispatchers()[m.rnd.IntN(3)] }
+		m.next = func() *process { return m.liveDispatchers()[m.rnd.IntN(4)] }
 		m.restartHost(time.Hour)
 		m.expectCompleted(maxLateStart + 8*time.Second)
 		if t.Failed() {
--- a/core/lessee/late_start.go
+++ b/core/lessee/late_start.go
@@ -1,17 +1,24 @@
 package lessee
 
 import (
+	"time"
+
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/latestart"
 )
 
-// maxToldHolds limits the holds that a heartbeat lists.
-const maxToldHolds = 32
+const (
+	// maxToldHolds limits the holds that a heartbeat lists.
+	maxToldHolds = 32
+	// holdRetryInterval is the pause until the holds that a dispatcher has not confirmed are
+	// repeated. It confirms them with its next heartbeat.
+	holdRetryInterval = 500 * time.Millisecond
+)
 
 // handleLateStarts records the jobs that a dispatcher holds, or no longer, and passes them on to the
 // other dispatchers: at once, or with the next heartbeats if the dispatcher has listed them for
-// an agent that is new to it.
+// an agent that is new to it. Each of them is told until it confirms that, since it may be cut off.
 func (c *Core) handleLateStarts(from *leaseHolder, list []message.LateStart, listed bool) {
 	var news []latestart.Hold
 	for _, l := range list {
@@ -31,7 +38,7 @@
 	}
 	for _, h := range c.holderOrder {
 		if h != from {
-			h.untoldHolds = append(h.untoldHolds, news...)
+			h.holds.add(news...)
 			if !listed {
 				c.sendHeartbeat(h)
 			}
@@ -39,18 +46,44 @@
 	}
 }
 
-// takeUntoldHolds returns the holds that the next heartbeat to h lists.
-func (c *Core) takeUntoldHolds(h *leaseHolder) []message.LateStart {
-	n := min(len(h.untoldHolds), maxToldHolds)
-	var list []message.LateStart
-	for _, hold := range h.untoldHolds[:n] {
-		if c.now.Mono < hold.ExpiresAt && hold.Dispatcher != h.ref {
-			list = append(list, message.NewLateStart(c.now.Mono, hold))
-		}
+// holdLog lists what a dispatcher is to be told of holds, until it confirms that.
+type holdLog struct {
+	holds []latestart.Hold
+	// lastSeq numbers the last of holds. sentSeq is that of the last one that was sent, at sentAt.
+	lastSeq, sentSeq uint64
+	sentAt           time.Duration
+}
+
+func (l *holdLog) add(list ...latestart.Hold) {
+	l.holds = append(l.holds, list...)
+	l.lastSeq += uint64(len(list))
+	l.holds = l.holds[max(0, len(l.holds)-latestart.MaxHolds):]
+}
+
+// confirm drops what the dispatcher knows.
+func (l *holdLog) confirm(seq uint64) {
+	if first := l.lastSeq - uint64(len(l.holds)); seq > first && seq <= l.lastSeq {
+		l.holds = l.holds[seq-first:]
+	}
+}
+
+// due returns what the next heartbeat states, and the number of the last one: what has not been sent
+// yet or, if nothing was confirmed for holdRetryInterval, the first ones once more.
+func (l *holdLog) due(now time.Duration) (list []message.LateStart, seq uint64) {
+	for len(l.holds) > 0 && now >= l.holds[0].ExpiresAt {
+		l.holds = l.holds[1:]
+	}
+	first := l.lastSeq - uint64(len(l.holds))
+	from := max(first, l.sentSeq)
+	if now-l.sentAt >= holdRetryInterval {
+		from = first
+	}
+	if from == l.lastSeq {
+		return nil, 0
 	}
-	h.untoldHolds = h.untoldHolds[n:]
-	if extra := len(h.untoldHolds) - latestart.MaxHolds; extra > 0 {
-		h.untoldHolds = h.untoldHolds[extra:]
+	for _, h := range l.holds[from-first:][:min(maxToldHolds, int(l.lastSeq-from))] {
+		list = append(list, message.NewLateStart(now, h))
 	}
-	return list
+	l.sentSeq, l.sentAt = from+uint64(len(list)), now
+	return list, l.sentSeq
 }
--- a/core/lessee/late_start_test.go
+++ b/core/lessee/late_start_test.go
@@ -1,8 +1,10 @@
 package lessee
 
 import (
+	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
@@ -87,3 +89,33 @@
 		t.Errorf("%v were told that the run has ended, want %v", released, witnesses)
 	}
 }
+
+// TestHoldIsRepeatedUntilConfirmed guards against a dispatcher that starts a held job since it was
+// cut off when it was told, and against heartbeats that repeat holds for ever or without a pause.
+func TestHoldIsRepeatedUntilConfirmed(t *testing.T) {
+	var l holdLog
+	hold := func(i int) latestart.Hold {
+		return latestart.Hold{Key: latestart.Key{Job: fmt.Sprint(i)}, Offer: 1, ExpiresAt: lease.LateStartExpiry}
+	}
+	for i := range maxToldHolds + 1 {
+		l.add(hold(i))
+	}
+	expect := func(now time.Duration, count int, first string, last uint64) {
+		t.Helper()
+		list, seq := l.due(now)
+		if len(list) != count || seq != last || count > 0 && list[0].Job != first {
+			t.Errorf("%v: got %d holds up to %d, want %d from job %q up to %d", now, len(list), seq, count, first, last)
+		}
+	}
+	const start = time.Second
+	expect(start, maxToldHolds, "0", maxToldHolds)
+	expect(start, 1, fmt.Sprint(maxToldHolds), maxToldHolds+1)
+	expect(start+holdRetryInterval-1, 0, "", 0)
+	l.confirm(3)
+	expect(start+holdRetryInterval, maxToldHolds-2, "3", maxToldHolds+1)
+	l.confirm(maxToldHolds + 1)
+	l.confirm(2) // A late message.
+	expect(start+2*holdRetryInterval, 0, "", 0)
+	l.add(hold(99))
+	expect(lease.LateStartExpiry, 0, "", 0)
+}
--- a/core/lessee/leaseholder.go
+++ b/core/lessee/leaseholder.go
@@ -9,7 +9,6 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/lease"
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
-	"github.com/dogwoodgauge/dogwoodgauge/core/policy/latestart"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/pace"
 )
 
@@ -71,8 +70,8 @@
 	completedRuns []*run
 	// untoldCancels lists the cancelled jobs that it has not been told of.
 	untoldCancels []string
-	// untoldHolds lists the changes of holds that it has not been told of.
-	untoldHolds []latestart.Hold
+	// holds lists the changes of holds that it has not confirmed.
+	holds holdLog
 	// witnessedRuns counts the open runs of other dispatchers of which it is a witness.
 	witnessedRuns int
 	// unfinished counts the runs that have not completed.
@@ -84,10 +83,8 @@
 	if h, ok := c.holders[ref]; ok {
 		return h
 	}
-	h := &leaseHolder{
-		ref: ref, runsBySeq: make(map[uint64]*run), leaseUntil: c.now.Mono + lease.RunLease,
-		untoldCancels: c.cancelled.Jobs(c.now.Mono), untoldHolds: c.holds.Holds(c.now.Mono),
-	}
+	h := &leaseHolder{ref: ref, runsBySeq: make(map[uint64]*run), leaseUntil: c.now.Mono + lease.RunLease, untoldCancels: c.cancelled.Jobs(c.now.Mono)}
+	h.holds.add(c.holds.Holds(c.now.Mono)...)
 	c.holders[ref] = h
 	c.holderOrder = append(c.holderOrder, h)
 	c.logEvent("dispatcher_seen", "", "dispatcher", ref.String())
@@ -117,6 +114,7 @@
 	h.lastTimestamp = hb.Timestamp
 	h.knownInfoVersion, h.acceptsIdleInterval = hb.KnownInfoVersion, hb.AcceptsIdleInterval
 	h.knownCrash = hb.KnownCrash
+	h.holds.confirm(hb.KnownLateStart)
 	c.setWatch(h, hb.Watch)
 	if c.setWaiting(h, hb.FirstWaiting) {
 		h.skippedUntil = 0
@@ -170,7 +168,7 @@
 // if it has runs here or is a witness of runs, does not know the upstream's info, readiness or last crash, does not
 // accept idle intervals, or was told a shorter one than the present one.
 func (h *leaseHolder) needsEveryHeartbeat(c *Core) bool {
-	return h.unfinished > 0 || h.witnessedRuns > 0 || len(h.untoldHolds) > 0 || !h.acceptsIdleInterval || h.knownInfoVersion != c.infoVersion || h.reportedReady != c.Ready() ||
+	return h.unfinished > 0 || h.witnessedRuns > 0 || len(h.holds.holds) > 0 || !h.acceptsIdleInterval || h.knownInfoVersion != c.infoVersion || h.reportedReady != c.Ready() ||
 		h.statedInterval < c.idleInterval() || len(c.unknownCrashes(h)) > 0
 }
 
@@ -208,9 +206,10 @@
 	hb := &message.Heartbeat{
 		Timestamp: c.now.Mono, EchoedTimestamp: h.lastTimestamp, Revision: c.site.Revision, WantSite: wantSite,
 		IdleInterval: h.statedInterval, Crashes: c.unknownCrashes(h), Evidence: c.dueEvidence(h),
-		Cancelled: h.takeUntoldCancels(), LateStarts: c.takeUntoldHolds(h),
+		Cancelled: h.takeUntoldCancels(),
 	}
 	hb.Unanswered, hb.Started = c.startCalls(h)
+	hb.LateStarts, hb.LateStartSeq = h.holds.due(c.now.Mono)
 	if giveSite {
 		hb.Site = c.site
 	}
--- a/core/lessee/unanswered.go
+++ b/core/lessee/unanswered.go
@@ -30,7 +30,7 @@
 		Key: latestart.Key{Job: r.name.Job, Dispatcher: r.holder.ref}, Offer: r.seq, ExpiresAt: c.now.Mono + lease.LateStartExpiry,
 	}
 	for _, h := range r.witnesses {
-		h.untoldHolds = append(h.untoldHolds, r.witnessed)
+		h.holds.add(r.witnessed)
 		h.witnessedRuns++
 		c.sendHeartbeat(h)
 	}
@@ -41,7 +41,7 @@
 	for _, h := range r.witnesses {
 		over := r.witnessed
 		over.Released = true
-		h.untoldHolds = append(h.untoldHolds, over)
+		h.holds.add(over)
 		h.witnessedRuns--
 	}
 	r.witnesses = nil
--- a/core/message/offer.go
+++ b/core/message/offer.go
@@ -212,8 +212,11 @@
 	// which every start call was answered.
 	Started []uint64 `json:"started,omitempty"`
 	// LateStarts, from a dispatcher, are the changes of its own holds. From an agent, they are those
-	// of other dispatchers.
-	LateStarts []LateStart `json:"late,omitempty"`
+	// of other dispatchers, and LateStartSeq numbers the last one. The agent repeats them until
+	// the dispatcher states that number, or a higher one, in KnownLateStart.
+	LateStarts     []LateStart `json:"late,omitempty"`
+	LateStartSeq   uint64      `json:"ls,omitempty"`
+	KnownLateStart uint64      `json:"kl,omitempty"`
 }
 
 // Crash describes an unplanned end of an agent's local upstream.
