lessee: a lease that a call of before has extended counts right after the start of an upstream

From the first answered poll on, calls of before are refused. The runs of an upstream count as over no earlier than lease.MaxUpstreamExpiry (1.12 s) after that.

The unit tests of the lease of 0.3 s now open the upstream that long before; their bounds are the same.

--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -267,7 +267,7 @@
 		at = min(at, c.upstream.polls.DueAt())
 	}
 	if len(c.runs) > 0 && c.upstream.phase == open && (c.upstreamSilent() || c.upstream.refuses()) {
-		at = min(at, c.upstream.extensions.last()+lease.UpstreamExpiry)
+		at = min(at, c.upstream.runsExpireAt())
 	}
 	for _, h := range c.holderOrder {
 		if h.unfinished > 0 && !h.lapsed {
--- a/core/lessee/lessee_test.go
+++ b/core/lessee/lessee_test.go
@@ -66,17 +66,6 @@
 	}})
 }
 
-// open announces the upstream and answers the first poll with empty lists.
-func (b *testBed) open() {
-	b.announce(1, 1, false)
-	b.step(PollCompleted{Renewal: true, SentAt: b.now, Incarnation: 1, Clock: b.now})
-	if !b.core.Ready() {
-		b.t.Fatal("not ready after a poll that found no runs")
-	}
-	b.heartbeat(d0)
-	b.heartbeat(d1)
-}
-
 // heartbeat delivers a heartbeat that proves that a dispatcher is alive.
 func (b *testBed) heartbeat(d node.Ref) {
 	b.step(received(d, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now, EchoedTimestamp: b.now}}))
--- a/core/lessee/orphan_test.go
+++ b/core/lessee/orphan_test.go
@@ -129,3 +129,29 @@
 		})
 	}
 }
+
+// TestLeaseOfACallOfBefore guards against a run that is reported as lost while it is alive: right
+// after its start, the upstream has executed a call that was sent to its former incarnation, and
+// has granted it the longest lease. The agent was paused after that, or the upstream is silent.
+func TestLeaseOfACallOfBefore(t *testing.T) {
+	b := newTestBed(t)
+	b.open()
+	b.announce(2, 1, false)
+	b.step(PollCompleted{Renewal: true, SentAt: b.now, Token: b.core.token, Incarnation: 2, Clock: time.Second})
+	if !b.core.Ready() {
+		t.Fatal("not ready after a poll of the new incarnation")
+	}
+	opened := b.now
+	b.startRun(d0, "j")
+	noAnswer := func(Poll, time.Duration) (PollCompleted, time.Duration) {
+		return PollCompleted{Result: CallUnknown}, time.Millisecond
+	}
+	b.drive(lease.MaxUpstreamExpiry, noAnswer)
+	if len(b.completions) != 0 {
+		t.Fatalf("got completions %+v within %v after the first poll, want none", b.completions, b.now-opened)
+	}
+	b.drive(20*time.Millisecond, noAnswer)
+	if e := b.lastCompletion(); e.Result != message.RunLost {
+		t.Errorf("got %+v after the longest lease, want the run lost", e)
+	}
+}
--- a/core/lessee/poll.go
+++ b/core/lessee/poll.go
@@ -165,7 +165,7 @@
 	}
 	if len(e.Running) == 0 {
 		c.completeOrphans(true)
-		c.upstream.phase = open
+		c.upstream.phase, c.upstream.openedAt = open, c.now.Mono
 		if proof, _ := c.upstream.life.Ended(); proof == liveness.Expired {
 			// The runs of before have ended, but the upstream has not.
 			c.upstream.life, c.upstream.withdrawn = liveness.Incarnation{}, false
--- a/core/lessee/poll_test.go
+++ b/core/lessee/poll_test.go
@@ -19,6 +19,19 @@
 	return PollCompleted{Result: CallNoListener}, 0
 }
 
+// open announces the upstream and answers the first poll with empty lists, so long ago that no
+// call of before can hold a lease.
+func (b *testBed) open() {
+	b.announce(1, 1, false)
+	b.step(PollCompleted{Renewal: true, SentAt: b.now, Incarnation: 1, Clock: b.now})
+	if !b.core.Ready() {
+		b.t.Fatal("not ready after a poll that found no runs")
+	}
+	b.core.upstream.openedAt -= lease.MaxUpstreamExpiry
+	b.heartbeat(d0)
+	b.heartbeat(d1)
+}
+
 // drive advances the time by d in steps of a millisecond, answers the polls, and returns how
 // many were sent.
 func (b *testBed) drive(d time.Duration, answer pollAnswer) int {
--- a/core/lessee/suspect.go
+++ b/core/lessee/suspect.go
@@ -89,7 +89,14 @@
 	if len(c.runs) == 0 {
 		return u.refuses()
 	}
-	return (u.refuses() || c.upstreamSilent()) && c.now.Mono-u.extensions.last() > lease.UpstreamExpiry
+	return (u.refuses() || c.upstreamSilent()) && c.now.Mono > u.runsExpireAt()
+}
+
+// runsExpireAt returns the time after which no run of the upstream can be alive, unless the lease is
+// extended. Right after its start, the upstream may have executed a call that was sent before, which
+// is refused from the first answered poll on, and may have granted it the longest lease.
+func (u *upstreamState) runsExpireAt() time.Duration {
+	return max(u.extensions.last()+lease.UpstreamExpiry, u.openedAt+lease.MaxUpstreamExpiry)
 }
 
 // handleExpiredRuns reports the runs as lost; see runsExpired. The next incarnation, if there is
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -75,6 +75,8 @@
 	// more than maxShortening.
 	leaseEnd, leaseFrom time.Duration
 	leaseShortened      bool
+	// openedAt is when phase open began.
+	openedAt time.Duration
 	// extensions holds the calls that may have extended the lease, answered or not.
 	extensions extensions
 }
