latestart: holds that nobody was told of leave no trace

A job that was given up with an open offer was remembered as released for 13 s, also if no other process had been told that it was held. In a wave of callers that leave, such entries displaced the holds of jobs that may start late, of which 2,048 are kept.

They are removed now, and holds are found by a map.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -118,14 +118,13 @@
 		return
 	}
 	delete(c.holds.own, h.Key)
+	if !h.announced {
+		c.holds.known.Remove(h.Key)
+		return
+	}
 	h.Released = true
 	c.remember(h.Hold)
-	s := &c.announcements
-	queued := len(s.queue)
-	s.queue = slices.DeleteFunc(s.queue, func(n notice) bool { return n.cancelled == "" && n.hold.Key == h.Key })
-	if h.announced && len(s.queue) == queued {
-		s.enqueue(c.now.Mono, notice{hold: h.Hold})
-	}
+	c.announcements.enqueue(c.now.Mono, notice{hold: h.Hold})
 }
 
 // releaseHoldsOf releases all holds that wait for an incarnation of an agent: its next one has
--- a/core/dispatch/hold_test.go
+++ b/core/dispatch/hold_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -184,3 +185,21 @@
 		}
 	}
 }
+
+// TestGivenUpJobsDisplaceNoHold guards against a hold that is forgotten, for lack of memory, in a wave
+// of callers that leave: their runs end at once, and nobody needs to know of them.
+func TestGivenUpJobsDisplaceNoHold(t *testing.T) {
+	b := newTestBed(t)
+	b.connectAgents(2, 4)
+	b.learnHold("held", false, lease.LateStartExpiry)
+	for i := range latestart.MaxHolds + 1 {
+		call := b.submit(fmt.Sprint(i), 0, 1, 100*time.Millisecond)
+		o := b.takeOffers()[0]
+		b.step(CallerGone{Call: call})
+		b.complete(o, message.RunStopped, "")
+	}
+	b.submit("held", 0, 1, 100*time.Millisecond)
+	if offers := b.takeOffers(); len(offers) != 0 {
+		t.Errorf("got %d offers of the held job, want none", len(offers))
+	}
+}
--- a/core/policy/latestart/latestart.go
+++ b/core/policy/latestart/latestart.go
@@ -10,8 +10,13 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 )
 
-// MaxHolds limits the holds that are remembered, and so the memory: about 0.2 KB each.
-const MaxHolds = 2048
+const (
+	// MaxHolds limits the holds that are remembered, and so the memory: about 0.2 KB each.
+	MaxHolds = 2048
+	// expiryPrecision is how late a hold that has expired is removed at most. It keeps the cost of
+	// frequent changes low.
+	expiryPrecision = 50 * time.Millisecond
+)
 
 // Key identifies a hold.
 type Key struct {
@@ -36,39 +41,58 @@
 
 // Memory holds the holds of one process. The zero value is empty.
 type Memory struct {
-	// holds is in the order of addition, and jobs counts those of a job that are not released.
-	holds []Hold
-	jobs  map[string]int
+	holds map[Key]Hold
+	// order lists the keys in the order of addition.
+	order []Key
+	// jobs counts the holds of a job that are not released.
+	jobs map[string]int
+	// nextExpiry is when expired holds are removed again.
+	nextExpiry time.Duration
 }
 
 // Update adds a hold or replaces an older state of it. It reports whether h was news. If the memory
-// is full, it forgets and returns the oldest hold.
+// is full, it forgets the oldest hold, and returns that unless it was released.
 func (m *Memory) Update(now time.Duration, h Hold) (changed bool, forgotten *Hold) {
 	m.expire(now)
-	if i := m.index(h.Key); i >= 0 {
-		old := m.holds[i]
-		if h.Offer < old.Offer || h.Offer == old.Offer && (old.Released || !h.Released) {
-			return false, nil
-		}
-		m.remove(i)
+	old, known := m.holds[h.Key]
+	if known && (h.Offer < old.Offer || h.Offer == old.Offer && (old.Released || !h.Released)) {
+		return false, nil
 	}
+	m.Remove(h.Key)
 	if len(m.holds) == MaxHolds {
-		oldest := m.holds[0]
-		m.remove(0)
+		oldest := m.holds[m.order[0]]
+		m.Remove(oldest.Key)
 		if !oldest.Released {
 			forgotten = &oldest
 		}
 	}
-	m.holds = append(m.holds, h)
+	if m.holds == nil {
+		m.holds, m.jobs = make(map[Key]Hold), make(map[string]int)
+	}
+	m.holds[h.Key] = h
+	m.order = append(m.order, h.Key)
 	if !h.Released {
-		if m.jobs == nil {
-			m.jobs = make(map[string]int)
-		}
 		m.jobs[h.Job]++
 	}
 	return true, forgotten
 }
 
+// Remove forgets a hold of which nobody else was told.
+func (m *Memory) Remove(k Key) {
+	h, ok := m.holds[k]
+	if !ok {
+		return
+	}
+	delete(m.holds, k)
+	if !h.Released {
+		if m.jobs[h.Job]--; m.jobs[h.Job] == 0 {
+			delete(m.jobs, h.Job)
+		}
+	}
+	i := slices.Index(m.order, k)
+	m.order = slices.Delete(m.order, i, i+1)
+}
+
 // Held reports whether a task of the job may start late.
 func (m *Memory) Held(now time.Duration, job string) bool {
 	if m.jobs[job] == 0 {
@@ -80,43 +104,37 @@
 
 // Of returns the holds that wait for an incarnation of an agent, the oldest first.
 func (m *Memory) Of(now time.Duration, agent node.Ref) []Hold {
-	var list []Hold
-	for _, h := range m.holds {
-		if h.Agent == agent && !h.Released && now <= h.ExpiresAt {
-			list = append(list, h)
-		}
+	if len(m.jobs) == 0 {
+		return nil
 	}
-	return list
+	return slices.DeleteFunc(m.Holds(now), func(h Hold) bool { return h.Agent != agent })
 }
 
 // Holds returns the holds that are not released, the oldest first.
 func (m *Memory) Holds(now time.Duration) []Hold {
 	m.expire(now)
-	return slices.DeleteFunc(slices.Clone(m.holds), func(h Hold) bool { return h.Released })
+	var list []Hold
+	for _, k := range m.order {
+		if h := m.holds[k]; !h.Released {
+			list = append(list, h)
+		}
+	}
+	return list
 }
 
-// Len returns the number of holds that were not released when they were last changed.
+// Len returns the number of jobs of which a task may start late.
 func (m *Memory) Len() int { return len(m.jobs) }
 
-func (m *Memory) index(k Key) int {
-	return slices.IndexFunc(m.holds, func(h Hold) bool { return h.Key == k })
-}
-
-func (m *Memory) remove(i int) {
-	h := m.holds[i]
-	m.holds = slices.Delete(m.holds, i, i+1)
-	if h.Released {
+// expire removes the holds that have expired. A hold that was learned from another process may
+// expire before older ones.
+func (m *Memory) expire(now time.Duration) {
+	if now < m.nextExpiry {
 		return
 	}
-	if m.jobs[h.Job]--; m.jobs[h.Job] == 0 {
-		delete(m.jobs, h.Job)
-	}
-}
-
-func (m *Memory) expire(now time.Duration) {
-	for i := len(m.holds) - 1; i >= 0; i-- {
-		if now > m.holds[i].ExpiresAt {
-			m.remove(i)
+	m.nextExpiry = now + expiryPrecision
+	for _, k := range slices.Clone(m.order) {
+		if now > m.holds[k].ExpiresAt {
+			m.Remove(k)
 		}
 	}
 }
