lessee: a confirmation of holds counts for those before it only if they were sent with it

A dispatcher that was cut off for a moment might not learn of a hold: of two heartbeats within 500 ms the first was lost, and the confirmation of the second, which stated only what was new, counted for both. Each statement now begins with the first hold that was not confirmed, and is confirmed at once.

Evidence: TestHoldIsRepeatedUntilConfirmed in its new form failed before.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -183,7 +183,7 @@
 	c.resendRevocations(a)
 	wantSite := c.siteRequester.ShouldRequest(c.now.Mono, c.site.Revision, hb.Revision)
 	giveSite := hb.WantSite && hb.Revision < c.site.Revision && c.siteLimiter.Allow(c.now.Mono, c.site)
-	if wantSite || giveSite || a.includesInfo(hb) || len(hb.Crashes) > 0 || c.now.Mono-a.heartbeatSentAt >= a.replyInterval() {
+	if wantSite || giveSite || a.includesInfo(hb) || len(hb.Crashes) > 0 || len(hb.LateStarts) > 0 || c.now.Mono-a.heartbeatSentAt >= a.replyInterval() {
 		reply := message.Heartbeat{WantSite: wantSite}
 		if giveSite {
 			reply.Site = c.site
--- a/core/lessee/late_start.go
+++ b/core/lessee/late_start.go
@@ -12,7 +12,7 @@
 	// maxToldHolds limits the holds that a heartbeat lists.
 	maxToldHolds = 32
 	// holdRetryInterval is the pause until the holds that a dispatcher has not confirmed are
-	// repeated. It confirms them with its next heartbeat.
+	// repeated. It confirms them at once.
 	holdRetryInterval = 500 * time.Millisecond
 )
 
@@ -49,7 +49,8 @@
 // holdLog lists what a dispatcher is to be told of holds, until it confirms that.
 type holdLog struct {
 	holds []latestart.Hold
-	// lastSeq numbers the last of holds. sentSeq is that of the last one that was sent, at sentAt.
+	// lastSeq numbers the last of holds. sentSeq is that of the last one that was sent, lastly at
+	// sentAt.
 	lastSeq, sentSeq uint64
 	sentAt           time.Duration
 }
@@ -67,23 +68,21 @@
 	}
 }
 
-// due returns what the next heartbeat states, and the number of the last one: what has not been sent
-// yet or, if nothing was confirmed for holdRetryInterval, the first ones once more.
+// due returns what the next heartbeat states, and the number of the last one. It begins with the first
+// one that was not confirmed, since a confirmation counts for all before. It is empty if all that
+// was sent already, unless nothing was confirmed for holdRetryInterval.
 func (l *holdLog) due(now time.Duration) (list []message.LateStart, seq uint64) {
 	for len(l.holds) > 0 && now >= l.holds[0].ExpiresAt {
 		l.holds = l.holds[1:]
 	}
-	first := l.lastSeq - uint64(len(l.holds))
-	from := max(first, l.sentSeq)
-	if now-l.sentAt >= holdRetryInterval {
-		from = first
-	}
-	if from == l.lastSeq {
+	told := l.holds[:min(maxToldHolds, len(l.holds))]
+	seq = l.lastSeq - uint64(len(l.holds)-len(told))
+	if len(told) == 0 || seq <= l.sentSeq && now-l.sentAt < holdRetryInterval {
 		return nil, 0
 	}
-	for _, h := range l.holds[from-first:][:min(maxToldHolds, int(l.lastSeq-from))] {
+	for _, h := range told {
 		list = append(list, message.NewLateStart(now, h))
 	}
-	l.sentSeq, l.sentAt = from+uint64(len(list)), now
-	return list, l.sentSeq
+	l.sentSeq, l.sentAt = seq, now
+	return list, seq
 }
--- a/core/lessee/late_start_test.go
+++ b/core/lessee/late_start_test.go
@@ -12,6 +12,13 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/latestart"
 )
 
+// confirmHolds lets dispatchers confirm what they were told of holds.
+func (b *testBed) confirmHolds(dispatchers ...node.Ref) {
+	for _, d := range dispatchers {
+		b.step(received(d, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now, KnownLateStart: b.heartbeats[d.ID].LateStartSeq}}))
+	}
+}
+
 // TestHoldIsPassedOn guards against a dispatcher that is not told which jobs others hold: one that
 // is known, and one that has just started. The dispatcher that holds a job is not told.
 func TestHoldIsPassedOn(t *testing.T) {
@@ -39,6 +46,7 @@
 	d2 := node.Ref{ID: "d2", Incarnation: 1}
 	b.heartbeat(d2)
 	expect(d2, 1, false)
+	b.confirmHolds(d1, d2)
 	tell(true)
 	expect(d1, 1, true)
 	expect(d2, 1, true)
@@ -70,6 +78,7 @@
 				}
 			}
 		}
+		b.confirmHolds(dispatchers...)
 		clear(b.heartbeats)
 		return released, held
 	}
@@ -109,13 +118,15 @@
 	}
 	const start = time.Second
 	expect(start, maxToldHolds, "0", maxToldHolds)
-	expect(start, 1, fmt.Sprint(maxToldHolds), maxToldHolds+1)
 	expect(start+holdRetryInterval-1, 0, "", 0)
 	l.confirm(3)
-	expect(start+holdRetryInterval, maxToldHolds-2, "3", maxToldHolds+1)
-	l.confirm(maxToldHolds + 1)
+	expect(start+holdRetryInterval-1, maxToldHolds-2, "3", maxToldHolds+1)
+	expect(start+2*holdRetryInterval-1, maxToldHolds-2, "3", maxToldHolds+1)
+	l.add(hold(99)) // Those before it may be lost.
+	expect(start+2*holdRetryInterval-1, maxToldHolds-1, "3", maxToldHolds+2)
+	l.confirm(maxToldHolds + 2)
 	l.confirm(2) // A late message.
-	expect(start+2*holdRetryInterval, 0, "", 0)
-	l.add(hold(99))
+	expect(start+4*holdRetryInterval, 0, "", 0)
+	l.add(hold(100))
 	expect(lease.LateStartExpiry, 0, "", 0)
 }
