dispatch: holds of a host that never comes back are forgotten with its agent

Each lost host with a revoked offer left an entry in the dispatcher's own holds for good, and a hold that began a second time for a later offer was not announced again.

Evidence: TestHoldsOfALostHostEnd failed before (one entry after 23 s).

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -24,8 +24,8 @@
 	latestart.Hold
 	// offers holds the offers whose start calls may be executed late.
 	offers map[uint64]bool
-	// announced is set once the other dispatchers were to be told.
-	announced bool
+	// announced is the Offer of which the other dispatchers were told, or zero.
+	announced uint64
 }
 
 // holdOffer holds the job of an open or revoked offer, unless all its start calls were answered.
@@ -57,10 +57,10 @@
 }
 
 func (c *Core) announceHold(h *ownHold) {
-	if h.announced {
+	if h.announced == h.Offer {
 		return
 	}
-	h.announced = true
+	h.announced = h.Offer
 	c.logEvent("job_may_start_late", h.Job, "agent", h.Agent.String(), "offers", len(h.offers))
 	c.announcements.enqueue(c.now.Mono, notice{hold: h.Hold})
 }
@@ -118,7 +118,7 @@
 		return
 	}
 	delete(c.holds.own, h.Key)
-	if !h.announced {
+	if h.announced == 0 || c.now.Mono > h.ExpiresAt {
 		c.holds.known.Remove(h.Key)
 		return
 	}
@@ -127,6 +127,14 @@
 	c.announcements.enqueue(c.now.Mono, notice{hold: h.Hold})
 }
 
+// forgetHoldsOf forgets the offers of an agent that is forgotten. Its holds have expired.
+func (c *Core) forgetHoldsOf(a *agent) {
+	for _, h := range a.heldOffers {
+		delete(c.holds.own, h.Key)
+	}
+	clear(a.heldOffers)
+}
+
 // releaseHoldsOf releases all holds that wait for an incarnation of an agent: its next one has
 // made the upstream refuse the start calls of before.
 func (c *Core) releaseHoldsOf(ref node.Ref) {
--- a/core/dispatch/hold_test.go
+++ b/core/dispatch/hold_test.go
@@ -203,3 +203,20 @@
 		t.Errorf("got %d offers of the held job, want none", len(offers))
 	}
 }
+
+// TestHoldsOfALostHostEnd guards against memory that grows with each host that never comes back.
+func TestHoldsOfALostHostEnd(t *testing.T) {
+	b := newTestBed(t)
+	b.connectAgents(2, 4)
+	call := b.submit("j", 0, 1, 100*time.Millisecond)
+	lost := b.core.agents[node.Ref{ID: b.offeredTo[b.takeOffers()[0].Seq], Incarnation: 1}]
+	b.step(CallerGone{Call: call})
+	b.step(step.PeerSuspect{Ref: lost.ref, Hint: liveness.Refused})
+	if len(b.core.holds.own) != 1 {
+		t.Fatalf("got %d holds, want 1", len(b.core.holds.own))
+	}
+	b.advance(lease.LateStartExpiry + forgetDead)
+	if s := b.core.Stats(); len(b.core.holds.own) != 0 || s.JobsMayStartLate != 0 || b.core.agents[lost.ref] != nil {
+		t.Errorf("%v after the loss of the host: %d holds, %d jobs, want none", lease.LateStartExpiry+forgetDead, len(b.core.holds.own), s.JobsMayStartLate)
+	}
+}
--- a/core/dispatch/silence.go
+++ b/core/dispatch/silence.go
@@ -155,6 +155,7 @@
 
 func (c *Core) removeAgent(a *agent) {
 	delete(c.agents, a.ref)
+	c.forgetHoldsOf(a)
 	c.sortedAgents = slices.DeleteFunc(c.sortedAgents, func(x *agent) bool { return x == a })
 	c.workersChanged = true
 	// An open connection would keep it from being connected anew.
