leasemodel, dispatch: a job that comes again while it is held elsewhere, a host at another address

The submission comes again while the first dispatcher still holds the task, without having noticed that its caller has gone: the new dispatcher holds the job too. On the order of events has two runs, as the other cases of TestNoTwoRunsOfAResubmittedJob. A process with the ID of a lost agent at another address releases nothing.

--- a/core/dispatch/hold_test.go
+++ b/core/dispatch/hold_test.go
@@ -23,17 +23,21 @@
 	}}}})
 }
 
+// reportReady connects an agent, which reports that it is ready.
+func (b *testBed) reportReady(e AgentConnected) {
+	b.step(e)
+	b.step(step.Received{Envelope: message.Envelope{From: e.Agent, Messages: []message.Message{{Heartbeat: &message.Heartbeat{
+		Timestamp: b.now, Revision: 1, Capacity: &message.CapacityReport{Version: 1, Ready: true, InfoVersion: 1},
+	}}}}})
+}
+
 // TestHeldJobIsNotStarted guards against starting a job of which a start call of an earlier
 // submission may still be executed, and against one that is held although that is ruled out.
 func TestHeldJobIsNotStarted(t *testing.T) {
 	for name, end := range map[string]func(b *testBed){
 		"the other dispatcher releases it": func(b *testBed) { b.learnHold("j", true, lease.LateStartExpiry) },
 		"the next incarnation is ready": func(b *testBed) {
-			next := node.Ref{ID: ref(1).ID, Incarnation: 2}
-			b.step(AgentConnected{Agent: next, Former: ref(1), Domain: "z1"})
-			b.step(step.Received{Envelope: message.Envelope{From: next, Messages: []message.Message{{Heartbeat: &message.Heartbeat{
-				Timestamp: b.now, Revision: 1, Capacity: &message.CapacityReport{Version: 1, Ready: true, InfoVersion: 1},
-			}}}}})
+			b.reportReady(AgentConnected{Agent: node.Ref{ID: ref(1).ID, Incarnation: 2}, Former: ref(1), Domain: "z1"})
 		},
 		"it expires": func(b *testBed) {
 			b.advance(450 * time.Millisecond)
@@ -57,6 +61,19 @@
 	}
 }
 
+// TestHostAtAnotherAddressReleasesNothing guards against taking a process with the ID of a lost agent
+// for its next incarnation: it answers at another address, and the former host may only be cut off.
+func TestHostAtAnotherAddressReleasesNothing(t *testing.T) {
+	b := newTestBed(t)
+	b.connectAgents(2, 4)
+	b.learnHold("j", false, lease.LateStartExpiry)
+	b.submit("j", 0, 1, 100*time.Millisecond)
+	b.reportReady(AgentConnected{Agent: node.Ref{ID: ref(1).ID, Incarnation: 2}, Domain: "z1"})
+	if offers := b.takeOffers(); len(offers) != 0 {
+		t.Errorf("got %d offers, want none", len(offers))
+	}
+}
+
 // TestHeldJobIsNeverSaidNotToHaveRun guards against an answer that promises that nothing of a job
 // runs while a start call of an earlier submission may be executed, and against a caller that waits
 // although its job can no longer be done in time.
--- a/core/leasemodel/late_resubmission_test.go
+++ b/core/leasemodel/late_resubmission_test.go
@@ -181,6 +181,9 @@
 		"the caller leaves": func(m *lateResubmission) {
 			m.after(300*time.Millisecond, func() { m.deliver(m.processes["d0"], dispatch.CallerGone{Call: 1}) })
 		},
+		"the first still holds the task": func(m *lateResubmission) {
+			m.after(1100*time.Millisecond, func() { m.submitAt(m.processes["d1"]) })
+		},
 		"the caller leaves before the restart": func(m *lateResubmission) { m.deliver(m.processes["d0"], dispatch.CallerGone{Call: 1}) },
 	} {
 		for seed := range uint64(8) {
