dispatch: announcements that are repeated have the newest state of a hold

An agent that had just started was told that a job was held, and passed it on, although the hold had been released: the notice was as old as the hold. A dispatcher that had just started as well held the job until the hold expired.

Evidence: TestNewAgentLearnsOfReleases failed before.

--- a/core/dispatch/announce.go
+++ b/core/dispatch/announce.go
@@ -110,7 +110,7 @@
 		if n := &notices[i]; n.cancelled != "" {
 			hb.Cancelled = append(hb.Cancelled, n.cancelled)
 		} else {
-			hb.LateStarts = append(hb.LateStarts, message.NewLateStart(c.now.Mono, n.hold))
+			hb.LateStarts = append(hb.LateStarts, message.NewLateStart(c.now.Mono, c.holds.known.Latest(n.hold)))
 		}
 	}
 	return hb
--- a/core/dispatch/hold_test.go
+++ b/core/dispatch/hold_test.go
@@ -237,3 +237,26 @@
 		t.Errorf("%v after the loss of the host: %d holds, %d jobs, want none", lease.LateStartExpiry+forgetDead, len(b.core.holds.own), s.JobsMayStartLate)
 	}
 }
+
+// TestNewAgentLearnsOfReleases guards against an agent that passes on that a job is held although it
+// was released before the agent started.
+func TestNewAgentLearnsOfReleases(t *testing.T) {
+	b := newTestBed(t)
+	b.connectAgents(4, 1)
+	call := b.submit("j", 0, 1, 100*time.Millisecond)
+	o := b.takeOffers()[0]
+	at := int(b.offeredTo[o.Seq][1] - '0')
+	b.receive(at, message.Message{Heartbeat: &message.Heartbeat{Timestamp: b.now, Revision: 1, Unanswered: []uint64{o.Seq}}})
+	b.step(CallerGone{Call: call})
+	b.complete(o, message.RunStopped, "")
+	b.step(AgentConnected{Agent: ref(7), Domain: "z7"})
+	list := b.heartbeats[ref(7).ID].LateStarts
+	for _, l := range list {
+		if !l.Released {
+			t.Errorf("a new agent was told of %+v, which was released", l)
+		}
+	}
+	if len(list) == 0 {
+		t.Error("a new agent was told nothing, want the release")
+	}
+}
--- a/core/policy/latestart/latestart.go
+++ b/core/policy/latestart/latestart.go
@@ -93,6 +93,14 @@
 	m.order = slices.Delete(m.order, i, i+1)
 }
 
+// Latest returns the newest known state of a hold.
+func (m *Memory) Latest(h Hold) Hold {
+	if known, ok := m.holds[h.Key]; ok {
+		return known
+	}
+	return h
+}
+
 // Held reports whether a task of the job may start late.
 func (m *Memory) Held(now time.Duration, job string) bool {
 	if m.jobs[job] == 0 {
