--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -29,6 +29,13 @@
 	// maxRefusal is the longest time for which the port of an upstream refuses connections while
 	// its runs go on: about as long as their lease.
 	maxRefusal = 600 * time.Millisecond
+	// hostLateFraction is the fraction of calls that an upstream executes late within the last
+	// maxLateTime before its host restarts. After that the upstream is back within
+	// maxUpstreamBoot, and its agent within maxAgentBoot more.
+	hostLateFraction = 0.3
+	maxLateTime      = 500 * time.Millisecond
+	maxUpstreamBoot  = 300 * time.Millisecond
+	maxAgentBoot     = 4 * time.Second
 	// maxRestartDelay is the longest delay before a process that has exited is started
 	// again.
 	maxRestartDelay = time.Second
@@ -121,6 +128,13 @@
 	{"upstream_fails", upstreamFault(platform.StandinFaults{FailAll: true})},
 	{"upstream_unhealthy", upstreamFault(platform.StandinFaults{Unhealthy: true})},
 	{"upstream_late", upstreamFault(platform.StandinFaults{LateFraction: 0.1})},
+	{"host_restarts", func(s *Soak, rnd *rand.Rand, stop <-chan struct{}) {
+		a := s.randomAgent(rnd)
+		defer a.beginLinkFault()()
+		a.upstream.SetFaults(platform.StandinFaults{LateFraction: hostLateFraction})
+		lifecycle.Wait(randomDuration(rnd, maxLateTime), stop)
+		s.restartHost(a, randomDuration(rnd, maxUpstreamBoot), randomDuration(rnd, maxAgentBoot), stop)
+	}},
 	{"upstream_crashes", func(s *Soak, rnd *rand.Rand, stop <-chan struct{}) {
 		a := s.randomAgent(rnd)
 		defer a.beginLinkFault()()
@@ -306,6 +320,27 @@
 	}
 }
 
+// restartHost ends an agent and the incarnation of its upstream. The next ones start after these
+// delays, the upstream first.
+func (s *Soak) restartHost(a *agent, upstreamDelay, agentDelay time.Duration, stop <-chan struct{}) {
+	a.restartMu.Lock()
+	defer a.restartMu.Unlock()
+	a.signal(syscall.SIGKILL)
+	a.kill()
+	a.upstream.Crash()
+	a.closeUpstream()
+	a.upstream.SetFaults(platform.StandinFaults{})
+	lifecycle.Wait(upstreamDelay, stop)
+	a.upstream.BeginIncarnation()
+	if err := a.serveUpstream(); err != nil {
+		s.checks.addViolation("start", "restart the upstream of %s: %v", a.name, err)
+	}
+	lifecycle.Wait(agentDelay, stop)
+	if err := a.startAgain(); err != nil {
+		s.checks.addViolation("start", "%v", err)
+	}
+}
+
 func (s *Soak) setCrashingShare(share float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
