--- a/core/message/late_start.go
+++ b/core/message/late_start.go
@@ -18,8 +18,8 @@
 	return LateStart{Hold: h, Left: h.ExpiresAt - now}
 }
 
-// Received returns the hold as received at the time now, on the receiver's clock. It never expires
-// later than lease.LateStartExpiry from then.
+// Received returns the hold on the clock of the receiver, which has received it at the time now. It
+// expires after longest at the latest.
 func (l LateStart) Received(now, longest time.Duration) latestart.Hold {
 	h := l.Hold
 	h.ExpiresAt = now + min(l.Left, longest)
