unruly: tests of processes against clients that send too much or stop short

The tests run after all others, one at a time and without the race detector, which multiplies memory.

--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,9 @@
 #!/usr/bin/env bash
 # Runs every test of the workspace. Arguments are flags of go test.
 #
+# The tests of apart bound the memory of programs that they build themselves. They run one at
+# a time after all others, and without the race detector.
+#
 # Randomised tests run with a fixed seed. RAPID_FLAGS replaces their flags, for
 # example RAPID_FLAGS="-rapid.checks=10000" for a long run with a random seed.
 set -euo pipefail
@@ -8,8 +11,10 @@
 
 read -ra rapid_flags <<<"${RAPID_FLAGS:--rapid.seed=1 -rapid.checks=100 -rapid.nofailfile}"
 
+apart=./internal/unruly
+
 mapfile -t randomised < <(.ci/randomised-packages)
-mapfile -t others < <(go list ./... ./core/... | grep -vxF "$(printf '%s\n' "${randomised[@]:-none}")")
+mapfile -t others < <(go list ./... ./core/... | grep -vxF "$(printf '%s\n' "${randomised[@]:-none}" "$(go list "$apart")")")
 
 # Simulated fleets under the race detector take minutes on a busy machine.
 timeout=30m
@@ -19,4 +24,5 @@
 if [ "${#randomised[@]}" -gt 0 ]; then
   go test -race -timeout "$timeout" "$@" "${randomised[@]}" "${rapid_flags[@]}" || status=$?
 fi
+go test -timeout "$timeout" "$@" "$apart" || status=$?
 exit "$status"
