httpserver: connections above the limit take the place of those that wait for nothing

A crowd that opened as many connections as a dispatcher serves, and then sent nothing or stopped in the middle, kept all others out until its time limits had passed: later clients waited in the kernel's queue, with what they had sent in its buffers.

Cause: the listener stopped accepting at the limit, and http.Server closes connections only by their own time limits.

A server now accepts at the limit too. The new connection takes the place of one that does not wait for an answer: of a refused one that lingers, of one whose client has not read its answer for 1 s, of an idle one, or of one in the middle of a request, the oldest first. Its client receives the refusal that a planned stop sends, which is true: no request of the connection is processed any more. If all wait for answers, the new one is refused at once. The default of connections follows from memory, 128 KiB for each, up to the 2048 of before, which is too many for the smallest hosts. Time limits for headers and idle connections are checked by the server itself, so that they can change while it runs.

--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -109,6 +109,8 @@
 	d.http, err = httpserver.Listen(httpserver.Config{
 		Listen:  s.Listen.Upstream.String(),
 		Handler: d.handler(),
+		Metrics: d.metrics,
+		Logs:    d.logs,
 	})
 	return err
 }
--- a/internal/dispatchd/daemon.go
+++ b/internal/dispatchd/daemon.go
@@ -59,6 +59,9 @@
 // has lost the first packet: once the host is back, a new attempt connects sooner.
 const dialTimeout = 400 * time.Millisecond
 
+// operatorConnections bounds the open connections of load balancers, and of operators.
+const operatorConnections = 128
+
 // Daemon is one dispatcher. Its methods are safe for concurrent use.
 type Daemon struct {
 	cfg       Config
@@ -141,21 +144,25 @@
 		return err
 	}
 	d.callers, err = httpserver.Listen(httpserver.Config{
-		Listen: s.Listen.Callers.String(), Handler: d.cfg.Platform.Callers(d), MaxConnections: s.Limits.Connections,
+		Listen: s.Listen.Callers.String(), Handler: d.cfg.Platform.Callers(d), MaxConnections: s.Limits.MaxConnections(),
 		Drainable: s.Timing.DrainConnections,
+		Metrics:   d.metrics, Logs: d.logs,
 	})
 	if err != nil {
 		return err
 	}
 	d.ready, err = httpserver.Listen(httpserver.Config{
-		Listen: s.Listen.Ready.String(), Handler: d.cfg.Platform.Ready(d.Ready),
+		Listen: s.Listen.Ready.String(), Handler: d.cfg.Platform.Ready(d.Ready), MaxConnections: operatorConnections,
+		Metrics: d.metrics, Logs: d.logs,
 	})
 	if err != nil {
 		return err
 	}
 	router := httpserver.NewRouter(d.metrics)
 	httpserver.AddHealthRoutes(router, d.Ready, d.WriteMetrics)
-	d.monitor, err = httpserver.Listen(httpserver.Config{Listen: s.Listen.Metrics.String(), Handler: router})
+	d.monitor, err = httpserver.Listen(httpserver.Config{
+		Listen: s.Listen.Metrics.String(), Handler: router, MaxConnections: operatorConnections, Metrics: d.metrics, Logs: d.logs,
+	})
 	return err
 }
 
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -131,6 +131,8 @@
 		Handler:        d.apiHandler(),
 		MaxConnections: s.Limits.Connections,
 		HeaderTimeout:  s.Limits.HeaderTime,
+		Metrics:        d.metrics,
+		Logs:           d.logs,
 	})
 	if err != nil {
 		return err
@@ -138,6 +140,8 @@
 	d.monitor, err = httpserver.Listen(httpserver.Config{
 		Listen:  s.Listen.Metrics.String(),
 		Handler: d.monitorHandler(),
+		Metrics: d.metrics,
+		Logs:    d.logs,
 	})
 	return err
 }
--- a/internal/httpserver/drain.go
+++ b/internal/httpserver/drain.go
@@ -172,9 +172,8 @@
 // connKey is the key of the context's value that holds the connection of a request.
 type connKey struct{}
 
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
+// NetConn returns the connection below this one.
+func (c *trackedConn) NetConn() net.Conn { return c.Conn }
 
 // wrap returns a handler whose answers close their connections once the server drains. It
 // processes no request of a retired connection; there can be one if the client sent it before
--- a/internal/httpserver/drain_test.go
+++ b/internal/httpserver/drain_test.go
@@ -55,6 +55,9 @@
 	g *gate
 }
 
+// NetConn returns the connection of the server.
+func (c gatedConn) NetConn() net.Conn { return c.Conn }
+
 func (c gatedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.g.pass()
--- a/internal/httpserver/json.go
+++ b/internal/httpserver/json.go
@@ -40,6 +40,9 @@
 	response := http.NewResponseController(c.Response())
 	_ = response.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	if conn := connOf(c.Request().Context()); conn != nil && !conn.enter(phaseHandling, phaseBody) {
+		panic(http.ErrAbortHandler)
+	}
 	if err == nil {
 		_ = response.SetReadDeadline(time.Time{})
 		return body, nil
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -13,18 +13,19 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sys/unix"
+
+	"github.com/dogwoodgauge/dogwoodgauge/internal/telemetry"
 )
 
 // Defaults of the limits in Config.
 const (
 	DefaultMaxConnections = 1024
 	DefaultHeaderTimeout  = 5 * time.Second
+	DefaultIdleTimeout    = time.Minute
 )
 
 const (
-	idleTimeout    = 60 * time.Second
 	maxHeaderBytes = 16 << 10
 	// receiveBufferBytes bounds what a client can send before the server reads it. The kernel
 	// would let the buffer of a fast connection grow to megabytes.
@@ -40,10 +41,14 @@
 	// Listen is the IP:port to listen on.
 	Listen  string
 	Handler http.Handler
-	// MaxConnections bounds the open connections. Further ones wait to be accepted.
+	// MaxConnections bounds the open connections. A further one takes the place of one that does
+	// not wait for an answer, and is refused if there is none.
 	MaxConnections int
 	// HeaderTimeout bounds the time in which a client must send the header of a request.
 	HeaderTimeout time.Duration
+	// Metrics and Logs count and report connections that the server closes. They may be nil.
+	Metrics *telemetry.Metrics
+	Logs    *telemetry.Logger
 	// Certificate, if not nil, makes the server accept only TLS connections.
 	Certificate *Certificate
 	// Drainable makes StartDraining, AwaitDrained and Retire available. It excludes
@@ -58,6 +63,7 @@
 	server    *http.Server
 	closed    chan struct{}
 	closeOnce sync.Once
+	admission *admission
 	// drainer is nil unless Config.Drainable is set.
 	drainer *drainer
 }
@@ -78,30 +84,41 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for HTTP")
 	}
-	listener := socket
-	listener = netutil.LimitListener(listener, cfg.MaxConnections)
-	if cfg.Certificate != nil {
-		listener = tls.NewListener(listener, cfg.Certificate.tlsConfig())
-	}
 	s := &Server{
-		closed:   make(chan struct{}),
-		listener: listener,
-		server: &http.Server{
-			Handler:           cfg.Handler,
-			ReadHeaderTimeout: cfg.HeaderTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-		},
+		closed:    make(chan struct{}),
+		admission: &admission{max: cfg.MaxConnections, encrypted: cfg.Certificate != nil, metrics: cfg.Metrics, logs: cfg.Logs},
+	}
+	s.SetTimeouts(cfg.HeaderTimeout, DefaultIdleTimeout)
+	s.listener = admittingListener{socket, s.admission}
+	if cfg.Certificate != nil {
+		s.listener = tls.NewListener(s.listener, cfg.Certificate.tlsConfig())
 	}
+	handler, stateChanged := s.admission.wrap(cfg.Handler), s.admission.stateChanged
 	if cfg.Drainable {
 		s.drainer = newDrainer(socket.(*net.TCPListener))
-		s.listener = trackedListener{listener, s.drainer}
-		s.server.Handler = s.drainer.wrap(cfg.Handler)
-		s.server.ConnContext, s.server.ConnState = withConn, s.drainer.stateChanged
+		s.listener = trackedListener{s.listener, s.drainer}
+		handler = s.drainer.wrap(handler)
+		stateChanged = func(c net.Conn, state http.ConnState) {
+			s.admission.stateChanged(c, state)
+			s.drainer.stateChanged(c, state)
+		}
+	}
+	s.server = &http.Server{
+		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ConnState: stateChanged,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 	return s, nil
 }
 
+// SetTimeouts sets the time in which a client must send the header of a request, and the time for
+// which a connection stays open without a request.
+func (s *Server) SetTimeouts(header, idle time.Duration) {
+	s.admission.headerTimeout.Store(int64(header))
+	s.admission.idleTimeout.Store(int64(idle))
+}
+
 // listen opens a listening socket. Its connections inherit the size of the receive buffer, which
 // must be set before they are opened.
 func listen(addr string) (net.Listener, error) {
@@ -122,6 +139,7 @@
 
 // Run serves requests until Close is called. After Shutdown or Retire it waits for Close.
 func (s *Server) Run() error {
+	go s.admission.run(s.closed)
 	err := s.server.Serve(s.listener)
 	if !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve HTTP")
@@ -142,5 +160,6 @@
 	if s.drainer != nil {
 		s.drainer.closeAll()
 	}
+	s.admission.closeAll()
 	return err
 }
--- a/internal/lesseed/daemon.go
+++ b/internal/lesseed/daemon.go
@@ -81,6 +81,9 @@
 // agents normally receive changes from dispatchers; their own reads are a fallback.
 const siteReadWait = 10 * time.Second
 
+// localConnections bounds the open connections of the upstream, and of operators.
+const localConnections = 128
+
 // Daemon is one agent. Its methods are safe for concurrent use.
 type Daemon struct {
 	cfg       Config
@@ -140,14 +143,17 @@
 		return err
 	}
 	d.announcements, err = httpserver.Listen(httpserver.Config{
-		Listen: s.Listen.Announcements.String(), Handler: d.cfg.Platform.Announcements(d),
+		Listen: s.Listen.Announcements.String(), Handler: d.cfg.Platform.Announcements(d), MaxConnections: localConnections,
+		Metrics: d.metrics, Logs: d.logs,
 	})
 	if err != nil {
 		return err
 	}
 	router := httpserver.NewRouter(d.metrics)
 	httpserver.AddHealthRoutes(router, d.Ready, d.WriteMetrics)
-	d.monitor, err = httpserver.Listen(httpserver.Config{Listen: s.Listen.Metrics.String(), Handler: router})
+	d.monitor, err = httpserver.Listen(httpserver.Config{
+		Listen: s.Listen.Metrics.String(), Handler: router, MaxConnections: localConnections, Metrics: d.metrics, Logs: d.logs,
+	})
 	return err
 }
 
--- a/internal/settings/leased.go
+++ b/internal/settings/leased.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 )
@@ -122,8 +123,21 @@
 	Memory Size `ini:"memory" default:"128MiB"`
 	// Body is the largest request body of a caller.
 	Body Size `ini:"body" default:"1MiB"`
-	// Connections is the largest number of open connections of callers.
-	Connections int `ini:"connections" default:"2048"`
+	// Connections is the largest number of open connections of callers. Zero stands for one for
+	// every 128 KiB of Memory, up to 2048.
+	Connections int `ini:"connections" default:"0"`
+}
+
+const (
+	// connectionBytes is the memory for a connection: its goroutine and buffers, a header, a small
+	// body and what the kernel has received. maxConnections bounds the default.
+	connectionBytes = 128 << 10
+	maxConnections  = 2048
+)
+
+// MaxConnections returns the largest number of open connections.
+func (l LeasedLimits) MaxConnections() int {
+	return cmp.Or(l.Connections, max(1, min(int(l.Memory/connectionBytes), maxConnections)))
 }
 
 // LeasedTiming holds the durations of a planned stop.
@@ -185,7 +199,6 @@
 	c.require(connectable(s.Address), "store", "address", "address %v is no address to connect to", s.Address)
 	c.require(l.Memory > 0, "limits", "memory", "memory must not be 0")
 	c.require(l.Body > 0, "limits", "body", "body must not be 0")
-	c.require(l.Connections > 0, "limits", "connections", "connections must not be 0")
 	delay := time.Duration(t.ReadinessDelay)
 	c.require(t.Grace > delay, "timing", "grace", "grace %v is not longer than readiness_delay %v", t.Grace, delay)
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -87,6 +87,12 @@
 	return m.counter(FramesRejectedTotal, "reason", reason)
 }
 
+// ConnectionsClosed counts the connections of clients that the server closed, by reason: refused,
+// since all others wait for an answer; evicted, to make room; expired, after a time limit.
+func (m *Metrics) ConnectionsClosed(reason string) *metrics.Counter {
+	return m.counter(ConnectionsClosedTotal, "reason", reason)
+}
+
 // HandoversRefused counts handovers of control records that were refused because
 // they had no valid signature.
 func (m *Metrics) HandoversRefused() *metrics.Counter {
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -13,6 +13,7 @@
 	MessagesTotal            = "dogwoodgauge_messages_total"
 	MessageBytesTotal        = "dogwoodgauge_message_bytes_total"
 	FramesRejectedTotal      = "dogwoodgauge_frames_rejected_total"
+	ConnectionsClosedTotal   = "dogwoodgauge_connections_closed_total"
 	HandoversRefusedTotal    = "dogwoodgauge_handovers_refused_total"
 	LogRequestsTotal         = "dogwoodgauge_log_requests_total"
 	SettingsReloadsTotal     = "dogwoodgauge_settings_reloads_total"
