httpserver: bound the memory of request bodies over all connections

Clients that sent many bodies of legal size at once, most stopping just short of their end, made a process exceed its memory: each body was read into a buffer of its own for up to 10 s, and a body whose announced length was too large was read up to the limit first.

Large bodies, over 16 KiB, now share a memory of fixed size, an eighth of the process's. What a buffer needs is reserved as bytes arrive, not when they are announced. If it is used up, the body that has taken longest, and more than a second, is refused, else the one that needs more; both with 503 and Retry-After, since nothing of the job has started. Small bodies need no reservation, so that ordinary requests beside the crowd are read; the limit of connections bounds them. At most two large bodies are decoded at a time. An announced length above the limit is refused with 413 at once. A refused connection closes after its answer without reading the rest.

An entry has a setting for its memory, which the others had, and holds the memory of a body until the job is answered.

--- a/internal/agentd/announce.go
+++ b/internal/agentd/announce.go
@@ -16,10 +16,12 @@
 // Limits of an announcement's size and values.
 const (
 	maxAnnouncementBytes = 64 << 10
-	maxNameBytes         = 128
-	maxSlots             = 1 << 16
-	maxConnections       = 1 << 16
-	maxTTL               = 10 * time.Minute
+	// announcementMemory bounds the memory of large announcements.
+	announcementMemory = 4 << 20
+	maxNameBytes       = 128
+	maxSlots           = 1 << 16
+	maxConnections     = 1 << 16
+	maxTTL             = 10 * time.Minute
 )
 
 // Announcement is the body of POST /v1/upstream.
@@ -79,11 +81,13 @@
 // announce handles POST /v1/upstream, by which an upstream announces itself or renews
 // its announcement.
 func (d *Daemon) announce(c echo.Context) error {
-	body, err := httpserver.ReadBody(c, maxAnnouncementBytes)
-	if err != nil {
-		return err
-	}
-	a, err := DecodeAnnouncement(body)
+	var a Announcement
+	err := httpserver.ReadBody(c, maxAnnouncementBytes, func(body []byte) error {
+		return httpserver.Decode(c, body, func(body []byte) (err error) {
+			a, err = DecodeAnnouncement(body)
+			return err
+		})
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -107,10 +107,11 @@
 		return err
 	}
 	d.http, err = httpserver.Listen(httpserver.Config{
-		Listen:  s.Listen.Upstream.String(),
-		Handler: d.handler(),
-		Metrics: d.metrics,
-		Logs:    d.logs,
+		Listen:     s.Listen.Upstream.String(),
+		Handler:    d.handler(),
+		BodyMemory: httpserver.NewBodyMemory(announcementMemory),
+		Metrics:    d.metrics,
+		Logs:       d.logs,
 	})
 	return err
 }
--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/internal/dispatchd"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/entryd"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/lesseed"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/process"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/settings"
 )
 
@@ -39,6 +40,7 @@
 		if err != nil {
 			return withCode(CodeUsage, err)
 		}
+		debug.SetMemoryLimit(process.HeapLimit(int64(s.Limits.Memory)))
 		d, err := entryd.New(entryd.Config{Settings: s})
 		if err != nil {
 			return err
--- a/internal/dispatchd/daemon.go
+++ b/internal/dispatchd/daemon.go
@@ -145,8 +145,8 @@
 	}
 	d.callers, err = httpserver.Listen(httpserver.Config{
 		Listen: s.Listen.Callers.String(), Handler: d.cfg.Platform.Callers(d), MaxConnections: s.Limits.MaxConnections(),
-		Drainable: s.Timing.DrainConnections,
-		Metrics:   d.metrics, Logs: d.logs,
+		BodyMemory: httpserver.NewBodyMemory(s.Limits.BodyMemoryBytes()), Drainable: s.Timing.DrainConnections,
+		Metrics: d.metrics, Logs: d.logs,
 	})
 	if err != nil {
 		return err
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -125,12 +125,14 @@
 			return err
 		}
 	}
+	bodies := httpserver.NewBodyMemory(s.Limits.BodyMemoryBytes())
 	d.api, err = httpserver.Listen(httpserver.Config{
 		Certificate:    certificate,
 		Listen:         s.Listen.HTTP.String(),
 		Handler:        d.apiHandler(),
 		MaxConnections: s.Limits.Connections,
 		HeaderTimeout:  s.Limits.HeaderTime,
+		BodyMemory:     bodies,
 		Metrics:        d.metrics,
 		Logs:           d.logs,
 	})
@@ -138,10 +140,11 @@
 		return err
 	}
 	d.monitor, err = httpserver.Listen(httpserver.Config{
-		Listen:  s.Listen.Metrics.String(),
-		Handler: d.monitorHandler(),
-		Metrics: d.metrics,
-		Logs:    d.logs,
+		Listen:     s.Listen.Metrics.String(),
+		Handler:    d.monitorHandler(),
+		BodyMemory: bodies,
+		Metrics:    d.metrics,
+		Logs:       d.logs,
 	})
 	return err
 }
--- a/internal/entryd/handover.go
+++ b/internal/entryd/handover.go
@@ -37,17 +37,16 @@
 
 // handleHandover handles POST on PublishedPath.
 func (d *Daemon) handleHandover(c echo.Context) error {
-	body, err := httpserver.ReadBody(c, maxPublishedBytes)
-	if err != nil {
-		return err
-	}
-	if err := d.authorizeHandover(body, c.Request().Header.Get(handover.SignatureHeader)); err != nil {
-		d.metrics.HandoversRefused().Inc()
-		d.logs.Info("refused a handover of records", "from", c.RealIP(), "reason", err)
-		return err
-	}
 	var p Published
-	if err := httpserver.DecodeJSON(body, &p); err != nil {
+	err := httpserver.ReadBody(c, maxPublishedBytes, func(body []byte) error {
+		if err := d.authorizeHandover(body, c.Request().Header.Get(handover.SignatureHeader)); err != nil {
+			d.metrics.HandoversRefused().Inc()
+			d.logs.Info("refused a handover of records", "from", c.RealIP(), "reason", err)
+			return err
+		}
+		return httpserver.Decode(c, body, func(body []byte) error { return httpserver.DecodeJSON(body, &p) })
+	})
+	if err != nil {
 		return err
 	}
 	if p.From < 0 || len(p.Records) == 0 {
--- a/internal/httpapi/api.go
+++ b/internal/httpapi/api.go
@@ -91,14 +91,21 @@
 	if err != nil {
 		return err
 	}
-	body, err := httpserver.ReadBody(c, a.Limits.MaxBodyBytes)
-	if err != nil {
-		return err
-	}
-	j, err := DecodeJob(body, a.Now(), a.Limits)
-	if err != nil {
-		return err
-	}
+	return httpserver.ReadBody(c, a.Limits.MaxBodyBytes, func(body []byte) error {
+		var j job.Job
+		err := httpserver.Decode(c, body, func(body []byte) (err error) {
+			j, err = DecodeJob(body, a.Now(), a.Limits)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		return a.submitJob(c, j, wait)
+	})
+}
+
+// submitJob submits a decoded job and writes the answer.
+func (a *api) submitJob(c echo.Context, j job.Job, wait bool) error {
 	started := time.Now()
 	span, trace := a.Tracer.StartRequest(c.Request(), telemetry.SpanEntry)
 	defer span.End()
--- a/internal/httpapi/ids.go
+++ b/internal/httpapi/ids.go
@@ -40,12 +40,9 @@
 }
 
 func (a *api) mint(c echo.Context) error {
-	body, err := httpserver.ReadBody(c, maxSmallBodyBytes)
-	if err != nil {
-		return err
-	}
 	var r IDsRequest
-	if err := httpserver.DecodeJSON(body, &r); err != nil {
+	err := httpserver.ReadBody(c, maxSmallBodyBytes, func(body []byte) error { return httpserver.DecodeJSON(body, &r) })
+	if err != nil {
 		return err
 	}
 	if r.Count < 1 || r.Count > maxIDs {
--- a/internal/httpserver/json.go
+++ b/internal/httpserver/json.go
@@ -34,26 +34,6 @@
 	return &Error{Kind: errkind.TooLarge, Detail: fmt.Sprintf(format, args...)}
 }
 
-// ReadBody reads a request body of at most limit bytes. The client must send it
-// within bodyReadTimeout. The error is an *Error.
-func ReadBody(c echo.Context, limit int64) ([]byte, error) {
-	response := http.NewResponseController(c.Response())
-	_ = response.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
-	if conn := connOf(c.Request().Context()); conn != nil && !conn.enter(phaseHandling, phaseBody) {
-		panic(http.ErrAbortHandler)
-	}
-	if err == nil {
-		_ = response.SetReadDeadline(time.Time{})
-		return body, nil
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, TooLarge("the body exceeds %d bytes", limit)
-	}
-	return nil, BadRequest("the body could not be read: %v", err)
-}
-
 // DecodeJSON parses the JSON object in body into v. It refuses unknown fields and data
 // after the object. The error is an *Error.
 func DecodeJSON(body []byte, v any) error {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -30,8 +30,6 @@
 	// receiveBufferBytes bounds what a client can send before the server reads it. The kernel
 	// would let the buffer of a fast connection grow to megabytes.
 	receiveBufferBytes = 16 << 10
-	// bodyReadTimeout bounds the time in which a client must send a request body.
-	bodyReadTimeout = 10 * time.Second
 	// answerWriteTimeout bounds the time in which a client must read an answer.
 	answerWriteTimeout = 20 * time.Second
 )
@@ -44,6 +42,9 @@
 	// MaxConnections bounds the open connections. A further one takes the place of one that does
 	// not wait for an answer, and is refused if there is none.
 	MaxConnections int
+	// BodyMemory bounds the memory of large request bodies. Servers may share it. If it is nil,
+	// their memory is not bounded.
+	BodyMemory *BodyMemory
 	// HeaderTimeout bounds the time in which a client must send the header of a request.
 	HeaderTimeout time.Duration
 	// Metrics and Logs count and report connections that the server closes. They may be nil.
@@ -106,7 +107,7 @@
 	s.server = &http.Server{
 		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ConnState: stateChanged,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, c)
+			return context.WithValue(context.WithValue(ctx, connKey{}, c), bodyMemoryKey{}, cfg.BodyMemory)
 		},
 	}
 	return s, nil
--- a/internal/lesseed/daemon.go
+++ b/internal/lesseed/daemon.go
@@ -144,7 +144,7 @@
 	}
 	d.announcements, err = httpserver.Listen(httpserver.Config{
 		Listen: s.Listen.Announcements.String(), Handler: d.cfg.Platform.Announcements(d), MaxConnections: localConnections,
-		Metrics: d.metrics, Logs: d.logs,
+		BodyMemory: httpserver.NewBodyMemory(s.Limits.BodyMemoryBytes()), Metrics: d.metrics, Logs: d.logs,
 	})
 	if err != nil {
 		return err
--- a/internal/settings/leased.go
+++ b/internal/settings/leased.go
@@ -123,18 +123,28 @@
 	Memory Size `ini:"memory" default:"128MiB"`
 	// Body is the largest request body of a caller.
 	Body Size `ini:"body" default:"1MiB"`
+	// BodyMemory bounds the memory of the large request bodies that the process holds at a time.
+	// Zero stands for an eighth of Memory.
+	BodyMemory Size `ini:"body_memory"`
 	// Connections is the largest number of open connections of callers. Zero stands for one for
 	// every 128 KiB of Memory, up to 2048.
 	Connections int `ini:"connections" default:"0"`
 }
 
 const (
-	// connectionBytes is the memory for a connection: its goroutine and buffers, a header, a small
-	// body and what the kernel has received. maxConnections bounds the default.
+	// bodyShare is the part of a process's memory that is for large request bodies.
+	bodyShare = 8
+	// connectionBytes is the memory for a connection: its goroutine and buffers, a header, a body
+	// that needs no BodyMemory and what the kernel has received. maxConnections bounds the default.
 	connectionBytes = 128 << 10
 	maxConnections  = 2048
 )
 
+// BodyMemoryBytes returns the BodyMemory in bytes.
+func (l LeasedLimits) BodyMemoryBytes() int64 {
+	return int64(cmp.Or(l.BodyMemory, l.Memory/bodyShare))
+}
+
 // MaxConnections returns the largest number of open connections.
 func (l LeasedLimits) MaxConnections() int {
 	return cmp.Or(l.Connections, max(1, min(int(l.Memory/connectionBytes), maxConnections)))
@@ -199,6 +209,8 @@
 	c.require(connectable(s.Address), "store", "address", "address %v is no address to connect to", s.Address)
 	c.require(l.Memory > 0, "limits", "memory", "memory must not be 0")
 	c.require(l.Body > 0, "limits", "body", "body must not be 0")
+	c.require(l.BodyMemoryBytes() >= 2*int64(l.Body), "limits", "body_memory",
+		"body_memory (by default an eighth of memory) is %d bytes, less than twice the largest body of %d bytes", l.BodyMemoryBytes(), l.Body)
 	delay := time.Duration(t.ReadinessDelay)
 	c.require(t.Grace > delay, "timing", "grace", "grace %v is not longer than readiness_delay %v", t.Grace, delay)
 }
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -118,6 +119,12 @@
 
 // EntryLimits bounds what callers may send.
 type EntryLimits struct {
+	// Memory is how much memory the host allows the process. The garbage collector keeps the
+	// process below it.
+	Memory Size `ini:"memory" default:"256MiB"`
+	// BodyMemory bounds the memory of the large request bodies that the process holds at a time,
+	// until they are answered. Zero stands for an eighth of Memory.
+	BodyMemory Size `ini:"body_memory"`
 	// Body is the largest request body.
 	Body Size `ini:"body" default:"8MiB"`
 	// Connections is the largest number of open connections of callers.
@@ -137,6 +144,11 @@
 	Grace time.Duration `ini:"grace" default:"75s"`
 }
 
+// BodyMemoryBytes returns the BodyMemory in bytes.
+func (l EntryLimits) BodyMemoryBytes() int64 {
+	return int64(cmp.Or(l.BodyMemory, l.Memory/bodyShare))
+}
+
 // EntryTiming holds the durations of an entry.
 type EntryTiming struct {
 	Timing
