dispatch: steps are unblocked by the number of their open tasks

One job of legal size with 1,500 steps, each after 40 others, occupied a dispatcher's event loop for 18 ms when it was submitted and 18 ms at each completed task, since whether a step may start was found by comparing all tasks with all lists. A crowd of such jobs stopped the dispatcher from handling others, and what it had received piled up: 430,580 KiB of 98,304.

Each step now counts its tasks that are not done, and steps are looked at only when one of them is complete. The tasks of a job are one allocation.

--- a/core/dispatch/api.go
+++ b/core/dispatch/api.go
@@ -27,6 +27,15 @@
 	Wait time.Duration
 }
 
+// taskCount returns the number of tasks of all steps.
+func (j *Job) taskCount() int {
+	n := 0
+	for _, s := range j.Steps {
+		n += s.Count
+	}
+	return n
+}
+
 // asksSame reports whether o asks for the same tasks as j. Estimates and preferences may
 // differ.
 func (j *Job) asksSame(o Job) bool {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -37,8 +37,9 @@
 	deadline  time.Duration
 	// longestEstimate is the estimate of the longest task.
 	longestEstimate time.Duration
-	// remaining is the number of tasks that are not done.
-	remaining int
+	// remaining is the number of tasks that are not done, and stepRemaining that of each step.
+	remaining     int
+	stepRemaining []int
 	// unplaced is the number of tasks in state unplaced.
 	unplaced int
 	// mayHaveRun is set once a task has been offered, unless all such offers were refused.
@@ -216,11 +217,16 @@
 func newJob(now time.Duration, e Submit) *job {
 	j := &job{call: e.Call, spec: e.Job, arrivedAt: now, submittedAt: now, deadline: now + e.Job.Wait, acceptedAttempts: e.Job.Route.MaxAttempts}
 	var longest time.Duration
+	tasks := make([]task, e.Job.taskCount())
+	j.tasks, j.stepRemaining = make([]*task, 0, len(tasks)), make([]int, len(e.Job.Steps))
 	for s := range e.Job.Steps {
 		spec := &e.Job.Steps[s]
 		longest = max(longest, spec.Estimate)
+		j.stepRemaining[s] = spec.Count
 		for i := range spec.Count {
-			j.tasks = append(j.tasks, &task{job: j, step: s, index: i})
+			t := &tasks[len(j.tasks)]
+			t.job, t.step, t.index = j, s, i
+			j.tasks = append(j.tasks, t)
 		}
 	}
 	if longest == 0 {
@@ -287,12 +293,7 @@
 }
 
 func (j *job) stepsDone(steps []int) bool {
-	for _, t := range j.tasks {
-		if t.state != done && slices.Contains(steps, t.step) {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(steps, func(s int) bool { return j.stepRemaining[s] > 0 })
 }
 
 // enqueue adds a job with unplaced tasks to the waiting jobs.
@@ -334,11 +335,12 @@
 	j := t.job
 	t.state = done
 	j.remaining--
+	j.stepRemaining[t.step]--
 	if j.remaining == 0 {
 		c.answerJob(j, Completed, "", 0)
 		return
 	}
-	if len(j.spec.Steps) > 1 {
+	if j.stepRemaining[t.step] == 0 {
 		c.unblock(j)
 		c.enqueue(j)
 	}
