dispatch: bound the tasks of open jobs

A dispatcher bounded its open jobs at 4,096 but not their tasks: with 1,500 tasks in each, they would take 900 MB at 152 bytes a task.

Jobs of more than 16 tasks are now refused with 503 and Retry-After, as too_many_tasks, while those that are open have more tasks than the new setting open_tasks, by default one for each 2 KiB of memory: 73,728 on the smallest host. One such job alone is accepted whatever its size, and smaller jobs are bounded by their number.

--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -6,6 +6,7 @@
 const (
 	reasonDraining     = "draining"
 	reasonTooManyJobs  = "too_many_jobs"
+	reasonTooManyTasks = "too_many_tasks"
 	reasonTooLarge     = "larger_than_every_upstream"
 	reasonNoUpstream   = "no_upstream"
 	reasonOverloaded   = "overloaded"
@@ -34,6 +35,9 @@
 	}
 	c.rememberRan(j, outcome)
 	c.dequeue(j)
+	if c.jobs[j.call] == j {
+		c.openTasks -= j.countedTasks()
+	}
 	delete(c.jobs, j.call)
 	if c.byID[j.spec.ID] == j {
 		delete(c.byID, j.spec.ID)
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -33,6 +33,9 @@
 	resumeGrace = 100 * time.Millisecond
 	// maxOpenJobs limits the number of open jobs, and so the memory in use on the host.
 	maxOpenJobs = 4096
+	// uncountedTasks is the largest number of tasks of a job that Config.MaxOpenTasks does not
+	// limit. maxOpenJobs bounds the memory of such jobs.
+	uncountedTasks = 16
 )
 
 // Config holds the parameters of a Core.
@@ -60,6 +63,9 @@
 	// MinShare is the least share of the placed capacity for each priority with waiting jobs,
 	// from 0 to 1. Zero means strict order of priority.
 	MinShare float64
+	// MaxOpenTasks limits the tasks of the open jobs with more than uncountedTasks, and so the
+	// memory in use on the host. A single such job is accepted all the same. Zero means no limit.
+	MaxOpenTasks int
 }
 
 // Core is the state machine of the dispatcher role. It implements step.Core except for
@@ -97,6 +103,8 @@
 	placementList []*job
 	shares        shareState
 	// domainDoubtedAt is when the agents of a failure domain were last asked for heartbeats.
+	// openTasks is the number of tasks that Config.MaxOpenTasks limits.
+	openTasks       int
 	domainDoubtedAt map[string]time.Duration
 	// agentsCheckedAt is when the agents were last checked for unresponsive ones.
 	agentsCheckedAt time.Duration
@@ -151,8 +159,10 @@
 // Stats holds the counters of the dispatcher and its current state.
 type Stats struct {
 	OpenJobs, WaitingJobs, Agents, ReadyAgents int
-	Revision                                   int64
-	Offers, Refusals, LostRuns                 uint64
+	// OpenTasks is the number of tasks of the open jobs with more than uncountedTasks.
+	OpenTasks                  int
+	Revision                   int64
+	Offers, Refusals, LostRuns uint64
 	// Crashes counts the crashes of upstreams that agents have reported, and CrashedRuns the
 	// runs of this dispatcher that were lost to them.
 	Crashes, CrashedRuns uint64
@@ -315,6 +325,7 @@
 	}
 	s.JobsMayStartLate = c.holds.known.Len()
 	s.OpenJobs, s.WaitingJobs, s.Agents, s.Revision = len(c.jobs), len(c.waiting), len(c.agents), c.site.Revision
+	s.OpenTasks = c.openTasks
 	for _, a := range c.sortedAgents {
 		if c.usable(a) {
 			s.ReadyAgents++
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -154,6 +154,7 @@
 		"wait_ms", j.spec.Wait.Milliseconds(), "delay_ms", delay.Milliseconds(), "revision", c.site.Revision)
 	j.backlog = c.backlogOf(j)
 	c.jobs[j.call] = j
+	c.openTasks += j.countedTasks()
 	c.byID[j.spec.ID] = j
 	c.deadlines.Add(j.deadline, j.call)
 	c.latestStarts.Add(j.latestStart(c.cfg.UsefulFactor), j.call)
@@ -238,11 +239,21 @@
 	return j
 }
 
+// countedTasks returns the number of tasks that Config.MaxOpenTasks limits.
+func (j *job) countedTasks() int {
+	if len(j.tasks) <= uncountedTasks {
+		return 0
+	}
+	return len(j.tasks)
+}
+
 // refusalReason returns why a job is refused, or an empty string, and its retry delay.
 func (c *Core) refusalReason(j *job) (string, time.Duration) {
 	switch {
 	case len(c.jobs) >= maxOpenJobs:
 		return reasonTooManyJobs, transientRetryDelay
+	case c.cfg.MaxOpenTasks > 0 && c.openTasks > 0 && j.countedTasks() > 0 && c.openTasks+j.countedTasks() > c.cfg.MaxOpenTasks:
+		return reasonTooManyTasks, transientRetryDelay
 	case c.draining && len(c.jobs) == 0:
 		return reasonDraining, transientRetryDelay
 	case c.confinedOut(j):
--- a/internal/dispatchd/daemon.go
+++ b/internal/dispatchd/daemon.go
@@ -121,6 +121,7 @@
 		OrderAcross:  cfg.Settings.Overload.OrderAcross,
 		UsefulFactor: float64(cfg.Settings.Overload.UsefulFactor), Predict: cfg.Settings.Overload.Predict,
 		RefuseLateStarts: cfg.Settings.Overload.RefuseLateStarts, MinShare: cfg.Settings.Overload.MinShare,
+		MaxOpenTasks: cfg.Settings.Limits.MaxOpenTasks(),
 	})
 	d.loop = process.NewLoop(loop.Config[step.Event, step.Action]{
 		Step: d.core.Handle, EndBatch: d.core.EndBatch, Execute: d.execute, Clock: loop.BootClock(),
--- a/internal/dispatchd/service.go
+++ b/internal/dispatchd/service.go
@@ -193,6 +193,7 @@
 		d.metrics.SetGauge(telemetry.Members, float64(s.Agents))
 		d.metrics.SetGauge(telemetry.AgentsReady, float64(s.ReadyAgents))
 		d.metrics.SetGauge(telemetry.JobsWaiting, float64(s.WaitingJobs))
+		d.metrics.SetGauge(telemetry.OpenTasks, float64(s.OpenTasks))
 		d.metrics.SetGauge(telemetry.PredictedWait, s.PredictedWait.Seconds())
 		d.metrics.SetGauge(telemetry.SiteRevision, float64(s.Revision))
 		d.metrics.SetGauge(telemetry.OffersTotal, float64(s.Offers))
--- a/internal/settings/leased.go
+++ b/internal/settings/leased.go
@@ -129,6 +129,9 @@
 	// Connections is the largest number of open connections of callers. Zero stands for one for
 	// every 128 KiB of Memory, up to 2048.
 	Connections int `ini:"connections" default:"0"`
+	// OpenTasks is the largest number of tasks of open jobs with more than 16 tasks. Zero stands
+	// for one for every 2 KiB of Memory.
+	OpenTasks int `ini:"open_tasks" default:"0"`
 }
 
 const (
@@ -138,6 +141,8 @@
 	// that needs no BodyMemory and what the kernel has received. maxConnections bounds the default.
 	connectionBytes = 128 << 10
 	maxConnections  = 2048
+	// bytesPerTask is the memory of a process for each open task, of which the task takes an eighth.
+	bytesPerTask = 2 << 10
 )
 
 // BodyMemoryBytes returns the BodyMemory in bytes.
@@ -145,6 +150,9 @@
 	return int64(cmp.Or(l.BodyMemory, l.Memory/bodyShare))
 }
 
+// MaxOpenTasks returns the largest number of tasks of open jobs with more than 16 tasks.
+func (l LeasedLimits) MaxOpenTasks() int { return cmp.Or(l.OpenTasks, int(l.Memory/bytesPerTask)) }
+
 // MaxConnections returns the largest number of open connections.
 func (l LeasedLimits) MaxConnections() int {
 	return cmp.Or(l.Connections, max(1, min(int(l.Memory/connectionBytes), maxConnections)))
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -33,6 +33,7 @@
 	Draining      = "dogwoodgauge_draining"
 	AgentsReady   = "dogwoodgauge_agents_ready"
 	JobsWaiting   = "dogwoodgauge_jobs_waiting"
+	OpenTasks     = "dogwoodgauge_open_tasks"
 	PredictedWait = "dogwoodgauge_predicted_wait_seconds"
 	Overloaded    = "dogwoodgauge_overloaded"
 	SiteRevision  = "dogwoodgauge_site_revision"
