httpapi: the tasks of a job are decoded up to the largest number

A body of 4 MiB with 1.4 million empty tasks took so much memory at an entry, once decoded, that the entry did not accept connections any more, or used 544,272 KiB of 262,144 (with the memory of bodies bounded).

Tasks are decoded up to 1,501 items; more are refused with 413 as before.

--- a/internal/httpapi/request.go
+++ b/internal/httpapi/request.go
@@ -4,9 +4,12 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/dogwoodgauge/dogwoodgauge/core/job"
 	"github.com/dogwoodgauge/dogwoodgauge/core/label"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/httpserver"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/jsonarray"
 )
 
 // DefaultTimeout is the timeout of a job whose request has none.
@@ -26,10 +29,22 @@
 	// Created is the time of the first submission in milliseconds since the Unix epoch.
 	Created int64 `json:"created,omitempty"`
 	// TimeoutMillis is the time in milliseconds from this request to the deadline.
-	TimeoutMillis int64         `json:"timeout_ms,omitempty"`
-	Class         job.Class     `json:"class,omitempty"`
-	Idempotent    bool          `json:"idempotent,omitempty"`
-	Tasks         []TaskRequest `json:"tasks"`
+	TimeoutMillis int64        `json:"timeout_ms,omitempty"`
+	Class         job.Class    `json:"class,omitempty"`
+	Idempotent    bool         `json:"idempotent,omitempty"`
+	Tasks         TaskRequests `json:"tasks"`
+}
+
+// TaskRequests are the tasks of a JobRequest. One more than job.MaxTasks are decoded at most.
+type TaskRequests []TaskRequest
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (r *TaskRequests) UnmarshalJSON(text []byte) (err error) {
+	*r, err = jsonarray.Decode[TaskRequest](text, job.MaxTasks+1, true)
+	if errors.Is(err, jsonarray.ErrTooMany) {
+		return httpserver.TooLarge("tasks has more than %d items", job.MaxTasks)
+	}
+	return err
 }
 
 // TaskRequest is one task of a JobRequest. Payload is base64 in JSON.
--- a/internal/httpapi/request_test.go
+++ b/internal/httpapi/request_test.go
@@ -107,6 +107,8 @@
 		{"long team", `{"team":"` + strings.Repeat("t", maxTeamBytes+1) + `","tasks":[{}]}`, errkind.BadRequest, "team is 129 bytes; the limit is 128"},
 		{"no tasks", `{"team":"t","tasks":[]}`, errkind.BadRequest, "tasks is empty"},
 		{"too many tasks", `{"team":"t","tasks":[{}` + strings.Repeat(`,{}`, job.MaxTasks) + `]}`, errkind.TooLarge, "tasks has 1501 items; the limit is 1500"},
+		{"far too many tasks", `{"team":"t","tasks":[{}` + strings.Repeat(`,{}`, 100*job.MaxTasks) + `]}`, errkind.TooLarge, "tasks has more than 1500 items"},
+		{"unknown field of a task", `{"team":"t","tasks":[{"colour":1}]}`, errkind.BadRequest, `unknown field "colour"`},
 		{"large payload", `{"team":"t","tasks":[{},{"payload":"` + big + `"}]}`, errkind.TooLarge, "tasks[1].payload is 65537 bytes; the limit is 65536"},
 		{"too many labels", `{"team":"t","tasks":[{"labels":` + labels(job.MaxLabels+1) + `}]}`, errkind.BadRequest, "tasks[0].labels has 33 items; the limit is 32"},
 		{"empty label key", `{"team":"t","tasks":[{"labels":{"":"v"}}]}`, errkind.BadRequest, "tasks[0].labels"},
--- a/internal/httpserver/json.go
+++ b/internal/httpserver/json.go
@@ -52,7 +52,10 @@
 func decodeError(err error) *Error {
 	var wrongType *json.UnmarshalTypeError
 	var corrupt base64.CorruptInputError
+	var refused *Error
 	switch {
+	case errors.As(err, &refused):
+		return refused
 	case errors.Is(err, io.EOF):
 		return BadRequest("the body is empty; a JSON object is expected")
 	case errors.As(err, &wrongType):
