platform, dispatch: the limits in the operators' configuration are in force

Operators state in their configuration how large a header and a body may be, and how long a caller may take for a header and stay idle. Nothing read these limits: a dispatcher had its own, 1 MiB for a body, 5 s for a header, 60 s idle, and its setting for the body had no effect either.

The published state carries the limits, and dispatchers and agents pass them on as they do routes. A body above the operators' limit is refused with 413; without one, the setting counts. Header and idle times apply with a second more, since callers measure them without the delay of the network. A size that the memory of the process does not permit is logged and bounded by it; the header stays bounded by 16 KiB.

--- a/core/site/site.go
+++ b/core/site/site.go
@@ -19,6 +19,19 @@
 	Configured bool     `json:"set"`
 	Routes     []Route  `json:"routes,omitempty"`
 	DomainsOut []string `json:"out,omitempty"`
+	Limits     Limits   `json:"limits"`
+}
+
+// Limits are what the operators promise to callers: a request within them is not refused for its
+// size or its time. Zero means that the operators state no limit.
+type Limits struct {
+	// HeaderBytes and BodyBytes are the largest sizes of the header and the body of a request.
+	HeaderBytes int64 `json:"header,omitempty"`
+	BodyBytes   int64 `json:"body,omitempty"`
+	// HeaderTimeout is the time in which a caller must send a header, and IdleTimeout the time for
+	// which it may keep a connection open without a request.
+	HeaderTimeout time.Duration `json:"header_time,omitempty"`
+	IdleTimeout   time.Duration `json:"idle_time,omitempty"`
 }
 
 // Route assigns the requests with one host and path prefix to one service.
--- a/internal/dispatchd/service.go
+++ b/internal/dispatchd/service.go
@@ -1,6 +1,7 @@
 package dispatchd
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/dispatch"
 	"github.com/dogwoodgauge/dogwoodgauge/core/site"
 	"github.com/dogwoodgauge/dogwoodgauge/core/step"
+	"github.com/dogwoodgauge/dogwoodgauge/internal/httpserver"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/process"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/telemetry"
 )
@@ -30,6 +32,8 @@
 	// LogRejected logs that a request was rejected without becoming a job, and counts
 	// it by reason. The id is that of the job, or empty if it is unknown.
 	LogRejected(id, reason string, fields ...any)
+	// MaxBodyBytes returns the size of the largest body of a request.
+	MaxBodyBytes() int64
 	// ShouldCloseConnections reports whether callers' connections must be closed after
 	// their next answer: a planned stop has begun, or the dispatcher is overloaded and
 	// callers should reconnect to another one.
@@ -126,6 +130,33 @@
 	d.logs.LogEvent("job_refused", id, append([]any{"reason", reason, "revision", d.Site().Revision}, fields...))
 }
 
+// MaxBodyBytes implements Service: the operators' limit, or that of the settings while they state
+// none. A body that needs more than half of the memory for bodies could never be read.
+func (d *Daemon) MaxBodyBytes() int64 {
+	l := d.cfg.Settings.Limits
+	return min(cmp.Or(d.Site().Limits.BodyBytes, int64(l.Body)), l.BodyMemoryBytes()/2)
+}
+
+// timeoutSlack is how much longer than the operators' limits a connection stays open. Callers
+// measure their times without the delay of the network.
+const timeoutSlack = time.Second
+
+// applyLimits applies the operators' limits to the connections of callers.
+func (d *Daemon) applyLimits(l site.Limits) {
+	header, idle := httpserver.DefaultHeaderTimeout, httpserver.DefaultIdleTimeout
+	if l.HeaderTimeout > 0 {
+		header = l.HeaderTimeout + timeoutSlack
+	}
+	if l.IdleTimeout > 0 {
+		idle = l.IdleTimeout + timeoutSlack
+	}
+	d.callers.SetTimeouts(header, idle)
+	if l.HeaderBytes > httpserver.MaxHeaderBytes || l.BodyBytes > d.MaxBodyBytes() {
+		d.logs.Info("the operators' limits exceed those of this process", "header_bytes", l.HeaderBytes, "header_bytes_here", httpserver.MaxHeaderBytes,
+			"body_bytes", l.BodyBytes, "body_bytes_here", d.MaxBodyBytes())
+	}
+}
+
 // ShouldCloseConnections implements Service.
 func (d *Daemon) ShouldCloseConnections() bool { return d.draining.Load() || d.overloaded.Load() }
 
@@ -144,6 +175,7 @@
 		d.overloaded.Store(a.Active)
 	case dispatch.SiteUpdated:
 		d.site.Store(a.State)
+		d.applyLimits(a.State.Limits)
 		if a.State.Configured {
 			d.configured.Set()
 		}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -24,8 +24,10 @@
 	DefaultIdleTimeout    = time.Minute
 )
 
+// MaxHeaderBytes is the largest header of a request.
+const MaxHeaderBytes = 16 << 10
+
 const (
-	maxHeaderBytes = 16 << 10
 	// receiveBufferBytes is the size of the receive buffer of a connection.
 	receiveBufferBytes = 16 << 10
 	// answerWriteTimeout bounds the time in which a client must read an answer.
@@ -103,7 +105,7 @@
 		}
 	}
 	s.server = &http.Server{
-		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ConnState: stateChanged,
+		Handler: handler, MaxHeaderBytes: MaxHeaderBytes, ConnState: stateChanged,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(context.WithValue(ctx, connKey{}, c), bodyMemoryKey{}, cfg.BodyMemory)
 		},
