--- a/internal/dispatchd/relay_test.go
+++ b/internal/dispatchd/relay_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"net"
+	"net/netip"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -23,7 +26,7 @@
 func newRelay(t *testing.T) *relay {
 	pass := make(chan struct{})
 	close(pass)
-	r := &relay{t: t, addr: "127.0.0.1:0", conns: make(map[net.Conn]bool), pass: pass}
+	r := &relay{t: t, addr: relayIP() + ":0", conns: make(map[net.Conn]bool), pass: pass}
 	r.open()
 	r.addr = r.listener.Addr().String()
 	t.Cleanup(func() {
@@ -39,6 +42,16 @@
 	r.target = addr
 }
 
+// relays counts the relays of this process.
+var relays atomic.Uint32
+
+// relayIP returns a loopback address of its own for a relay. An outgoing connection of another
+// process could otherwise take the port while the relay refuses connections.
+func relayIP() string {
+	pid, n := os.Getpid(), relays.Add(1)
+	return netip.AddrFrom4([4]byte{127, byte(128 + n%100), byte(pid >> 8), byte(pid)}).String()
+}
+
 // open accepts connections, if the relay does not yet.
 func (r *relay) open() {
 	r.mu.Lock()
