httpserver, settings: defaults that hold on the smallest hosts

Causes: the kernel queued thousands of connections with what their clients had sent; 1,152 connections were served; a job of 1,500 steps with long lists takes several times its body once it is decoded, and its body was no longer counted then; and first buffers of 16 KiB for bodies that were refused right after were garbage by the gigabyte.

By default there is a connection for every 256 KiB of memory, for an entry too, and the heap leaves room for what the kernel has received on them. A large body counts until its job is answered, a twelfth of the memory is for such bodies, and their first buffers are used again. An entry has 1,024 connections by default instead of 4,096, since its memory is 256 MiB by default.

--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -40,7 +40,7 @@
 		if err != nil {
 			return withCode(CodeUsage, err)
 		}
-		debug.SetMemoryLimit(process.HeapLimit(int64(s.Limits.Memory)))
+		debug.SetMemoryLimit(process.HeapLimit(int64(s.Limits.Memory), s.Limits.MaxConnections()))
 		d, err := entryd.New(entryd.Config{Settings: s})
 		if err != nil {
 			return err
--- a/internal/dispatchd/daemon.go
+++ b/internal/dispatchd/daemon.go
@@ -193,7 +193,7 @@
 // Apply applies the settings that can change while the process runs: its memory limit and
 // the times of a planned stop. Changes of other settings need a restart.
 func (d *Daemon) Apply(s settings.Dispatcher) {
-	debug.SetMemoryLimit(process.HeapLimit(int64(s.Limits.Memory)))
+	debug.SetMemoryLimit(process.HeapLimit(int64(s.Limits.Memory), s.Limits.MaxConnections()))
 	d.timing.Store(&s.Timing)
 }
 
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -130,7 +130,7 @@
 		Certificate:    certificate,
 		Listen:         s.Listen.HTTP.String(),
 		Handler:        d.apiHandler(),
-		MaxConnections: s.Limits.Connections,
+		MaxConnections: s.Limits.MaxConnections(),
 		HeaderTimeout:  s.Limits.HeaderTime,
 		BodyMemory:     bodies,
 		Metrics:        d.metrics,
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -18,8 +18,6 @@
 const (
 	// bodyReadTimeout bounds the time in which a client must send a request body.
 	bodyReadTimeout = 10 * time.Second
-	// firstBodyBytes is the size of the first buffer of a body of unknown length.
-	firstBodyBytes = 1 << 10
 	// uncountedBodyBytes is the largest body that needs no BodyMemory. The limit of connections
 	// bounds the memory of such bodies.
 	uncountedBodyBytes = 16 << 10
@@ -135,13 +133,25 @@
 	return !b.evicted
 }
 
-// receive reads a body from r. Announced is its length, or -1 if it is not known.
-func (b *body) receive(r io.Reader, announced int64) ([]byte, error) {
-	size := int64(firstBodyBytes)
-	if announced >= 0 {
-		size = min(announced, uncountedBodyBytes)
+// firstBuffers holds the first buffers of bodies that may become large. Most of a crowd's bodies
+// are refused when they need a second one.
+var firstBuffers = sync.Pool{New: func() any { return new([uncountedBodyBytes + 1]byte) }}
+
+// receive reads a body from r. Announced is its length, or -1 if it is not known. The caller must
+// call free when it does not use the body any more.
+func (b *body) receive(r io.Reader, announced int64) (raw []byte, free func(), err error) {
+	if announced >= 0 && announced <= uncountedBodyBytes {
+		// The last byte is for a Read that returns io.EOF.
+		raw, err = b.fill(make([]byte, 0, announced+1), r, announced)
+		return raw, func() {}, err
 	}
-	buf := make([]byte, 0, size+1) // The last byte is for a Read that returns io.EOF.
+	first := firstBuffers.Get().(*[uncountedBodyBytes + 1]byte)
+	raw, err = b.fill(first[:0], r, announced)
+	return raw, func() { firstBuffers.Put(first) }, err
+}
+
+// fill reads a body into buf, or a larger copy of it.
+func (b *body) fill(buf []byte, r io.Reader, announced int64) ([]byte, error) {
 	for {
 		if len(buf) == cap(buf) {
 			grown, err := b.grow(buf, announced)
@@ -184,8 +194,8 @@
 type bodyMemoryKey struct{}
 
 // ReadBody reads a request body of at most limit bytes, calls use with it, and returns the error
-// of use. The memory of the body is counted until use returns. The client must send the body
-// within bodyReadTimeout. If it cannot be read, the error is an *Error, and the connection is
+// of use. The body is valid, and its memory counted, until use returns. The client must send the
+// body within bodyReadTimeout. If it cannot be read, the error is an *Error, and the connection is
 // closed after the answer.
 func ReadBody(c echo.Context, limit int64, use func(body []byte) error) error {
 	r := c.Request()
@@ -196,7 +206,8 @@
 	b := &body{since: time.Now(), cut: func() { _ = response.SetReadDeadline(time.Unix(1, 0)) }}
 	b.memory, _ = r.Context().Value(bodyMemoryKey{}).(*BodyMemory)
 	_ = response.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	raw, err := b.receive(http.MaxBytesReader(c.Response(), r.Body, limit), r.ContentLength)
+	raw, free, err := b.receive(http.MaxBytesReader(c.Response(), r.Body, limit), r.ContentLength)
+	defer free()
 	complete := b.complete()
 	defer b.release(math.MaxInt64)
 	var tooLarge *http.MaxBytesError
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -96,7 +96,7 @@
 	}
 	handler, stateChanged := s.admission.wrap(cfg.Handler), s.admission.stateChanged
 	if cfg.Drainable {
-		s.drainer = newDrainer(socket.(*net.TCPListener))
+		s.drainer = newDrainer(socket)
 		s.listener = trackedListener{s.listener, s.drainer}
 		handler = s.drainer.wrap(handler)
 		stateChanged = func(c net.Conn, state http.ConnState) {
--- a/internal/lesseed/daemon.go
+++ b/internal/lesseed/daemon.go
@@ -177,7 +177,7 @@
 // Apply applies the settings that can change while the process runs: its memory limit and
 // the times of a planned stop. Changes of other settings need a restart.
 func (d *Daemon) Apply(s settings.Lessee) {
-	debug.SetMemoryLimit(process.HeapLimit(int64(s.Limits.Memory)))
+	debug.SetMemoryLimit(process.HeapLimit(int64(s.Limits.Memory), localConnections))
 	d.timing.Store(&s.Timing)
 }
 
--- a/internal/process/memory.go
+++ b/internal/process/memory.go
@@ -5,12 +5,18 @@
 // and the program itself.
 const heapShare = 0.6
 
-// otherBytes is the memory of a process that the Go runtime does not count, as far as it does not
-// depend on the limit: the program itself and the buffers of some hundred sockets.
-const otherBytes = 40 << 20
+const (
+	// otherBytes is the memory of a process that the Go runtime does not count, without the sockets
+	// of clients: mainly the program itself.
+	otherBytes = 40 << 20
+	// receivedBytes is the memory for what the kernel has received on a connection and the process
+	// has not read.
+	receivedBytes = 48 << 10
+)
 
 // HeapLimit returns the soft memory limit of the Go runtime for a process that may use
-// limit bytes in total.
-func HeapLimit(limit int64) int64 {
-	return max(min(int64(float64(limit)*heapShare), limit-otherBytes), limit/4)
+// limit bytes in total and has up to this number of connections of clients.
+func HeapLimit(limit int64, connections int) int64 {
+	rest := limit - otherBytes - int64(connections)*receivedBytes
+	return max(min(int64(float64(limit)*heapShare), rest), limit/4)
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -38,9 +38,9 @@
 	c.distinct(e.Listen.HTTP, "metrics", e.Listen.Metrics)
 	c.distinct(e.Listen.Transport, "metrics", e.Listen.Metrics)
 	c.require(e.Limits.Body <= job.MaxBodyBytes, "limits", "body", "body is larger than the limit of %d bytes", job.MaxBodyBytes)
-	c.require(e.Limits.Connections > 0, "limits", "connections", "connections must not be 0")
+	c.positive(e.Limits.Connections, "connections")
 	c.require(e.Limits.BodyMemoryBytes() >= 2*int64(min(e.Limits.Body, job.MaxBodyBytes)), "limits", "body_memory",
-		"body_memory (by default an eighth of memory) is %d bytes, less than twice the largest body of %d bytes", e.Limits.BodyMemoryBytes(), e.Limits.Body)
+		"body_memory (by default a twelfth of memory) is %d bytes, less than twice the largest body of %d bytes", e.Limits.BodyMemoryBytes(), e.Limits.Body)
 }
 
 func (c checker) agent(a *Agent) {
--- a/internal/settings/leased.go
+++ b/internal/settings/leased.go
@@ -124,23 +124,25 @@
 	// Body is the largest request body of a caller.
 	Body Size `ini:"body" default:"1MiB"`
 	// BodyMemory bounds the memory of the large request bodies that the process holds at a time.
-	// Zero stands for an eighth of Memory.
+	// Without it, that is a twelfth of Memory.
 	BodyMemory Size `ini:"body_memory"`
-	// Connections is the largest number of open connections of callers. Zero stands for one for
-	// every 128 KiB of Memory, up to 2048.
-	Connections int `ini:"connections" default:"0"`
-	// OpenTasks is the largest number of tasks of open jobs with more than 16 tasks. Zero stands
-	// for one for every 2 KiB of Memory.
-	OpenTasks int `ini:"open_tasks" default:"0"`
+	// Connections is the largest number of open connections of callers. Without it, there is one for
+	// every 256 KiB of Memory, up to 2048.
+	Connections int `ini:"connections"`
+	// OpenTasks is the largest number of tasks of open jobs with more than 16 tasks. Without
+	// it, there is one for every 2 KiB of Memory.
+	OpenTasks int `ini:"open_tasks"`
 }
 
 const (
-	// bodyShare is the part of a process's memory that is for large request bodies.
-	bodyShare = 8
+	// One bodyShare-th of the memory of a process is for large request bodies: an open job may take several times the memory of its body.
+	bodyShare = 12
 	// connectionBytes is the memory for a connection: its goroutine and buffers, a header, a body
-	// that needs no BodyMemory and what the kernel has received. maxConnections bounds the default.
-	connectionBytes = 128 << 10
-	maxConnections  = 2048
+	// that needs no BodyMemory and what the kernel has received.
+	connectionBytes = 256 << 10
+	// maxConnections and maxEntryConnections bound the default of a dispatcher and of an entry.
+	maxConnections      = 2048
+	maxEntryConnections = 4096
 	// bytesPerTask is the memory of a process for each open task, of which the task takes an eighth.
 	bytesPerTask = 2 << 10
 )
@@ -153,9 +155,14 @@
 // MaxOpenTasks returns the largest number of tasks of open jobs with more than 16 tasks.
 func (l LeasedLimits) MaxOpenTasks() int { return cmp.Or(l.OpenTasks, int(l.Memory/bytesPerTask)) }
 
+// connections returns the setting, or the default for a process with this much memory.
+func connections(setting int, memory Size, limit int) int {
+	return cmp.Or(setting, max(1, min(int(memory/connectionBytes), limit)))
+}
+
 // MaxConnections returns the largest number of open connections.
 func (l LeasedLimits) MaxConnections() int {
-	return cmp.Or(l.Connections, max(1, min(int(l.Memory/connectionBytes), maxConnections)))
+	return connections(l.Connections, l.Memory, maxConnections)
 }
 
 // LeasedTiming holds the durations of a planned stop.
@@ -217,12 +224,20 @@
 	c.require(connectable(s.Address), "store", "address", "address %v is no address to connect to", s.Address)
 	c.require(l.Memory > 0, "limits", "memory", "memory must not be 0")
 	c.require(l.Body > 0, "limits", "body", "body must not be 0")
+	c.positive(l.Connections, "connections")
+	c.positive(l.OpenTasks, "open_tasks")
 	c.require(l.BodyMemoryBytes() >= 2*int64(l.Body), "limits", "body_memory",
-		"body_memory (by default an eighth of memory) is %d bytes, less than twice the largest body of %d bytes", l.BodyMemoryBytes(), l.Body)
+		"body_memory (by default a twelfth of memory) is %d bytes, less than twice the largest body of %d bytes", l.BodyMemoryBytes(), l.Body)
 	delay := time.Duration(t.ReadinessDelay)
 	c.require(t.Grace > delay, "timing", "grace", "grace %v is not longer than readiness_delay %v", t.Grace, delay)
 }
 
+// positive checks a key of the section limits that may be absent.
+func (c checker) positive(n int, key string) {
+	_, present := c.source.lines[name{"limits", key}]
+	c.require(n > 0 || !present, "limits", key, "%s must not be 0", key)
+}
+
 // maxMinShare is the largest min_share: three priorities and the first one still get shares.
 const maxMinShare = 0.25
 
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -123,12 +123,13 @@
 	// process below it.
 	Memory Size `ini:"memory" default:"256MiB"`
 	// BodyMemory bounds the memory of the large request bodies that the process holds at a time,
-	// until they are answered. Zero stands for an eighth of Memory.
+	// until they are answered. Without it, that is a twelfth of Memory.
 	BodyMemory Size `ini:"body_memory"`
 	// Body is the largest request body.
 	Body Size `ini:"body" default:"8MiB"`
-	// Connections is the largest number of open connections of callers.
-	Connections int `ini:"connections" default:"4096"`
+	// Connections is the largest number of open connections of callers. Without it, there is one for
+	// every 256 KiB of Memory, up to 4096.
+	Connections int `ini:"connections"`
 	// HeaderTime is the longest time for a caller to send its header.
 	HeaderTime time.Duration `ini:"header_time" default:"5s"`
 }
@@ -149,6 +150,11 @@
 	return int64(cmp.Or(l.BodyMemory, l.Memory/bodyShare))
 }
 
+// MaxConnections returns the largest number of open connections.
+func (l EntryLimits) MaxConnections() int {
+	return connections(l.Connections, l.Memory, maxEntryConnections)
+}
+
 // EntryTiming holds the durations of an entry.
 type EntryTiming struct {
 	Timing
