dispatch, transport: tasks need a hundredth of a core, and queues count specifications

Jobs inside all limits, of 1,500 tasks that ask for 0.001 of a core or nothing, with a specification of 4,000 bytes, all fitted on one upstream at once. Each offer carries the specification, and the queue to an agent counted 256 bytes for it: envelopes of 9 MB were encoded and decoded.

A task needs at least 0.01 of a core where capacity is counted, so that a core takes 100 at a time, and the transport counts the texts of an offer, which bounds envelopes and queues by their real size.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -19,6 +19,9 @@
 	// agent is known. Agents that start at the same time learn of their upstreams within
 	// 1.5 s, the interval between two announcements.
 	startGrace = 2 * time.Second
+	// minTaskMilliCPU is what a task needs at least, in thousandths of a core. Otherwise any number
+	// of tasks that ask for less would fit on an upstream, and their runs into no agent's memory.
+	minTaskMilliCPU = 10
 	// defaultEstimate is the estimate for jobs whose tasks have none.
 	defaultEstimate = 100 * time.Millisecond
 )
@@ -223,6 +226,7 @@
 	for s := range e.Job.Steps {
 		spec := &e.Job.Steps[s]
 		longest = max(longest, spec.Estimate)
+		spec.Demand.MilliCPU = max(spec.Demand.MilliCPU, minTaskMilliCPU)
 		j.stepRemaining[s] = spec.Count
 		for i := range spec.Count {
 			t := &tasks[len(j.tasks)]
--- a/core/dispatch/large_job_test.go
+++ b/core/dispatch/large_job_test.go
@@ -72,3 +72,14 @@
 		t.Errorf("a job after the end of the first one: answered with %+v", a)
 	}
 }
+
+// TestTinyTasksAreBounded guards against tasks that ask for next to nothing, so that all of them
+// are offered to one agent at once.
+func TestTinyTasksAreBounded(t *testing.T) {
+	b := newTestBed(t)
+	b.connectAgents(1, 1)
+	b.submitDemand("job", 0, 1500, 0, 0)
+	if n := len(b.takeOffers()); n != oneCore/minTaskMilliCPU {
+		t.Errorf("%d tasks were offered to an agent with one core, want %d", n, oneCore/minTaskMilliCPU)
+	}
+}
--- a/internal/transport/size.go
+++ b/internal/transport/size.go
@@ -26,6 +26,8 @@
 		}
 	case m.Answer != nil:
 		size += answerSize(&m.Answer.Answer)
+	case m.Offer != nil:
+		size += len(m.Offer.Spec) + len(m.Offer.Service) + len(m.Offer.RequiredLabel) + len(m.Offer.Route) + len(m.Offer.Task.Job)
 	case m.Start != nil:
 		size += taskSize(&m.Start.Task)
 	case m.Result != nil:
--- a/internal/unruly/dispatcher_test.go
+++ b/internal/unruly/dispatcher_test.go
@@ -77,7 +77,9 @@
 		"empty steps": {true, submissions.submit([]byte(`{"bestEffort":true,"steps":[{}` + strings.Repeat(",{}", bodyBytes/3-100) + `]}`))},
 		"one list":    {true, submissions.submit([]byte(`{"bestEffort":true,"steps":[{"count":1},{"count":1,"after":[0` + strings.Repeat(",0", bodyBytes/2-100) + `]}]}`))},
 		// The tasks of the crowd wait for the upstream and leave no room for others.
-		"many tasks":  {false, submissions.submitOnce(job(`{"count":1500,"cpu":16000}`))},
+		"many tasks": {false, submissions.submitOnce(job(`{"count":1500,"cpu":16000}`))},
+		// All tasks of several jobs fit on the upstream, if what they ask for is all that counts.
+		"tiny tasks":  {false, submissions.submitOnce(job(`{"count":1500,"cpu":1}`))},
 		"after lists": {false, submissions.submitOnce(job(afterLists()))},
 	} {
 		t.Run(name, func(t *testing.T) {
