httpserver: unused buffers of large bodies serve the next ones

The buffers of a body of 250 KiB, each twice as large as the one before, are 0.5 MB of garbage, and the collector, which takes half of the processors at most, did not keep up on a busy machine.

Buffers come in sizes that double, and unused ones are kept until the collector needs the memory.

--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -59,8 +59,9 @@
 	element *list.Element
 }
 
-// errNoMemory is the reason for refusing a body for which there is no memory.
-var errNoMemory = &Error{Kind: errkind.NotRun, Detail: "the memory for request bodies is in use"}
+// ErrNoMemory is the reason for refusing a body for which there is no memory, or whose client has
+// gone while it waited to be decoded.
+var ErrNoMemory error = &Error{Kind: errkind.NotRun, Detail: "the memory for request bodies is in use"}
 
 // reserve reserves the memory for a buffer of size bytes in addition to what the body holds.
 func (b *body) reserve(size int64) error {
@@ -73,7 +74,7 @@
 	for m.free < size && m.evictLocked(b) {
 	}
 	if b.evicted || m.free < size {
-		return errNoMemory
+		return ErrNoMemory
 	}
 	m.free -= size
 	b.held += size
@@ -133,61 +134,84 @@
 	return !b.evicted
 }
 
-// firstBuffers holds the first buffers of bodies that may become large. Most of a crowd's bodies
-// are refused when they need a second one.
-var firstBuffers = sync.Pool{New: func() any { return new([uncountedBodyBytes + 1]byte) }}
+// bufferSizes is the number of sizes of buffers, from uncountedBodyBytes to 64 MiB.
+const bufferSizes = 13
 
-// receive reads a body from r. Announced is its length, or -1 if it is not known. The caller must
-// call free when it does not use the body any more.
-func (b *body) receive(r io.Reader, announced int64) (raw []byte, free func(), err error) {
-	if announced >= 0 && announced <= uncountedBodyBytes {
-		// The last byte is for a Read that returns io.EOF.
-		raw, err = b.fill(make([]byte, 0, announced+1), r, announced)
-		return raw, func() {}, err
+// buffers holds unused buffers by size, each twice as large as the one before. A crowd's bodies
+// would otherwise be garbage faster than a busy host collects it.
+var buffers [bufferSizes]sync.Pool
+
+// buffer is a buffer for a body of up to size bytes, with one more for a Read that returns io.EOF.
+type buffer struct {
+	size  int64
+	bytes []byte
+	// pool takes the buffer back, or is nil.
+	pool *sync.Pool
+}
+
+// newBuffer returns the buffer at an index of buffers, or a smaller one for a body of limit bytes.
+func newBuffer(i int, limit int64) *buffer {
+	size := int64(uncountedBodyBytes) << i
+	if i >= bufferSizes || size > limit {
+		size = min(size, limit)
+		return &buffer{size: size, bytes: make([]byte, 0, size+1)}
+	}
+	if unused, ok := buffers[i].Get().(*buffer); ok {
+		unused.bytes = unused.bytes[:0]
+		return unused
 	}
-	first := firstBuffers.Get().(*[uncountedBodyBytes + 1]byte)
-	raw, err = b.fill(first[:0], r, announced)
-	return raw, func() { firstBuffers.Put(first) }, err
+	return &buffer{size: size, bytes: make([]byte, 0, size+1), pool: &buffers[i]}
 }
 
-// fill reads a body into buf, or a larger copy of it.
-func (b *body) fill(buf []byte, r io.Reader, announced int64) ([]byte, error) {
-	for {
-		if len(buf) == cap(buf) {
-			grown, err := b.grow(buf, announced)
-			if err != nil {
-				return nil, err
-			}
-			buf = grown
-		}
-		n, err := r.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if errors.Is(err, io.EOF) {
-			return buf, nil
-		}
-		if err != nil {
-			return nil, err
-		}
+// free makes the buffer available again.
+func (f *buffer) free() {
+	if f.pool != nil {
+		f.pool.Put(f)
 	}
 }
 
-// grow returns a larger copy of buf.
-func (b *body) grow(buf []byte, announced int64) ([]byte, error) {
-	size := int64(2 * cap(buf))
-	if announced >= 0 {
-		size = min(size, announced+1)
+// receive reads a body of up to limit bytes from r. Announced is its length, or -1 if it is not
+// known. The caller must free the buffer when it does not use the body any more.
+func (b *body) receive(r io.Reader, announced, limit int64) (*buffer, error) {
+	if announced >= 0 && announced <= uncountedBodyBytes {
+		limit = announced
 	}
-	if size > uncountedBodyBytes+1 {
+	buf := newBuffer(0, limit)
+	for i := 1; ; i++ {
+		err := buf.fill(r)
+		if !errors.Is(err, errBufferFull) {
+			return buf, err
+		}
+		size := min(int64(uncountedBodyBytes)<<i, limit)
 		if err := b.reserve(size); err != nil {
-			return nil, err
+			return buf, err
+		}
+		grown := newBuffer(i, limit)
+		grown.bytes = append(grown.bytes, buf.bytes...)
+		if i > 1 {
+			b.release(buf.size)
 		}
+		buf.free()
+		buf = grown
 	}
-	grown := make([]byte, len(buf), size)
-	copy(grown, buf)
-	if cap(buf) > uncountedBodyBytes+1 {
-		b.release(int64(cap(buf)))
+}
+
+// errBufferFull is the error of fill if there may be more to read.
+var errBufferFull = errors.New("the buffer is full")
+
+// fill reads until the end of the body, or until the buffer is full.
+func (f *buffer) fill(r io.Reader) error {
+	for len(f.bytes) < cap(f.bytes) {
+		n, err := r.Read(f.bytes[len(f.bytes):cap(f.bytes)])
+		f.bytes = f.bytes[:len(f.bytes)+n]
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
 	}
-	return grown, nil
+	return errBufferFull
 }
 
 // bodyMemoryKey is the key of the context's value that holds the BodyMemory of a server.
@@ -206,15 +230,15 @@
 	b := &body{since: time.Now(), cut: func() { _ = response.SetReadDeadline(time.Unix(1, 0)) }}
 	b.memory, _ = r.Context().Value(bodyMemoryKey{}).(*BodyMemory)
 	_ = response.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	raw, free, err := b.receive(http.MaxBytesReader(c.Response(), r.Body, limit), r.ContentLength)
-	defer free()
+	buf, err := b.receive(http.MaxBytesReader(c.Response(), r.Body, limit), r.ContentLength, limit)
+	defer buf.free()
 	complete := b.complete()
 	defer b.release(math.MaxInt64)
 	var tooLarge *http.MaxBytesError
 	switch {
-	case !complete || errors.Is(err, errNoMemory):
+	case !complete || errors.Is(err, ErrNoMemory):
 		c.Response().Header().Set("Retry-After", "1")
-		return refuseBody(c, response, errNoMemory)
+		return refuseBody(c, response, ErrNoMemory)
 	case errors.As(err, &tooLarge):
 		return refuseBody(c, response, TooLarge("the body exceeds %d bytes", limit))
 	case err != nil:
@@ -224,7 +248,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	_ = response.SetReadDeadline(time.Time{})
-	return use(raw)
+	return use(buf.bytes)
 }
 
 // Decode calls decode, which decodes a body that was read by ReadBody, and returns its error. It
@@ -237,7 +261,7 @@
 	select {
 	case m.decoders <- struct{}{}:
 	case <-c.Request().Context().Done():
-		return errNoMemory
+		return ErrNoMemory
 	}
 	defer func() { <-m.decoders }()
 	return decode(body)
@@ -245,7 +269,7 @@
 
 // refuseBody makes the server close the connection after the answer without reading the rest of
 // the body. It returns reason.
-func refuseBody(c echo.Context, response *http.ResponseController, reason *Error) error {
+func refuseBody(c echo.Context, response *http.ResponseController, reason error) error {
 	_ = response.SetReadDeadline(time.Unix(1, 0))
 	c.Response().Header().Set(echo.HeaderConnection, "close")
 	if conn := connOf(c.Request().Context()); conn != nil {
--- a/internal/httpserver/body_test.go
+++ b/internal/httpserver/body_test.go
@@ -86,8 +86,8 @@
 	if cut != "slow" || slow.complete() || !recent.complete() {
 		t.Errorf("cut off: %q, want only the slow body", cut)
 	}
-	if err := begin("last", 0).reserve(40); !errors.Is(err, errNoMemory) {
-		t.Errorf("got %v, want errNoMemory while the others have just begun", err)
+	if err := begin("last", 0).reserve(40); !errors.Is(err, ErrNoMemory) {
+		t.Errorf("got %v, want ErrNoMemory while the others have just begun", err)
 	}
 	for _, b := range []*body{slow, recent, next} {
 		b.release(100)
