settings: comments on the limits of bodies

Examples and comments said that a body counts until it is decoded; it counts until its job is answered, and the setting body applies while the operators' configuration states no limit.

--- a/internal/settings/leased.go
+++ b/internal/settings/leased.go
@@ -121,9 +121,10 @@
 	// Memory is how much memory the host allows the process. The garbage collector
 	// keeps the process below it.
 	Memory Size `ini:"memory" default:"128MiB"`
-	// Body is the largest request body of a caller.
+	// Body is the largest request body of a caller while the operators state none.
 	Body Size `ini:"body" default:"1MiB"`
-	// BodyMemory bounds the memory of the large request bodies that the process holds at a time.
+	// BodyMemory bounds the memory of the large request bodies that the process holds at a time,
+	// until they are answered.
 	// Without it, that is a twelfth of Memory.
 	BodyMemory Size `ini:"body_memory"`
 	// Connections is the largest number of open connections of callers. Without it, there is one for
@@ -135,7 +136,8 @@
 }
 
 const (
-	// One bodyShare-th of the memory of a process is for large request bodies: an open job may take several times the memory of its body.
+	// bodyShare is the memory of a process divided by that for large request bodies. An open job
+	// may take several times the memory of its body.
 	bodyShare = 12
 	// connectionBytes is the memory for a connection: its goroutine and buffers, a header, a body
 	// that needs no BodyMemory and what the kernel has received.
