unruly: the platform's field names come from platform/

The bodies of the tests named fields of the platform, which only platform/ knows. A stand-in of a caller builds them now.

--- a/internal/unruly/dispatcher_test.go
+++ b/internal/unruly/dispatcher_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"syscall"
 	"testing"
+
+	"github.com/dogwoodgauge/dogwoodgauge/platform"
 )
 
 // bodyBytes is a size of a body that operators allow: 256 KiB at most.
@@ -50,7 +52,7 @@
 
 // job returns a submission with these steps, whose tasks occupy the whole upstream.
 func job(steps string) []byte {
-	return []byte(`{"taskSpec":"{\"work\":20000000,\"pad\":\"` + strings.Repeat("x", 3500) + `\"}","bestEffort":true,"steps":[` + steps + `]}`)
+	return platform.StandinJobBody(`"{\"work\":20000000,\"pad\":\"`+strings.Repeat("x", 3500)+`\"}"`, "["+steps+"]")
 }
 
 // afterLists returns steps of one task, each after many of those before it.
@@ -74,8 +76,8 @@
 		served bool
 		behave behaviour
 	}{
-		"empty steps": {true, submissions.submit([]byte(`{"bestEffort":true,"steps":[{}` + strings.Repeat(",{}", bodyBytes/3-100) + `]}`))},
-		"one list":    {true, submissions.submit([]byte(`{"bestEffort":true,"steps":[{"count":1},{"count":1,"after":[0` + strings.Repeat(",0", bodyBytes/2-100) + `]}]}`))},
+		"empty steps": {true, submissions.submit(platform.StandinJobBody(`""`, "[{}"+strings.Repeat(",{}", bodyBytes/3-100)+"]"))},
+		"one list":    {true, submissions.submit(platform.StandinJobBody(`""`, `[{"count":1},{"count":1,"after":[0`+strings.Repeat(",0", bodyBytes/2-100)+"]}]"))},
 		// The tasks of the crowd wait for the upstream and leave no room for others.
 		"many tasks": {false, submissions.submitOnce(job(`{"count":1500,"cpu":16000}`))},
 		// All tasks of several jobs fit on the upstream, if what they ask for is all that counts.
