lesseed: start and stop calls wait without a goroutine and a request

Cause: every start and stop call had a goroutine, an encoded body, a context and a request from the moment at which the core asked for it, while 48 connections execute them. A trial with heap and goroutine profiles showed 928 goroutines, nearly all in calls that waited for a connection, with 8.6 MiB of stacks at 54,680 KiB; a busy host lets more of them wait.

Change: calls wait in a queue and get all that once one of 40 places is free. Their time limits still begin when the core asks. Polls need no place, so they no longer wait behind the others for a connection.

--- a/internal/lesseed/calls.go
+++ b/internal/lesseed/calls.go
@@ -22,6 +22,9 @@
 	// each retry, up to callTimeout. It starts low because a start whose answer is lost
 	// occupies capacity until it is retried, while a repeated start is harmless.
 	firstStartTimeout = 30 * time.Millisecond
+	// maxCalls bounds the start and stop calls that are executed at once. It is below the number of
+	// connections to the upstream, so that polls need not wait for them.
+	maxCalls = 40
 )
 
 // execute executes one action of the core.
@@ -33,9 +36,11 @@
 		}
 		d.transport.Send(a.To, a.Message)
 	case lessee.StartRun:
-		go d.start(a)
+		startedAt := time.Now()
+		d.calls.add(func() { d.start(a, startedAt) })
 	case lessee.StopRun:
-		go d.stop(a)
+		startedAt := time.Now()
+		d.calls.add(func() { d.stop(a, startedAt) })
 	case lessee.Poll:
 		go d.poll(a)
 	case lessee.PersistAnnouncement:
@@ -49,19 +54,19 @@
 	}
 }
 
-func (d *Daemon) start(a lessee.StartRun) {
-	ctx, cancel := context.WithTimeout(d.callContext, min(firstStartTimeout<<(a.Try-1), callTimeout))
+// start starts a run. The time limit of the call begins at startedAt, before the call waits for others.
+func (d *Daemon) start(a lessee.StartRun, startedAt time.Time) {
+	ctx, cancel := context.WithDeadline(d.callContext, startedAt.Add(min(firstStartTimeout<<(a.Try-1), callTimeout)))
 	defer cancel()
-	startedAt := time.Now()
 	result, clock := d.cfg.Platform.Upstream.Start(ctx, a)
 	d.recordCallDuration("start", result, startedAt)
 	d.loop.Post(lessee.StartCallCompleted{Handle: a.Handle, Result: result, Clock: clock})
 }
 
-func (d *Daemon) stop(a lessee.StopRun) {
-	ctx, cancel := context.WithTimeout(d.callContext, callTimeout)
+// stop stops a run, with a time limit like that of start.
+func (d *Daemon) stop(a lessee.StopRun, startedAt time.Time) {
+	ctx, cancel := context.WithDeadline(d.callContext, startedAt.Add(callTimeout))
 	defer cancel()
-	startedAt := time.Now()
 	result := d.cfg.Platform.Upstream.Stop(ctx, a)
 	d.recordCallDuration("stop", result, startedAt)
 	d.loop.Post(lessee.StopCallCompleted{Name: a.Name, RunNumber: a.RunNumber, Result: result})
--- a/internal/lesseed/daemon.go
+++ b/internal/lesseed/daemon.go
@@ -98,7 +98,9 @@
 	monitor       *httpserver.Server
 	// callContext is the parent context of calls to the upstream. It ends with Run.
 	callContext context.Context
-	draining    atomic.Bool
+	// calls holds the start and stop calls to the upstream.
+	calls    callQueue
+	draining atomic.Bool
 	// timing holds the times of a planned stop.
 	timing atomic.Pointer[settings.LeasedTiming]
 	// drained is set when the core has no more runs. Kill sets killed.
@@ -118,6 +120,7 @@
 		drained:   lifecycle.NewSignal(),
 		killed:    lifecycle.NewSignal(),
 		toPersist: make(chan lessee.Announcement, 1),
+		calls:     callQueue{limit: maxCalls},
 	}
 	d.Apply(cfg.Settings)
 	d.core = lessee.New(lessee.Config{
