httpserver: connections that are replaced or refused close without an answer

Callers: at the limit of connections, a caller whose idle connection gave way, or that connected while all others waited, read a 503. It means that its job never runs. If the caller had submitted the job before and got no answer, that job may have run.

Cause: the refusal is written before a request is read, so without knowledge of its job.

Change: such a connection is closed. Callers take a broken connection as no answer and submit the job again under the same ID, which is safe.

--- a/internal/httpserver/admission.go
+++ b/internal/httpserver/admission.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/dogwoodgauge/dogwoodgauge/internal/telemetry"
 )
 
@@ -50,13 +48,12 @@
 // admission bounds the open connections of a server. Once there are as many as permitted, a new
 // connection takes the place of one that does not wait for an answer: the one that has been in
 // its phase for the longest time, in the order of the phases. If all wait for an answer, the new
-// one is refused.
+// one is refused. A connection that is replaced or refused is closed without an answer: a refusal
+// would say that the request never runs, which may be untrue of a repeated one.
 type admission struct {
-	max int
-	// encrypted is set if clients expect no plain text.
-	encrypted bool
-	metrics   *telemetry.Metrics
-	logs      *telemetry.Logger
+	max     int
+	metrics *telemetry.Metrics
+	logs    *telemetry.Logger
 	// headerTimeout and idleTimeout are durations in nanoseconds.
 	headerTimeout, idleTimeout atomic.Int64
 
@@ -109,7 +106,6 @@
 		if victim = a.victimLocked(time.Now()); victim == nil {
 			a.mu.Unlock()
 			a.report("refused", phaseIdle, inner)
-			a.writeRefusal(inner)
 			_ = inner.Close()
 			return nil
 		}
@@ -121,7 +117,7 @@
 	a.mu.Unlock()
 	if victim != nil {
 		a.report("evicted", victim.phase, victim)
-		victim.cut(true)
+		_ = victim.Conn.Close()
 	}
 	return c
 }
@@ -235,31 +231,6 @@
 	return c.Conn.Close()
 }
 
-// cut closes an evicted connection. With refuse set, a client that has sent a request, or a part
-// of it, that was not processed receives a refusal.
-func (c *admittedConn) cut(refuse bool) {
-	if refuse && c.phase >= phaseIdle {
-		c.a.writeRefusal(c.Conn)
-	}
-	_ = c.Conn.Close()
-}
-
-// writeRefusal writes refusal to a connection if its send buffer has room for it.
-func (a *admission) writeRefusal(c net.Conn) {
-	socket, ok := c.(*net.TCPConn)
-	if !ok || a.encrypted {
-		return
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Write(func(fd uintptr) bool {
-		_, _ = unix.Write(int(fd), []byte(refusal)) // The client may have gone.
-		return true
-	})
-}
-
 // expire closes the connections that have exceeded a time limit.
 func (a *admission) expire(now time.Time) {
 	limits := map[phase]time.Duration{
@@ -283,7 +254,7 @@
 		if c.phase != phaseIdle {
 			a.report("expired", c.phase, c)
 		}
-		c.cut(false)
+		_ = c.Conn.Close()
 	}
 }
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -87,7 +87,7 @@
 	}
 	s := &Server{
 		closed:    make(chan struct{}),
-		admission: &admission{max: cfg.MaxConnections, encrypted: cfg.Certificate != nil, metrics: cfg.Metrics, logs: cfg.Logs},
+		admission: &admission{max: cfg.MaxConnections, metrics: cfg.Metrics, logs: cfg.Logs},
 	}
 	s.SetTimeouts(cfg.HeaderTimeout, DefaultIdleTimeout)
 	s.listener = admittingListener{socket, s.admission}
