--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -349,6 +349,10 @@
 	return n
 }
 
+// resuming reports whether the process has just resumed after a long pause. During the pause,
+// callers may have submitted jobs to other dispatchers.
+func (c *Core) resuming() bool { return c.resumedAt > 0 && c.now.Mono-c.resumedAt < resumeGrace }
+
 // giveUpAfterPause gives up the open jobs after a pause of the process. During the pause,
 // agents may have stopped the runs, as they received no messages from this dispatcher, and
 // callers may have submitted the jobs to other dispatchers.
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -119,9 +119,8 @@
 	if c.withdrawResubmission(j) || c.adoptResubmission(j) {
 		return
 	}
-	if c.resumedAt > 0 && c.now.Mono-c.resumedAt < resumeGrace {
-		// The caller may have submitted the job to another dispatcher during the pause. If
-		// not, it submits the job again after this answer.
+	if c.resuming() {
+		// If no other dispatcher has the job, the caller submits it again after this answer.
 		c.answerJob(j, Interrupted, reasonPaused, 0)
 		return
 	}
--- a/core/dispatch/ran.go
+++ b/core/dispatch/ran.go
@@ -25,5 +25,13 @@
 	return c.ran.others.Known(c.now.Mono, id) || c.ran.completed.Known(c.now.Mono, id)
 }
 
+// MayHaveRun reports whether a task of a job may have run, or may run, in an earlier submission: the
+// job must not be refused as one that never runs.
+func (c *Core) MayHaveRun(id string) bool {
+	_, open := c.byID[id]
+	return open || c.resuming() || c.ranBefore(id) || c.cancelled.Known(c.now.Mono, id) ||
+		c.holds.known.Held(c.now.Mono, id) || c.crashes.JobKnown(id) || c.crashes.JobCondemned(id)
+}
+
 // startedBefore reports whether a task may have been started by an earlier submission.
 func (j *job) startedBefore() bool { return j.crashed || j.ranBefore }
--- a/internal/dispatchd/service.go
+++ b/internal/dispatchd/service.go
@@ -27,6 +27,9 @@
 	Submit(ctx context.Context, j dispatch.Job) dispatch.Answer
 	// Cancel cancels the job with this ID and reports whether there was one.
 	Cancel(ctx context.Context, id string) bool
+	// MayHaveRun reports whether a task of the job with this ID may have run in an earlier
+	// submission, or may still run. It returns true if that is not known.
+	MayHaveRun(ctx context.Context, id string) bool
 	// WaitingJobs returns the number of jobs on a route that have not started any task.
 	WaitingJobs(ctx context.Context, route string) int
 	// LogRejected logs that a request was rejected without becoming a job, and counts
@@ -112,6 +115,16 @@
 	}
 }
 
+// MayHaveRun implements Service.
+func (d *Daemon) MayHaveRun(ctx context.Context, id string) bool {
+	mayHaveRun, err := process.Snapshot(ctx, d.loop, func() bool { return d.core.MayHaveRun(id) })
+	if err != nil {
+		d.logs.Error(err, "cannot look up a job", "job", id)
+		return true
+	}
+	return mayHaveRun
+}
+
 // WaitingJobs implements Service.
 func (d *Daemon) WaitingJobs(ctx context.Context, route string) int {
 	n, err := process.Snapshot(ctx, d.loop, func() int { return d.core.WaitingJobs(route) })
