home: payloads of open jobs are bounded

Callers: none yet; an agent of the product's own interface could run out of memory. While its upstreams are away, or slower than what callers send, jobs wait at the agent until their time is over, also those whose callers do not wait (wait=false).

Cause: the number of waiting tasks was bounded (20,000), not the size of their payloads of up to 64 KiB each.

Change: max_open_bytes, 32 MiB by default and at least two of the largest jobs, bounds the payloads and labels of the jobs that an agent has accepted and not answered. Others are refused with not_run and a retry delay.

TestOpenJobsAreBounded covers the count.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -40,10 +40,11 @@
 	ClockBound time.Duration
 	// Retention is the admission window of jobs and how long records are kept.
 	Retention time.Duration
-	// MaxRecords bounds the job records held, and MaxRecordBytes the results in
-	// them.
+	// MaxRecords bounds the job records held, MaxRecordBytes the results in them, and
+	// MaxOpenBytes the payloads and labels of open jobs.
 	MaxRecords     int
 	MaxRecordBytes int
+	MaxOpenBytes   int
 	// QueueLimit bounds the tasks that wait for a slot of an upstream.
 	QueueLimit int
 	// ReservedSlots is the number of upstream slots that only urgent tasks may
@@ -61,6 +62,7 @@
 	DefaultRetention      = 5 * time.Minute
 	DefaultMaxRecords     = 50_000
 	DefaultMaxRecordBytes = 8 << 20
+	DefaultMaxOpenBytes   = 32 << 20
 	DefaultQueueLimit     = 16
 	maxWaitingTasks       = 20_000
 )
@@ -71,6 +73,7 @@
 	setDefault(&cfg.Retention, DefaultRetention)
 	setDefault(&cfg.MaxRecords, DefaultMaxRecords)
 	setDefault(&cfg.MaxRecordBytes, DefaultMaxRecordBytes)
+	setDefault(&cfg.MaxOpenBytes, DefaultMaxOpenBytes)
 	setDefault(&cfg.QueueLimit, DefaultQueueLimit)
 	setDefault(&cfg.Policy, placement.Default)
 }
@@ -145,7 +148,8 @@
 	})
 	c.home = home.New(home.Config{
 		Self: cfg.Self, Seed: cfg.Seed, AdmissionWindow: cfg.Retention, ClockBound: cfg.ClockBound,
-		MaxRecords: cfg.MaxRecords, MaxResultBytes: cfg.MaxRecordBytes, MaxWaiting: maxWaitingTasks, Faults: c.faults,
+		MaxRecords: cfg.MaxRecords, MaxResultBytes: cfg.MaxRecordBytes, MaxOpenBytes: cfg.MaxOpenBytes,
+		MaxWaiting: maxWaitingTasks, Faults: c.faults,
 		Picker: picker, Ownership: gate{c}, Eligibility: gate{c}, Invariants: &c.invariants,
 	})
 	return c
--- a/core/home/attempt_test.go
+++ b/core/home/attempt_test.go
@@ -61,7 +61,7 @@
 	h := &testHome{site: site, now: clock.Now{Mono: time.Hour, Wall: 1_790_000_000_000}}
 	h.Core = New(Config{
 		Self: testSelf, AdmissionWindow: time.Minute, ClockBound: time.Second, MaxRecords: 100,
-		MaxResultBytes: 1 << 20, MaxWaiting: job.MaxTasks, Picker: picker, Ownership: site,
+		MaxResultBytes: 1 << 20, MaxOpenBytes: testOpenBytes, MaxWaiting: job.MaxTasks, Picker: picker, Ownership: site,
 		Eligibility: site, Faults: quarantine.New(), Invariants: &invariant.Recorder{Panic: true},
 	})
 	h.SetExecutors([]Executor{{Ref: testSelf}})
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -69,6 +69,9 @@
 	// MaxResultBytes is the largest total size of the results kept for later
 	// requests.
 	MaxResultBytes int
+	// MaxOpenBytes is the largest total size of the open jobs: of the payloads and the labels of
+	// their tasks.
+	MaxOpenBytes int
 	// MaxWaiting is the largest number of tasks that wait for an executor.
 	MaxWaiting int
 	Picker     placement.Picker
@@ -218,9 +221,9 @@
 		c.finalizeRefused(r)
 		return
 	}
-	if c.waiting.len()+len(r.tasks) > c.cfg.MaxWaiting {
+	if detail := c.exceeded(r); detail != "" {
 		r.failure = errkind.NotRun
-		r.failureDetail = "too many tasks are waiting"
+		r.failureDetail = detail
 		r.retryAfter = c.retryAfter()
 		c.finalizeRefused(r)
 		return
@@ -234,11 +237,24 @@
 		return
 	}
 	r.openedAt = c.now.Mono
+	c.records.open(r)
 	c.timers.Add(r.deadline, timer{kind: timerDeadline, id: r.id, attempt: r.attempt})
 	c.waiting.add(r)
 	c.place()
 }
 
+// exceeded returns which limit of a home a new attempt would exceed, or "".
+func (c *Core) exceeded(r *record) string {
+	switch {
+	case c.waiting.len()+len(r.tasks) > c.cfg.MaxWaiting:
+		return "too many tasks are waiting"
+	case c.records.openBytes+contentBytes(r.job) > c.cfg.MaxOpenBytes:
+		return "the memory for open jobs is in use"
+	default:
+		return ""
+	}
+}
+
 // Fetch handles a request for the answer of a job.
 func (c *Core) Fetch(now clock.Now, from node.Ref, f *message.Fetch, out *Output) {
 	c.beginCall(now, out)
--- /dev/null
+++ b/core/home/memory_test.go
@@ -0,0 +1,50 @@
+package home
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dogwoodgauge/dogwoodgauge/core/errkind"
+	"github.com/dogwoodgauge/dogwoodgauge/core/job"
+	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+)
+
+// testOpenBytes is Config.MaxOpenBytes.
+const testOpenBytes = 1 << 20
+
+// submitLarge submits a job of one task with the largest payload, which takes too much memory to be
+// open as often as the test submits it. It returns whether the job was refused.
+func (h *testHome) submitLarge(timeout time.Duration) bool {
+	h.seq++
+	h.out = Output{}
+	h.Submit(h.now, testEntry, &message.Submit{Request: h.seq, SentAt: h.now.Wall, Job: job.Job{
+		ID:   job.Minted{Home: testSelf, Created: h.now.Wall, Minter: 3, Seq: h.seq}.ID(),
+		Team: "records", Created: h.now.Wall, Timeout: timeout, Class: job.Urgent,
+		Tasks: []job.Task{{Payload: make([]byte, job.MaxPayloadBytes)}},
+	}}, &h.out)
+	a, _ := h.answerAndStarts()
+	return a != nil && a.Kind == errkind.NotRun
+}
+
+// TestOpenJobsAreBounded guards against jobs that wait, for which nobody does, and whose payloads
+// take all memory. Once they are answered, there is room for others.
+func TestOpenJobsAreBounded(t *testing.T) {
+	const most, timeout = testOpenBytes / job.MaxPayloadBytes, time.Second
+	h := newTestHome(t)
+	h.site.setMatches(true)
+	for range 2 {
+		h.reportLoad(testSlots, false)
+		for i := range most + 2 {
+			if got, want := h.submitLarge(timeout), i >= most; got != want {
+				t.Errorf("job %d: refused %v, want %v", i, got, want)
+			}
+		}
+		for range 8 {
+			h.now = h.now.After(timeout / 4)
+			h.Tick(h.now, &h.out)
+		}
+	}
+	if h.records.openBytes != 0 {
+		t.Errorf("%d bytes are counted without an open job, want 0", h.records.openBytes)
+	}
+}
--- a/core/home/record.go
+++ b/core/home/record.go
@@ -95,6 +95,8 @@
 	settling   bool
 	inWaitlist bool
 	groups     []*group
+	// openBytes is the size of the job's contents while its tasks are open.
+	openBytes int
 	// final is the final answer, or nil while the record is open.
 	final *job.Answer
 	// resultBytes is the total size of the results that the record holds.
@@ -108,6 +110,21 @@
 	}
 }
 
+// contentBytes returns the size of the payloads and the labels of a job's tasks.
+func contentBytes(j *job.Job) int {
+	size := 0
+	for i := range j.Tasks {
+		size += len(j.Tasks[i].Payload)
+		for k, v := range j.Tasks[i].Labels {
+			size += len(k) + len(v) + labelBytes
+		}
+	}
+	return size
+}
+
+// labelBytes is the memory of a label besides its text.
+const labelBytes = 64
+
 // digest hashes the contents that a resubmission must repeat. It never returns
 // zero, which stands for contents that are not known.
 func digest(j *job.Job) uint64 {
@@ -152,8 +169,9 @@
 	// they became final. resultBytes is the total size of these results.
 	results     []*record
 	resultBytes int
-	// openCount is the number of records that are not final.
-	openCount int
+	// openCount is the number of records that are not final, and openBytes the total size of the
+	// contents of their jobs.
+	openCount, openBytes int
 	// evictedThrough is the latest creation time of an evicted record.
 	evictedThrough int64
 }
@@ -179,10 +197,18 @@
 	s.openCount++
 }
 
+// open registers the contents of a job whose tasks may wait.
+func (s *store) open(r *record) {
+	r.openBytes = contentBytes(r.job)
+	s.openBytes += r.openBytes
+}
+
 // addFinal registers a record that has become final, and drops old results and
 // records above the limits.
 func (s *store) addFinal(r *record) {
 	s.openCount--
+	s.openBytes -= r.openBytes
+	r.openBytes = 0
 	heap.Push(&s.final, r)
 	r.resultBytes = 0
 	for _, b := range r.final.Results {
--- a/internal/agentd/config.go
+++ b/internal/agentd/config.go
@@ -35,6 +35,7 @@
 		Retention:        s.Records.Retention,
 		MaxRecords:       s.Records.MaxRecords,
 		MaxRecordBytes:   int(s.Records.MaxRecordBytes),
+		MaxOpenBytes:     int(s.Records.MaxOpenBytes),
 		QueueLimit:       s.Queue.Limit,
 		ReservedSlots:    s.Queue.UrgentSlots,
 		PanicOnViolation: cfg.PanicOnViolation,
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -82,6 +82,7 @@
 	c.require(a.Records.Retention >= minRetention, "records", "retention", "retention %v is shorter than max_timeout and clock_bound together, %v", a.Records.Retention, minRetention)
 	c.require(a.Records.MaxRecords > 0, "records", "max_records", "max_records must not be 0")
 	c.require(a.Records.MaxRecordBytes >= job.MaxBodyBytes, "records", "max_record_bytes", "max_record_bytes is smaller than the largest job of %d bytes", job.MaxBodyBytes)
+	c.require(a.Records.MaxOpenBytes >= 2*job.MaxBodyBytes, "records", "max_open_bytes", "max_open_bytes is smaller than two of the largest jobs of %d bytes", job.MaxBodyBytes)
 }
 
 func (c checker) log(l *Log) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -229,6 +229,7 @@
 		{"retention shorter than a job", validAgent + "[records]\nretention = 10s", "13: retention 10s is shorter than max_timeout and clock_bound together, 1m0.5s"},
 		{"no records", validAgent + "[records]\nmax_records = 0", "13: max_records must not be 0"},
 		{"records smaller than a job", validAgent + "[records]\nmax_record_bytes = 1MiB", "13: max_record_bytes is smaller than the largest job of 8388608 bytes"},
+		{"open jobs smaller than two jobs", validAgent + "[records]\nmax_open_bytes = 15MiB", "13: max_open_bytes is smaller than two of the largest jobs of 8388608 bytes"},
 		{"unknown policy", validAgent + "[policy]\nplacement = best", "13: placement = best: want one of [random round-robin least-load two-choices local-first]"},
 		{"negative count", validAgent + "[queue]\nlimit = -1", "13: limit = -1: want a whole number that is not negative"},
 		{"key without a value", validAgent + "[queue]\nlimit =", "13: the key limit has no value"},
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -183,6 +183,8 @@
 	MaxRecords int `ini:"max_records" default:"50000"`
 	// MaxRecordBytes is the largest total size of the results in the job records.
 	MaxRecordBytes Size `ini:"max_record_bytes" default:"32MiB"`
+	// MaxOpenBytes is the largest total size of the payloads and labels of open jobs.
+	MaxOpenBytes Size `ini:"max_open_bytes" default:"32MiB"`
 }
 
 // Queue bounds the tasks that wait at an agent for a slot.
--- a/internal/unruly/crowd_test.go
+++ b/internal/unruly/crowd_test.go
@@ -155,10 +155,13 @@
 const exchanges = 3
 
 // submit sends whole requests and reads their answers.
-func (a target) submit(body []byte) behaviour {
+func (a target) submit(body []byte) behaviour { return a.submitTimes(exchanges, body) }
+
+// submitTimes sends a number of whole requests, each after the answer to the one before.
+func (a target) submitTimes(times int, body []byte) behaviour {
 	return func(c net.Conn, i int) error {
 		r := bufio.NewReader(c)
-		for range exchanges {
+		for range times {
 			if err := write(c, []byte(header(a.method, a.host, a.path(i), len(body))), body); err != nil {
 				return err
 			}
--- a/internal/unruly/others_test.go
+++ b/internal/unruly/others_test.go
@@ -34,12 +34,12 @@
 
 // direct is an entry and an agent, with stand-ins of the log service and the upstream.
 type direct struct {
-	t            *testing.T
-	entry, agent *process
+	t                      *testing.T
+	entry, agent, upstream *process
 }
 
-func (d *direct) http() string     { return d.entry.ip + ":8080" }
-func (d *direct) upstream() string { return d.agent.ip + ":9201" }
+func (d *direct) http() string      { return d.entry.ip + ":8080" }
+func (d *direct) upstreams() string { return d.agent.ip + ":9201" }
 
 // startDirect starts a deployment and waits until a job completes.
 func startDirect(t *testing.T) *direct {
@@ -53,12 +53,23 @@
 	d.entry = startProcess(t, entryIP, "entry", fmt.Sprintf("[node]\nrole = entry\nid = entry-1\ndomain = zone-a\n"+
 		"[listen]\nhttp = %[1]s:8080\ntransport = %[1]s:7100\nmetrics = %[1]s:9100\n[log]\naddress = %[1]s:7000\n"+
 		"[limits]\nconnections = %[2]d\n", entryIP, entryConnections), "dogwoodgauge", "entry")
-	startProcess(t, agentIP, "upstream", "", "dogwoodgauge", "standin", "upstream", "--listen", agentIP+":8090",
-		"--agent", d.upstream(), "--name", "u-1", "--task", "10ms")
+	d.startUpstream()
 	d.awaitOrdinaryJob()
 	return d
 }
 
+func (d *direct) startUpstream() {
+	d.t.Helper()
+	d.upstream = startProcess(d.t, d.agent.ip, "upstream", "", "dogwoodgauge", "standin", "upstream", "--listen", d.agent.ip+":8090",
+		"--agent", d.upstreams(), "--name", "u-1", "--task", "10ms")
+}
+
+// stopUpstream kills the upstream and waits until it has ended.
+func (d *direct) stopUpstream() {
+	_ = d.upstream.cmd.Process.Kill()
+	<-d.upstream.stopped
+}
+
 // awaitOrdinaryJob submits a job, and again while it is refused, until it is complete.
 func (d *direct) awaitOrdinaryJob() {
 	d.t.Helper()
@@ -84,6 +95,12 @@
 	d.awaitOrdinaryJob()
 	w.disperse()
 	d.awaitOrdinaryJob()
+	d.check()
+}
+
+// check checks the bounds of both processes.
+func (d *direct) check() {
+	d.t.Helper()
 	d.entry.check(entryMemory, entryConnections+otherDescriptors)
 	d.agent.check(entryMemory, agentDescriptors)
 }
@@ -107,9 +124,26 @@
 	}
 }
 
+// TestJobsWithoutUpstream submits jobs with large payloads, whose callers do not wait for the answer,
+// while the upstream is away.
+func TestJobsWithoutUpstream(t *testing.T) {
+	const submitters, jobsOfEach, tasks, payload = 10, 50, 20, 64 << 10
+	task := `{"payload":"` + strings.Repeat("A", payload) + `"}`
+	body := []byte(`{"team":"b","timeout_ms":60000,"tasks":[` + task + strings.Repeat(","+task, tasks-1) + `]}`)
+	jobs := target{http.MethodPost, "x", func(int) string { return "/v1/jobs?wait=false" }}
+	d := startDirect(t)
+	d.stopUpstream()
+	w := gather(t, submitters, d.http(), true, jobs.submitTimes(jobsOfEach, body))
+	w.settle(t)
+	w.disperse()
+	d.startUpstream()
+	d.awaitOrdinaryJob()
+	d.check()
+}
+
 // TestUpstreamPort sends announcements to an agent of upstreams without leases.
 func TestUpstreamPort(t *testing.T) {
 	d := startDirect(t)
 	upstreams := target{http.MethodPost, "x", func(int) string { return "/v1/upstream" }}
-	d.endure(d.upstream(), 300, upstreams.stopShort(60<<10))
+	d.endure(d.upstreams(), 300, upstreams.stopShort(60<<10))
 }
