home: records of refused jobs share the states of their tasks

Callers: none yet; an agent of the product's own interface could run out of memory on jobs that it had refused.

Cause: the record of each refused job holds a state for each of its tasks, 24 KiB for 1,500. An agent keeps up to 50,000 records for 5 minutes, and a body of 4.6 KB makes one.

Change: if no task ran, or every task did, the states are a part of one slice for all records.

TestRefusedJobsShareStates checks the sharing.

--- a/core/home/memory_test.go
+++ b/core/home/memory_test.go
@@ -12,6 +12,22 @@
 // testOpenBytes is Config.MaxOpenBytes.
 const testOpenBytes = 1 << 20
 
+// TestRefusedJobsShareStates guards against records of refused jobs that take 24 KiB each: a caller may
+// leave tens of thousands of them.
+func TestRefusedJobsShareStates(t *testing.T) {
+	h := newTestHome(t)
+	refuse := func() []job.TaskState {
+		a, _ := h.submitNew(job.Urgent, -time.Second, job.MaxTasks)
+		if a == nil || a.Kind != errkind.NotRun || len(a.States) != job.MaxTasks {
+			t.Fatalf("got answer %+v, want a refusal with %d states", a, job.MaxTasks)
+		}
+		return a.States
+	}
+	if first, second := refuse(), refuse(); &first[0] != &second[0] {
+		t.Error("two refused jobs have their own copies of equal states")
+	}
+}
+
 // submitLarge submits a job of one task with the largest payload, which takes too much memory to be
 // open as often as the test submits it. It returns whether the job was refused.
 func (h *testHome) submitLarge(timeout time.Duration) bool {
--- a/core/home/record.go
+++ b/core/home/record.go
@@ -243,13 +243,9 @@
 	if r.final == nil {
 		return
 	}
-	states := make([]job.TaskState, len(r.final.Results))
-	for i := range states {
-		states[i] = job.Done
-	}
 	r.final = &job.Answer{
 		ID: r.id, Attempt: r.attempt, Kind: errkind.OutcomeUnknown,
-		Detail: "every task ran, but the results are no longer held", States: states,
+		Detail: "every task ran, but the results are no longer held", States: sharedStates(allDone, len(r.final.Results)),
 	}
 }
 
--- a/internal/unruly/others_test.go
+++ b/internal/unruly/others_test.go
@@ -141,6 +141,21 @@
 	d.check()
 }
 
+// TestRefusedJobs submits many jobs of as many tasks as a job may have, most of which are refused.
+func TestRefusedJobs(t *testing.T) {
+	const submitters, jobsOfEach, tasks = 10, 1000, 1500
+	body := []byte(`{"team":"b","timeout_ms":60000,"tasks":[{}` + strings.Repeat(",{}", tasks-1) + `]}`)
+	jobs := target{http.MethodPost, "x", func(int) string { return "/v1/jobs?wait=false" }}
+	d := startDirect(t)
+	d.stopUpstream()
+	w := gather(t, submitters, d.http(), true, jobs.submitTimes(jobsOfEach, body))
+	w.settle(t)
+	w.disperse()
+	d.startUpstream()
+	d.awaitOrdinaryJob()
+	d.check()
+}
+
 // TestUpstreamPort sends announcements to an agent of upstreams without leases.
 func TestUpstreamPort(t *testing.T) {
 	d := startDirect(t)
