home: cancelling a job of the future leaves no record

Callers: after one client had cancelled more jobs than an agent keeps records of, with IDs of its own making whose creation times lie ahead, every new job at that agent was answered outcome_unknown.

Cause: the cancellation of a job that has not arrived leaves a record for as long as the job may arrive. When records are evicted, jobs that are not newer than an evicted one count as too old. Submissions with a creation time ahead of the clock are refused; cancellations were not.

Change: a cancellation whose creation time is ahead by more than the clock bound leaves no record. No process can have created such a job yet.

Measured: TestCancelledJobsOfTheFuture got outcome_unknown for an ordinary job before, and its start now.

--- a/core/home/attempt_test.go
+++ b/core/home/attempt_test.go
@@ -60,7 +60,7 @@
 	site := &testSite{version: 1}
 	h := &testHome{site: site, now: clock.Now{Mono: time.Hour, Wall: 1_790_000_000_000}}
 	h.Core = New(Config{
-		Self: testSelf, AdmissionWindow: time.Minute, ClockBound: time.Second, MaxRecords: 100,
+		Self: testSelf, AdmissionWindow: time.Minute, ClockBound: time.Second, MaxRecords: testMaxRecords,
 		MaxResultBytes: 1 << 20, MaxOpenBytes: testOpenBytes, MaxWaiting: job.MaxTasks, Picker: picker, Ownership: site,
 		Eligibility: site, Faults: quarantine.New(), Invariants: &invariant.Recorder{Panic: true},
 	})
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -286,7 +286,7 @@
 // submission that arrives after its cancellation starts no task.
 func (c *Core) cancelWithoutRecord(x *message.Cancel, sub subscriber) {
 	m, minted := x.ID.Minted()
-	if !minted || m.Home != c.cfg.Self || c.expired(m.Created) {
+	if !minted || m.Home != c.cfg.Self || c.expired(m.Created) || c.ahead(m.Created) {
 		c.reply(sub.entry, message.Message{NoRecord: &message.NoRecord{Request: sub.request}})
 		return
 	}
@@ -298,6 +298,11 @@
 	c.finalizeRefused(r)
 }
 
+// ahead reports whether no process can have created a job at this wall-clock time (milliseconds) yet.
+func (c *Core) ahead(created int64) bool {
+	return created-c.now.Wall > c.cfg.ClockBound.Milliseconds()
+}
+
 // Tick runs the timers that are due, evicts expired records and places tasks.
 func (c *Core) Tick(now clock.Now, out *Output) {
 	c.beginCall(now, out)
--- a/core/home/memory_test.go
+++ b/core/home/memory_test.go
@@ -9,8 +9,11 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 )
 
-// testOpenBytes is Config.MaxOpenBytes.
-const testOpenBytes = 1 << 20
+// testMaxRecords is Config.MaxRecords, and testOpenBytes Config.MaxOpenBytes.
+const (
+	testMaxRecords = 100
+	testOpenBytes  = 1 << 20
+)
 
 // TestRefusedJobsShareStates guards against records of refused jobs that take 24 KiB each: a caller may
 // leave tens of thousands of them.
@@ -64,3 +67,18 @@
 		t.Errorf("%d bytes are counted without an open job, want 0", h.records.openBytes)
 	}
 }
+
+// TestCancelledJobsOfTheFuture guards against a caller that cancels jobs with IDs of its own making, whose
+// creation times lie ahead: once their records are evicted, all jobs would count as too old.
+func TestCancelledJobsOfTheFuture(t *testing.T) {
+	h := newTestHome(t)
+	h.site.setMatches(true)
+	ahead := h.now.Wall + time.Hour.Milliseconds()
+	for i := range 2 * testMaxRecords {
+		id := job.Minted{Home: testSelf, Created: ahead, Minter: 4, Seq: uint64(i + 1)}.ID()
+		h.Cancel(h.now, testEntry, &message.Cancel{ID: id, Request: uint64(i + 1)}, &h.out)
+	}
+	if a, starts := h.submitNew(job.Urgent, time.Second, 1); starts != 1 {
+		t.Errorf("got answer %+v and %d starts of an ordinary job, want 1 start", a, starts)
+	}
+}
