agent: the states of handed over answers are bounded

Callers: none yet; an agent could run out of memory on the records that a leaving one hands over.

Cause: an agent accepts up to 8 MiB of results from homes that leave, but the states of the tasks did not count, and each answer had its own: up to 24 KiB for each of 50,000 jobs that were refused, cancelled or failed. Found by reading, after the same at the home.

Change: equal states are shared here too; others count.

--- a/core/agent/handoff.go
+++ b/core/agent/handoff.go
@@ -8,7 +8,7 @@
 	"github.com/dogwoodgauge/dogwoodgauge/core/node"
 )
 
-// maxHandoffBytes bounds the results held on behalf of homes that have left.
+// maxHandoffBytes bounds the results and the states of tasks held on behalf of homes that have left.
 const maxHandoffBytes = 8 << 20
 
 // handedOver holds the final answers of homes that have left.
@@ -34,10 +34,14 @@
 	h := &c.handedOver
 	h.expire(c.now.Mono)
 	part := handoffPart{home: m.Home, part: m.Part, expires: c.now.Mono + c.cfg.Retention}
-	for _, a := range m.Answers {
+	for i := range m.Answers {
+		a := &m.Answers[i]
 		for _, b := range a.Results {
 			part.bytes += len(b)
 		}
+		var size int
+		a.States, size = job.ShareStates(a.States)
+		part.bytes += size
 		part.ids = append(part.ids, a.ID)
 	}
 	if !h.has(part) {
--- a/core/home/outcome.go
+++ b/core/home/outcome.go
@@ -238,7 +238,7 @@
 	a := &job.Answer{ID: r.id, Attempt: r.attempt, Kind: r.failure, Detail: r.failureDetail, RetryAfter: r.retryAfter}
 	nothingStarted := !slices.ContainsFunc(r.tasks, func(t task) bool { return answerState(t.state) != job.NotRun })
 	if nothingStarted {
-		a.States = sharedStates(allNotRun, len(r.tasks))
+		a.States = job.EqualStates(job.NotRun, len(r.tasks))
 	} else {
 		a.States = make([]job.TaskState, len(r.tasks))
 		for i := range r.tasks {
@@ -252,21 +252,6 @@
 	return a
 }
 
-// allNotRun and allDone hold the states of the largest job, if no task or every task ran. Records
-// share them, since there may be many of refused jobs. They must not be modified.
-var (
-	allNotRun = slices.Repeat([]job.TaskState{job.NotRun}, job.MaxTasks)
-	allDone   = slices.Repeat([]job.TaskState{job.Done}, job.MaxTasks)
-)
-
-// sharedStates returns the states of n tasks, which all have the state in all.
-func sharedStates(all []job.TaskState, n int) []job.TaskState {
-	if n > len(all) {
-		return slices.Repeat(all[:1], n)
-	}
-	return all[:n:n]
-}
-
 // truthfulKind returns k, or another error kind if k contradicts whether some task
 // may have started.
 func truthfulKind(k errkind.Kind, nothingStarted bool) errkind.Kind {
--- a/core/home/record.go
+++ b/core/home/record.go
@@ -245,7 +245,7 @@
 	}
 	r.final = &job.Answer{
 		ID: r.id, Attempt: r.attempt, Kind: errkind.OutcomeUnknown,
-		Detail: "every task ran, but the results are no longer held", States: sharedStates(allDone, len(r.final.Results)),
+		Detail: "every task ran, but the results are no longer held", States: job.EqualStates(job.Done, len(r.final.Results)),
 	}
 }
 
