agentd: a gauge of the memory of open jobs

Operators could not see how near an agent is to max_open_bytes, above which jobs are refused. The gauge open_job_bytes shows it.

--- a/core/home/home.go
+++ b/core/home/home.go
@@ -142,6 +142,8 @@
 	// wait for an executor.
 	Records int
 	Waiting int
+	// OpenBytes is the size of the payloads and the labels of open jobs.
+	OpenBytes int
 	// Placed counts the tasks sent to executors. Refused counts the refusals
 	// received from them.
 	Placed  uint64
@@ -172,6 +174,7 @@
 	s := c.stats
 	s.Records = c.records.len()
 	s.Waiting = c.waiting.len()
+	s.OpenBytes = c.records.openBytes
 	return s
 }
 
--- a/internal/agentd/status.go
+++ b/internal/agentd/status.go
@@ -77,6 +77,7 @@
 	gauge(telemetry.SlotsBusy, func(s *Status) float64 { return float64(s.Load.Busy) })
 	gauge(telemetry.QueueLength, func(s *Status) float64 { return float64(s.Load.Queued) })
 	gauge(telemetry.JobRecords, func(s *Status) float64 { return float64(s.Home.Records) })
+	gauge(telemetry.OpenJobBytes, func(s *Status) float64 { return float64(s.Home.OpenBytes) })
 	gauge(telemetry.Upstreams, func(s *Status) float64 { return float64(len(s.Upstreams)) })
 	gauge(telemetry.Draining, func(s *Status) float64 {
 		if s.Draining {
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -29,6 +29,7 @@
 	SlotsBusy     = "dogwoodgauge_slots_busy"
 	QueueLength   = "dogwoodgauge_queue_length"
 	JobRecords    = "dogwoodgauge_job_records"
+	OpenJobBytes  = "dogwoodgauge_open_job_bytes"
 	Upstreams     = "dogwoodgauge_upstreams"
 	Draining      = "dogwoodgauge_draining"
 	AgentsReady   = "dogwoodgauge_agents_ready"
