--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -29,7 +29,7 @@
 
 func runCase(name, recordPath, programs string, trouble, keep bool) int {
 	cases := map[string]func(*deployment, bool) (int, error){
-		"zone-loss": lostZone, "zone-cut": cutZone, "set-back": setBack, "cancel": cancelElsewhere,
+		"zone-loss": lostZone, "node-cut": cutNode, "set-back": setBack, "host-twice": restartTwice,
 	}
 	f, ok := cases[name]
 	if !ok {
