lessee: the answer to an offer is remembered as long as its dispatcher asks

Cause: the dispatcher keeps an offer whose start it has not heard of for up to lease.LateStartExpiry (13.1 s) and repeats it to the agent when that is heard again. The agent forgot its answers after 5 s, and all of them when it forgot the dispatcher, after 5 s without a message. It then took the offer for a new one: it refused it, which the dispatcher took for the proof that nothing had started, or ran the task a second time.

Change: the agent keeps its answers for lease.OfferRetention (13.4 s), by the incarnation of the dispatcher and not with what it knows of it. A repeated offer states when it was first sent, on the clock of the agent. If the agent may have answered it since then and have forgotten that, by time or by number (8,192), it answers that the run is lost, which claims nothing, and starts nothing. New log lines: offer_repeated, answer_repeated, answer_forgotten; new gauges: dogwoodgauge_offer_answers and dogwoodgauge_offer_answers_forgotten_total.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -93,6 +93,8 @@
 	// starts counts the offers after which the task may have run, failures the runs reported as
 	// failed.
 	starts, failures int
+	// firstSentAt is Offer.FirstSentAt of the open offer.
+	firstSentAt time.Duration
 	// mayStartLate is set if a start call of the open offer got no answer, and startsAnswered if
 	// every start call was answered, by the agent's reports.
 	mayStartLate, startsAnswered bool
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -258,6 +258,7 @@
 	c.lastSeq++
 	t.seq, t.agent, t.state = c.lastSeq, a, offered
 	t.starts++
+	t.firstSentAt = 0
 	t.startsAnswered, t.mayStartLate, t.held = false, false, false
 	t.job.unplaced--
 	t.rank, t.late = c.rankOf(t), c.missesObjective(t.job)
@@ -291,9 +292,17 @@
 		expected = 0
 	}
 	t.agent.lastOfferAt = c.now.Mono
+	firstSentAt := t.firstSentAt
+	if firstSentAt == 0 {
+		t.firstSentAt = max(t.agent.lastTimestamp, 1)
+	} else {
+		c.logEvent("offer_repeated", t.job.spec.ID, "task", t.name().String(), "seq", t.seq, "agent", t.agent.ref.String(),
+			"heard_ms_ago", (c.now.Mono - t.agent.lastHeartbeatAt).Milliseconds())
+	}
 	offer := &message.Offer{
 		Seq: t.seq, Task: t.name(), RunNumber: t.starts, Service: t.job.spec.Route.Service, Route: t.job.spec.Route.Name, Isolation: c.isolationOf(t), Spec: t.job.spec.Spec,
 		RequiredLabel: spec.RequiredLabel, Demand: spec.Demand, ExpectedDuration: expected, EchoedTimestamp: t.agent.lastTimestamp, EchoAge: c.now.Mono - t.agent.lastHeartbeatAt,
+		FirstSentAt:  firstSentAt,
 		FirstWaiting: c.firstWaiting(t.agent), Slowdown: c.offeredSlowdown(t.agent),
 	}
 	if c.cfg.OrderAcross {
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -59,6 +59,10 @@
 // neither the call can be executed by any incarnation of the upstream nor its run be alive.
 const LateStartExpiry = MaxCallDelay + MaxUpstreamExpiry
 
+// OfferRetention is how long an agent remembers its answer to an offer. A dispatcher that was cut
+// off repeats the offer until LateStartExpiry after it was last in touch with the agent.
+const OfferRetention = LateStartExpiry + MaxOfferDelay + stopSlack
+
 // RunExpiry is the time, from the last heartbeat received from an agent or the last offer to
 // it, after which no run that the agent had then is alive: neither one that a live agent was to
 // stop after RunLease, nor one that a newer incarnation of the upstream has started from a call
--- a/core/leasemodel/simulation_test.go
+++ b/core/leasemodel/simulation_test.go
@@ -82,7 +82,9 @@
 	callers   []*caller
 	lastCall  uint64
 	// cutUntil holds, for pairs of hosts, the time until which no message passes between them.
-	cutUntil       map[[2]node.ID]time.Duration
+	cutUntil map[[2]node.ID]time.Duration
+	// lostUntil holds, for pairs of sender and receiver, the time until which messages are lost.
+	lostUntil      map[[2]node.ID]time.Duration
 	lateCallShare  float64 // share of calls to upstreams that are executed late
 	lateStopShare  float64 // the same of the calls that stop a run
 	dropsLateCalls bool    // drops the late calls that a newer incarnation would execute
@@ -143,7 +145,8 @@
 		estimate: lowEstimate, capacity: capacity, dispatcherCount: dispatchers,
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)),
 		loggedJobs: make(map[string]bool), processes: make(map[node.ID]*process), cutUntil: make(map[[2]node.ID]time.Duration),
-		site: &site.State{Revision: 1, Version: 1, Configured: true, Routes: []site.Route{*testRoute}},
+		lostUntil: make(map[[2]node.ID]time.Duration),
+		site:      &site.State{Revision: 1, Version: 1, Configured: true, Routes: []site.Route{*testRoute}},
 	}
 	sim.duration = func(lessee.StartRun) time.Duration { return sim.randomMS(40, 900) }
 	for _, option := range options {
@@ -322,7 +325,7 @@
 	if m.RunCompletion != nil && m.RunCompletion.Result == message.RunRefused {
 		sim.refusedOffers++
 	}
-	if p == nil || sim.isCut(from.ref.ID, to.ID) {
+	if p == nil || sim.isCut(from.ref.ID, to.ID) || sim.now < sim.lostUntil[[2]node.ID{from.ref.ID, to.ID}] {
 		return
 	}
 	at := max(sim.now+sim.randomMS(0.5, 3), p.lastArrivalFrom[from.ref.ID])
--- a/core/lessee/incarnation.go
+++ b/core/lessee/incarnation.go
@@ -53,7 +53,7 @@
 	}
 	c.upstream.life.Observe(c.now.Mono, liveness.Restarted)
 	for _, h := range c.holderOrder {
-		for _, r := range h.unfinishedRuns() {
+		for _, r := range c.unfinishedRuns(h) {
 			c.orphan(r, c.upstream.extensions.last()+lease.MaxUpstreamExpiry)
 		}
 	}
@@ -72,7 +72,7 @@
 // more.
 func (c *Core) completeOrphans(all bool) {
 	for _, h := range c.holderOrder {
-		for _, r := range h.stoppingRuns() {
+		for _, r := range c.stoppingRuns(h) {
 			if r.orphaned && (all || c.now.Mono > r.orphanedUntil) {
 				c.completeRun(r, message.RunLost, message.LostUpstreamCrashed, 0)
 			}
--- a/core/lessee/leaseholder.go
+++ b/core/lessee/leaseholder.go
@@ -13,9 +13,8 @@
 )
 
 const (
-	// completionRetention is how long the completions of a dispatcher's offers are kept to
-	// answer repeated offers: far longer than it takes to restore a connection.
-	completionRetention = 5 * time.Second
+	// pollDelay is the longest time from the sending of a poll to its answer.
+	pollDelay = 5 * time.Second
 	// waitingTTL is how long a dispatcher's report of a waiting task is valid. While it is,
 	// the dispatcher can get a reservation and is notified of freed capacity at once. The
 	// dispatcher repeats the report after half a heartbeat interval.
@@ -65,9 +64,6 @@
 	reportedVersion uint64
 	reportedSeq     uint64
 	reportedReady   bool
-	// runsBySeq holds the runs by Offer.Seq, including completed and refused ones.
-	runsBySeq     map[uint64]*run
-	completedRuns []*run
 	// untoldCancels lists the cancelled jobs that it has not been told of.
 	untoldCancels []string
 	// holds lists the changes of holds that it has not confirmed.
@@ -83,7 +79,7 @@
 	if h, ok := c.holders[ref]; ok {
 		return h
 	}
-	h := &leaseHolder{ref: ref, runsBySeq: make(map[uint64]*run), leaseUntil: c.now.Mono + lease.RunLease, untoldCancels: c.cancelled.Jobs(c.now.Mono)}
+	h := &leaseHolder{ref: ref, leaseUntil: c.now.Mono + lease.RunLease, untoldCancels: c.cancelled.Jobs(c.now.Mono)}
 	h.holds.add(c.holds.Holds(c.now.Mono)...)
 	c.holders[ref] = h
 	c.holderOrder = append(c.holderOrder, h)
@@ -142,18 +138,18 @@
 }
 
 // sendDueHeartbeats sends the periodic heartbeats: in each round to the dispatchers with runs
-// here, and to some of the others in turn. It also drops old completions, and forgets
+// here, and to some of the others in turn. It also drops old answers, and forgets
 // dispatchers that have neither runs here nor sent a message for long.
 func (c *Core) sendDueHeartbeats() {
 	if c.now.Mono < c.nextHeartbeatAt {
 		return
 	}
 	c.nextHeartbeatAt = c.now.Mono + lease.HeartbeatInterval
-	maps.DeleteFunc(c.completedAt, func(_ message.TaskName, at time.Duration) bool { return c.now.Mono-at > completionRetention })
+	maps.DeleteFunc(c.completedAt, func(_ message.TaskName, at time.Duration) bool { return c.now.Mono-at > pollDelay })
+	c.answers.expire(c.now.Mono)
 	c.forgetCrashes()
 	idleInterval := c.idleInterval()
 	for _, h := range slices.Clone(c.holderOrder) {
-		c.forgetCompletions(h)
 		if h.unfinished == 0 && c.now.Mono-h.lastMessageAt > pace.ForgetAfter(idleInterval) {
 			c.forgetHolder(h)
 		} else if h.needsEveryHeartbeat(c) {
@@ -229,16 +225,6 @@
 	c.logEvent("dispatcher_forgotten", "", "dispatcher", h.ref.String())
 }
 
-// forgetCompletions drops the completions that are older than completionRetention.
-func (c *Core) forgetCompletions(h *leaseHolder) {
-	n := 0
-	for n < len(h.completedRuns) && c.now.Mono-h.completedRuns[n].completedAt > completionRetention {
-		delete(h.runsBySeq, h.completedRuns[n].seq)
-		n++
-	}
-	h.completedRuns = slices.Delete(h.completedRuns, 0, n)
-}
-
 // stopLapsedRuns stops the runs of dispatchers whose lease has lapsed.
 func (c *Core) stopLapsedRuns() {
 	for _, h := range c.holderOrder {
@@ -248,7 +234,7 @@
 		h.lapsed = true
 		c.logEvent("dispatcher_lease_lapsed", "", "dispatcher", h.ref.String(), "runs", h.unfinished,
 			"silent_ms", (c.now.Mono - h.lastMessageAt).Milliseconds())
-		for _, r := range h.unfinishedRuns() {
+		for _, r := range c.unfinishedRuns(h) {
 			r.mustEndBy(h.leaseUntil + lease.StopTime)
 			if r.state != stopping {
 				c.stop(r)
@@ -259,18 +245,18 @@
 
 // liveRuns returns the runs that have not completed and are not being stopped, in order of
 // seq.
-func (h *leaseHolder) liveRuns() []*run { return h.runsInState(starting, running) }
+func (c *Core) liveRuns(h *leaseHolder) []*run { return c.runsInState(h, starting, running) }
 
 // stoppingRuns returns the runs that are being stopped, in order of seq.
-func (h *leaseHolder) stoppingRuns() []*run { return h.runsInState(stopping) }
+func (c *Core) stoppingRuns(h *leaseHolder) []*run { return c.runsInState(h, stopping) }
 
-func (h *leaseHolder) runsInState(states ...runState) []*run {
+func (c *Core) runsInState(h *leaseHolder, states ...runState) []*run {
 	if h.unfinished == 0 {
 		return nil
 	}
 	var list []*run
-	for _, r := range h.runsBySeq {
-		if slices.Contains(states, r.state) {
+	for _, r := range c.runs {
+		if r.holder == h && slices.Contains(states, r.state) {
 			list = append(list, r)
 		}
 	}
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -63,10 +63,15 @@
 	// holderOrder lists the lease holders in the order of their first messages.
 	holderOrder []*leaseHolder
 
-	runs       map[uint64]*run
-	runsByTask map[message.TaskName]*run
+	runs        map[uint64]*run
+	runsByTask  map[message.TaskName]*run
+	runsByOffer map[offerKey]*run
+	// answers holds the answers to offers that have started no run, or whose runs have completed.
+	answers answerMemory
+	// answersForgotten counts the repeated offers whose answers were forgotten, or may have been.
+	answersForgotten uint64
 	// completedAt is when the last run of a task completed. Entries are dropped after
-	// completionRetention.
+	// pollDelay.
 	completedAt map[message.TaskName]time.Duration
 	// crashes holds the recent crashes of the upstream, and lastCrash the number of the last
 	// one in this incarnation of the agent.
@@ -115,6 +120,7 @@
 		runs:       make(map[uint64]*run),
 		runsByTask: make(map[message.TaskName]*run),
 
+		runsByOffer: make(map[offerKey]*run),
 		completedAt: make(map[message.TaskName]time.Duration),
 		token:       cfg.Token,
 	}
@@ -188,6 +194,10 @@
 	// CancelsForgotten counts the cancelled jobs, and HoldsForgotten the held ones, that were
 	// forgotten for lack of memory.
 	CancelsForgotten, HoldsForgotten uint64
+	// Answers is the number of answered offers that are remembered. AnswersForgotten counts the
+	// offers that came again after their answers were forgotten, or may have been.
+	Answers          int
+	AnswersForgotten uint64
 }
 
 // Stats returns the current values for metrics.
@@ -196,6 +206,7 @@
 		Runs: len(c.runs), Dispatchers: len(c.holders), Used: c.used, Capacity: c.upstream.estimate.announced, Usable: c.upstream.capacity,
 		Ready: c.Ready(), Revision: c.site.Revision, Crashes: c.lastCrash, Slowdown: c.speed.Slowdown(c.now.Mono), StartsRefused: c.startsRefused,
 		CancelsForgotten: c.cancelsForgotten, HoldsForgotten: c.holdsForgotten,
+		Answers: len(c.answers.order), AnswersForgotten: c.answersForgotten,
 	}
 }
 
--- a/core/lessee/poll.go
+++ b/core/lessee/poll.go
@@ -231,7 +231,7 @@
 		}
 	}
 	for _, h := range c.holderOrder {
-		for _, r := range h.unfinishedRuns() {
+		for _, r := range c.unfinishedRuns(h) {
 			if r.state == starting || r.confirmedAt == 0 || r.confirmedAt >= e.SentAt {
 				continue
 			}
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -19,7 +19,7 @@
 	completed
 )
 
-// run is the state of one offer. A refused or revoked offer is kept as a completed run.
+// run is the state of an accepted offer.
 type run struct {
 	// handle identifies the run in StartRun and StartCallCompleted.
 	handle uint64
@@ -31,10 +31,11 @@
 	route  string
 	spec   string
 	demand message.Resources
-	// isolation is Offer.Isolation, and acceptedAt when the offer was accepted.
-	isolation  message.Isolation
-	acceptedAt time.Duration
-	state      runState
+	// isolation is Offer.Isolation, and acceptedAt when the offer was accepted. receivedAt is the
+	// same for the offer of the present dispatcher.
+	isolation              message.Isolation
+	acceptedAt, receivedAt time.Duration
+	state                  runState
 	// expectedDuration is the estimated duration, or zero if there is no estimate.
 	expectedDuration time.Duration
 	// slowdown is Offer.Slowdown.
@@ -68,21 +69,33 @@
 	lastStopSentAt time.Duration
 	// endBy is when the run must have ended at the latest, or zero if its task starts elsewhere
 	// only after the run has ended: the lease is not extended beyond that.
-	endBy       time.Duration
-	completedAt time.Duration
-	completion  message.RunCompletion
+	endBy time.Duration
 }
 
+func (r *run) offerKey() offerKey { return offerKey{r.holder.ref, r.seq} }
+
 // handleOffer starts a task or refuses the offer with a reason. A repeated offer starts
-// nothing. If the first one has completed, handleOffer reports that completion again.
+// nothing. If the first one was answered, handleOffer repeats the answer, or states that it
+// was forgotten.
 func (c *Core) handleOffer(h *leaseHolder, m *message.Offer) {
-	if r, ok := h.runsBySeq[m.Seq]; ok {
-		if r.state == completed {
-			c.reportCompletion(r)
-		}
+	key := offerKey{h.ref, m.Seq}
+	if a, ok := c.answers.byKey[key]; ok {
+		c.logEvent("answer_repeated", m.Task.Job, "task", m.Task.String(), "run", m.RunNumber, "dispatcher", h.ref.String(),
+			"result", a.completion.Result, "reason", a.completion.Reason, "answered_ms_ago", (c.now.Mono - a.answeredAt).Milliseconds())
+		c.sendAnswer(h, a)
+		return
+	}
+	if _, open := c.runsByOffer[key]; open {
 		return
 	}
 	h.maxOfferSeq = max(h.maxOfferSeq, m.Seq)
+	if !c.answers.coversSince(firstSentAt(m)) {
+		c.answersForgotten++
+		c.logEvent("answer_forgotten", m.Task.Job, "task", m.Task.String(), "run", m.RunNumber, "dispatcher", h.ref.String(),
+			"first_sent_ms_ago", (c.now.Mono - firstSentAt(m)).Milliseconds())
+		c.sendAnswer(h, c.recordAnswer(key, c.now.Mono, message.RunCompletion{Seq: m.Seq, Result: message.RunLost, Reason: message.LostForgotten}))
+		return
+	}
 	h.offeredSinceReserved = true
 	c.setWaiting(h, m.FirstWaiting)
 	if reason := c.offerRefusal(m); reason != "" {
@@ -109,13 +122,13 @@
 	r := &run{
 		handle: c.lastHandle, holder: h, seq: m.Seq, name: m.Task, number: m.RunNumber,
 		route: m.Route, spec: m.Spec, demand: m.Demand, expectedDuration: m.ExpectedDuration, startedAt: c.now.Mono,
-		isolation: m.Isolation, acceptedAt: c.now.Mono, slowdown: m.Slowdown,
+		isolation: m.Isolation, acceptedAt: c.now.Mono, receivedAt: c.now.Mono, slowdown: m.Slowdown,
 	}
 	c.runs[r.handle] = r
 	c.runsByTask[r.name] = r
 	c.used = c.used.Add(r.demand)
 	c.capacityChanged()
-	h.runsBySeq[r.seq] = r
+	c.runsByOffer[key] = r
 	h.unfinished++
 	c.observeStart(r)
 	c.callStart(r)
@@ -158,17 +171,14 @@
 		return
 	}
 	c.logEvent("run_adopted", m.Task.Job, "task", m.Task.String(), "from", r.holder.ref.String(), "to", h.ref.String())
-	previous := *r
-	previous.state = completed
-	previous.completedAt = c.now.Mono
-	previous.completion = message.RunCompletion{Seq: r.seq, Result: message.RunStopped, Reason: message.RefusedTakenOver}
-	r.holder.runsBySeq[r.seq] = &previous
-	r.holder.completedRuns = append(r.holder.completedRuns, &previous)
+	delete(c.runsByOffer, r.offerKey())
 	r.holder.unfinished--
-	c.reportCompletion(&previous)
+	c.sendAnswer(r.holder, c.recordAnswer(r.offerKey(), r.receivedAt, message.RunCompletion{
+		Seq: r.seq, Result: message.RunStopped, Reason: message.RefusedTakenOver,
+	}))
 
-	r.holder, r.seq = h, m.Seq
-	h.runsBySeq[r.seq] = r
+	r.holder, r.seq, r.receivedAt = h, m.Seq, c.now.Mono
+	c.runsByOffer[r.offerKey()] = r
 	h.unfinished++
 	c.capacityChanged()
 	if r.startUnanswered {
@@ -177,31 +187,31 @@
 	}
 }
 
-// refuseOffer refuses an offer and keeps the answer, so that a repeated offer gets the same
-// one.
+// refuseOffer refuses an offer.
 func (c *Core) refuseOffer(h *leaseHolder, m *message.Offer, reason message.RefuseReason) {
-	r := &run{holder: h, seq: m.Seq, name: m.Task, number: m.RunNumber, state: completed, completedAt: c.now.Mono}
-	r.completion = message.RunCompletion{Seq: m.Seq, Result: message.RunRefused, Reason: reason}
-	h.runsBySeq[m.Seq] = r
-	h.completedRuns = append(h.completedRuns, r)
 	c.logEvent("offer_refused", m.Task.Job, "task", m.Task.String(), "run", m.RunNumber, "reason", reason,
 		"dispatcher", h.ref.String(), "stamp_age_ms", (c.now.Mono - m.EchoedTimestamp).Milliseconds(),
 		"free_mcpu", c.upstream.capacity.Sub(c.used).MilliCPU, "need_mcpu", m.Demand.MilliCPU)
-	c.reportCompletion(r)
+	c.sendAnswer(h, c.recordAnswer(offerKey{h.ref, m.Seq}, c.now.Mono, message.RunCompletion{
+		Seq: m.Seq, Result: message.RunRefused, Reason: reason,
+	}))
 }
 
 // handleRevoke stops the run of an offer. An offer that has not been received yet is
-// recorded as refused, so that it never starts.
+// recorded as answered, so that it never starts.
 func (c *Core) handleRevoke(h *leaseHolder, m *message.RevokeOffer) {
-	r, ok := h.runsBySeq[m.Seq]
-	if !ok {
-		r = &run{holder: h, seq: m.Seq, state: completed, completedAt: c.now.Mono}
-		r.completion = message.RunCompletion{Seq: m.Seq, Result: message.RunRefused, Reason: message.RefusedAborted}
-		h.runsBySeq[m.Seq] = r
-		h.completedRuns = append(h.completedRuns, r)
+	key := offerKey{h.ref, m.Seq}
+	if a, ok := c.answers.byKey[key]; ok {
+		c.sendAnswer(h, a)
+		return
 	}
-	if r.state == completed {
-		c.reportCompletion(r)
+	r, ok := c.runsByOffer[key]
+	if !ok {
+		completion := message.RunCompletion{Seq: m.Seq, Result: message.RunRefused, Reason: message.RefusedAborted}
+		if !c.answers.coversSince(0) {
+			completion.Result, completion.Reason = message.RunLost, message.LostForgotten
+		}
+		c.sendAnswer(h, c.recordAnswer(key, c.now.Mono, completion))
 		return
 	}
 	r.mustEndBy(c.now.Mono + lease.RevokeTime)
@@ -250,18 +260,16 @@
 		return
 	}
 	r.state = completed
-	r.completedAt = c.now.Mono
-	r.spec = ""
-	r.completion = message.RunCompletion{Seq: r.seq, Result: result, Reason: reason, Duration: duration}
 	delete(c.runs, r.handle)
 	delete(c.runsByTask, r.name)
+	delete(c.runsByOffer, r.offerKey())
+	completion := message.RunCompletion{Seq: r.seq, Result: result, Reason: reason, Duration: duration}
 	c.dismissWitnesses(r)
 	c.completedAt[r.name] = c.now.Mono
 	c.used = c.used.Sub(r.demand)
 	c.observeEnd(r, result, duration)
 	c.capacityChanged()
 	r.holder.unfinished--
-	r.holder.completedRuns = append(r.holder.completedRuns, r)
 	c.logEvent("run_ended", r.name.Job, "task", r.name.String(), "run", r.number, "result", result, "reason", reason,
 		"took_ms", duration.Milliseconds())
 	// Update the reservation before sending the report, so that the report shows no free
@@ -269,13 +277,5 @@
 	if c.updateReservation() && c.reservation.holder != r.holder {
 		c.sendHeartbeat(c.reservation.holder)
 	}
-	c.reportCompletion(r)
-}
-
-// reportCompletion sends the completion of an offer to its dispatcher, with the current
-// capacity.
-func (c *Core) reportCompletion(r *run) {
-	completion := r.completion
-	completion.Capacity = c.capacityReport(r.holder)
-	c.send(r.holder.ref, message.Message{RunCompletion: &completion})
+	c.sendAnswer(r.holder, c.recordAnswer(r.offerKey(), r.receivedAt, completion))
 }
--- a/core/lessee/suspect.go
+++ b/core/lessee/suspect.go
@@ -126,7 +126,7 @@
 // orphanUnansweredStarts marks the runs as orphaned of which a start call may be executed late.
 func (c *Core) orphanUnansweredStarts() {
 	for _, h := range c.holderOrder {
-		for _, r := range h.unfinishedRuns() {
+		for _, r := range c.unfinishedRuns(h) {
 			if r.mayStartLate() {
 				c.orphan(r, 0)
 			}
--- a/core/lessee/upstream.go
+++ b/core/lessee/upstream.go
@@ -199,7 +199,7 @@
 func (c *Core) reportLost(reason message.RefuseReason) {
 	c.reportCrashes()
 	for _, h := range c.holderOrder {
-		for _, r := range h.unfinishedRuns() {
+		for _, r := range c.unfinishedRuns(h) {
 			if !r.orphaned || c.upstream.phase == absent && !r.mayStartLate() {
 				c.completeRun(r, message.RunLost, reason, 0)
 			}
@@ -209,7 +209,9 @@
 
 // unfinishedRuns returns the runs that have not completed: first the live ones, then those
 // being stopped.
-func (h *leaseHolder) unfinishedRuns() []*run { return append(h.liveRuns(), h.stoppingRuns()...) }
+func (c *Core) unfinishedRuns(h *leaseHolder) []*run {
+	return append(c.liveRuns(h), c.stoppingRuns(h)...)
+}
 
 // sendDueCalls sends the polls and stop calls that are due.
 func (c *Core) sendDueCalls() {
@@ -249,7 +251,7 @@
 		c.poll(false)
 	}
 	for _, h := range c.holderOrder {
-		for _, r := range h.stoppingRuns() {
+		for _, r := range c.stoppingRuns(h) {
 			if c.now.Mono-r.lastStopSentAt > lease.RenewalInterval {
 				c.callStop(r)
 			}
--- a/core/message/offer.go
+++ b/core/message/offer.go
@@ -34,6 +34,9 @@
 	// time when the offer was sent, and proves that the sender was alive then.
 	EchoedTimestamp time.Duration `json:"st"`
 	EchoAge         time.Duration `json:"age,omitempty"`
+	// FirstSentAt, in a repeated offer, is EchoedTimestamp as of the first one. The receiver may have
+	// answered the offer at any time since, and have forgotten that.
+	FirstSentAt time.Duration `json:"first,omitempty"`
 	// FirstWaiting is the first of the sender's other tasks that wait for free capacity.
 	FirstWaiting *WaitingTask `json:"wait,omitempty"`
 	// Priority, Due and Late are those of a WaitingTask, for this task. They are set only if
@@ -163,6 +166,8 @@
 	RefusedCancelled RefuseReason = "job_cancelled"
 	// LostUpstreamCrashed: the upstream crashed while the run was there.
 	LostUpstreamCrashed RefuseReason = "upstream_crashed"
+	// LostForgotten: the agent may have answered the offer before, and no longer knows how.
+	LostForgotten RefuseReason = "answer_forgotten"
 )
 
 // Heartbeat is sent between a dispatcher and an agent, in both directions. Timestamp is
--- a/internal/lesseed/daemon.go
+++ b/internal/lesseed/daemon.go
@@ -300,6 +300,8 @@
 		d.metrics.SetGauge(telemetry.StartsRefusedTotal, float64(s.StartsRefused))
 		d.metrics.SetGauge(telemetry.CancelsForgottenTotal, float64(s.CancelsForgotten))
 		d.metrics.SetGauge(telemetry.HoldsForgottenTotal, float64(s.HoldsForgotten))
+		d.metrics.SetGauge(telemetry.OfferAnswers, float64(s.Answers))
+		d.metrics.SetGauge(telemetry.OfferAnswersForgottenTotal, float64(s.AnswersForgotten))
 		d.metrics.SetGauge(telemetry.SiteRevision, float64(s.Revision))
 		d.metrics.SetGauge(telemetry.UpstreamSlowdown, float64(s.Slowdown))
 		process.CopyCounters(d.metrics, nil, d.transport.Stats())
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -64,4 +64,6 @@
 	JobsMayStartLate            = "dogwoodgauge_jobs_may_start_late"
 	HeldResubmissionsTotal      = "dogwoodgauge_held_resubmissions_total"
 	HoldsForgottenTotal         = "dogwoodgauge_holds_forgotten_total"
+	OfferAnswers                = "dogwoodgauge_offer_answers"
+	OfferAnswersForgottenTotal  = "dogwoodgauge_offer_answers_forgotten_total"
 )
