dispatch: open offers are repeated to an agent that is heard again

A caller got no answer until its deadline although its task was done: the message that said so was lost while its agent was silent for 0.5 to 1.2 s.

Cause: after a silence the dispatcher repeated the offers of held tasks only, which are those of agents that were silent until the leases of their runs had lapsed. After a shorter silence nobody asked again, unless the connection was reset.

Change: an agent that was suspect and is heard again gets all its open offers once more. It answers them from memory, or continues their runs.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -93,6 +93,9 @@
 	// suspect is set when its next message is overdue, and doubted when another agent of its
 	// failure domain has become suspect and this one has been asked for a heartbeat.
 	suspect, doubted bool
+	// answersMayBeLost is set when it is heard again after it was suspect, until its open offers
+	// are repeated.
+	answersMayBeLost bool
 }
 
 func (c *Core) handleAgentConnected(e AgentConnected) {
--- a/core/dispatch/late_start.go
+++ b/core/dispatch/late_start.go
@@ -43,13 +43,14 @@
 	return false
 }
 
-// offerHeldAgain repeats the offers of held tasks to an agent that is heard again. It has stopped
-// their runs, and its report may be lost.
-func (c *Core) offerHeldAgain(a *agent) {
+// repeatOffers repeats the open offers to an agent that is heard again after a silence, since its
+// answers may be lost, and those of held tasks.
+func (c *Core) repeatOffers(a *agent) {
 	for _, seq := range sortedKeys(a.openOffers) {
-		if t := a.openOffers[seq]; t.held {
+		if t := a.openOffers[seq]; t.held || a.answersMayBeLost {
 			t.held = false
 			c.sendOffer(t)
 		}
 	}
+	a.answersMayBeLost = false
 }
--- a/core/dispatch/silence.go
+++ b/core/dispatch/silence.go
@@ -54,6 +54,7 @@
 	if a.suspect || a.doubted || a.life.Suspect() != "" || c.reportAge(a) > lease.HeartbeatInterval {
 		c.placementNeeded = true
 	}
+	a.answersMayBeLost = a.answersMayBeLost || a.suspect
 	a.suspect, a.doubted = false, false
 	a.life.Heard()
 	a.lastMessageAt = c.now.Mono
@@ -108,7 +109,7 @@
 		}
 		if unresponsiveFor <= pace.SuspectAfter(a.interval()) {
 			if !a.ended() {
-				c.offerHeldAgain(a)
+				c.repeatOffers(a)
 			}
 			continue
 		}
