dispatch: a job that has run is remembered from its last answer on

A resubmission got 503 ("never runs") although the dispatcher had started the job: it was refused for overload or a planned stop 10 s after its last run, while its caller had submitted it again every 1.3 s since.

Cause: the memory of jobs that have run lasts 10 s from the answer of the submission that ran. A submission that was refused as interrupted did not renew it, and a caller that waits for an answer elsewhere (10 s by default) comes back later than that.

Change: each answer that says that the job may have run renews the memory. It lasts a minute, for up to 4,096 jobs (0.1 KB each): at 38,000 starts a second in jobs of 8 tasks, 170 dispatchers get 28 jobs a second each, 1,680 a minute. Jobs that were completed keep 10 s and 2,048. giveUp and handleSubmit ask one place whether a job may be refused as not run.

Before: TestResubmissionsAreRememberedAsRun failed at the eighth submission, with pauses of 1.3 s. TestResubmissionOfAStartedJobIsNotSaidNotToHaveRun expected the job to be forgotten after 10 s; it expects it after a minute from the last answer now, and checks that it is known until then, which it did not.

--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -53,7 +53,7 @@
 // giveUp answers Interrupted for a job of which a task may have run, also in an earlier
 // submission, otherwise Refused.
 func (c *Core) giveUp(j *job, reason string) {
-	if j.mayHaveRun || j.startedBefore() {
+	if j.startedHereOrBefore() {
 		c.answerJob(j, Interrupted, reason, 0)
 		return
 	}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -210,6 +210,7 @@
 		isolation:  newIsolationState(),
 		backlogs:   newBacklogState(),
 		shares:     newShareState(cfg.MinShare),
+		ran:        newRanState(),
 
 		domainDoubtedAt: make(map[string]time.Duration),
 	}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -145,8 +145,9 @@
 			c.confinedRefusedAt = c.now.Mono
 		}
 		outcome := Refused
-		if j.startedBefore() {
+		if j.startedHereOrBefore() {
 			outcome = Interrupted
+			c.rememberRan(j, outcome)
 		}
 		c.out = append(c.out, Answer{
 			Call: j.call, Outcome: outcome, Reason: reason, RetryAfter: retry,
--- a/core/dispatch/not_run_test.go
+++ b/core/dispatch/not_run_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
+	"github.com/dogwoodgauge/dogwoodgauge/core/policy/recent"
 	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 )
 
@@ -157,3 +158,24 @@
 		}
 	}
 }
+
+// TestResubmissionsAreRememberedAsRun guards against a job that is refused as not run since it was
+// last started long ago, although its caller has submitted it again and again since then, here or
+// after it has waited for an answer elsewhere.
+func TestResubmissionsAreRememberedAsRun(t *testing.T) {
+	for _, pause := range []time.Duration{1300 * time.Millisecond, recent.Retention - time.Second, 45 * time.Second} {
+		b := newTestBed(t)
+		b.connectAgents(1, 1)
+		call := b.submit("a", 0, 1, time.Millisecond)
+		offer := b.takeOffers()[0]
+		b.step(CallerGone{Call: call})
+		b.complete(offer, message.RunStopped, "")
+		b.step(step.Drain{}) // refuses all jobs
+		for i := range 10 {
+			b.advance(pause)
+			if got := b.answers[b.submit("a", 0, 1, time.Millisecond)].Outcome; got != Interrupted {
+				t.Fatalf("submission %d, each after %v: got %q, want %q", i, pause, got, Interrupted)
+			}
+		}
+	}
+}
--- a/core/dispatch/ran.go
+++ b/core/dispatch/ran.go
@@ -7,15 +7,18 @@
 // they do not displace the others.
 type ranState struct{ completed, others recent.Memory }
 
-// rememberRan remembers a job that is answered after a task of it may have run.
+func newRanState() ranState { return ranState{others: recent.NewRuns()} }
+
+// rememberRan remembers a job that is answered after a task of it may have run, here or in an
+// earlier submission. Each answer renews this, since the job may be submitted again after it.
 func (c *Core) rememberRan(j *job, outcome Outcome) {
 	switch {
-	case !j.mayHaveRun && !j.startedBefore():
+	case !j.startedHereOrBefore():
 	case outcome == Completed:
 		c.ran.completed.Renew(c.now.Mono, j.spec.ID)
 	default:
 		if forgotten := c.ran.others.Renew(c.now.Mono, j.spec.ID); forgotten != "" {
-			c.logEvent("run_forgotten", forgotten, "limit", recent.MaxJobs)
+			c.logEvent("run_forgotten", forgotten, "limit", c.ran.others.Limit())
 		}
 	}
 }
@@ -35,3 +38,7 @@
 
 // startedBefore reports whether a task may have been started by an earlier submission.
 func (j *job) startedBefore() bool { return j.crashed || j.ranBefore }
+
+// startedHereOrBefore reports whether a task may have been started by this submission or an earlier
+// one. Only other jobs are refused as not run.
+func (j *job) startedHereOrBefore() bool { return j.mayHaveRun || j.startedBefore() }
--- a/core/dispatch/verdict_test.go
+++ b/core/dispatch/verdict_test.go
@@ -116,9 +116,13 @@
 			if got := b.answers[other].Outcome; got != Refused {
 				t.Errorf("got %q for another job, want %q", got, Refused)
 			}
-			b.advance(recent.Retention + time.Millisecond)
+			b.advance(recent.RunRetention)
+			if got := b.core.MayHaveRun("a"); !got {
+				t.Errorf("forgotten %v after the last answer", recent.RunRetention)
+			}
+			b.advance(time.Millisecond)
 			if got := b.answers[b.submit("a", 0, 1, time.Millisecond)].Outcome; got != Refused {
-				t.Errorf("got %q after %v, want %q", got, recent.Retention, Refused)
+				t.Errorf("got %q after more than %v, want %q", got, recent.RunRetention, Refused)
 			}
 		})
 	}
--- a/core/policy/recent/recent.go
+++ b/core/policy/recent/recent.go
@@ -3,6 +3,7 @@
 package recent
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -13,15 +14,29 @@
 	Retention = 10 * time.Second
 	// MaxJobs limits the jobs that are remembered, and so the memory: about 0.1 KB each.
 	MaxJobs = 2048
+	// RunRetention and MaxRuns are the same for the jobs of which a task may have run. They are
+	// submitted again after the caller has waited for an answer elsewhere, once or more.
+	RunRetention = time.Minute
+	MaxRuns      = 4096
 )
 
-// Memory holds the IDs of jobs. The zero value is empty.
+// Memory holds the IDs of jobs. The zero value is empty, with the limits Retention and MaxJobs.
 type Memory struct {
-	at map[string]time.Duration
+	retention time.Duration
+	limit     int
+	at        map[string]time.Duration
 	// order lists the keys of at, the oldest first.
 	order []string
 }
 
+// NewRuns returns an empty memory with the limits RunRetention and MaxRuns.
+func NewRuns() Memory { return Memory{retention: RunRetention, limit: MaxRuns} }
+
+// Limit returns the largest number of jobs that are remembered.
+func (m *Memory) Limit() int { return cmp.Or(m.limit, MaxJobs) }
+
+func (m *Memory) keeps(age time.Duration) bool { return age <= cmp.Or(m.retention, Retention) }
+
 // Add remembers a job from now on. It reports false if the job is known already, and returns
 // the job that was forgotten for it, or an empty string.
 func (m *Memory) Add(now time.Duration, id string) (added bool, forgotten string) {
@@ -29,7 +44,7 @@
 	if _, ok := m.at[id]; ok {
 		return false, ""
 	}
-	if len(m.order) == MaxJobs {
+	if len(m.order) == m.Limit() {
 		forgotten = m.order[0]
 		m.drop(1)
 	}
@@ -52,10 +67,10 @@
 	return forgotten
 }
 
-// Known reports whether the job was added within Retention, as far as remembered.
+// Known reports whether the job was added within the retention, as far as remembered.
 func (m *Memory) Known(now time.Duration, id string) bool {
 	at, ok := m.at[id]
-	return ok && now-at <= Retention
+	return ok && m.keeps(now-at)
 }
 
 // Jobs returns the remembered jobs, the oldest first.
@@ -66,7 +81,7 @@
 
 func (m *Memory) expire(now time.Duration) {
 	n := 0
-	for n < len(m.order) && now-m.at[m.order[n]] > Retention {
+	for n < len(m.order) && !m.keeps(now-m.at[m.order[n]]) {
 		n++
 	}
 	m.drop(n)
--- a/core/policy/recent/recent_test.go
+++ b/core/policy/recent/recent_test.go
@@ -26,3 +26,20 @@
 		t.Errorf("jobs are not forgotten %v after they were added", Retention)
 	}
 }
+
+// TestRunsOutliveOtherJobs guards against a job that has run and is forgotten while its caller still
+// waits for an answer elsewhere, by time or since others have run.
+func TestRunsOutliveOtherJobs(t *testing.T) {
+	m := NewRuns()
+	for i := range MaxRuns {
+		if _, forgotten := m.Add(time.Second, fmt.Sprint(i)); forgotten != "" {
+			t.Fatalf("job %s was forgotten after %d others", forgotten, i)
+		}
+	}
+	if end := time.Second + RunRetention; !m.Known(end, "0") || m.Known(end+1, "0") {
+		t.Errorf("a job that has run is not forgotten %v after it was added", RunRetention)
+	}
+	if _, forgotten := m.Add(time.Second, "x"); forgotten != "0" || m.Limit() != MaxRuns {
+		t.Errorf("job %q was forgotten, want the oldest of %d", forgotten, MaxRuns)
+	}
+}
