lessee: a refused offer states whether the job has run at the upstream

A dispatcher refused a job as not run although the agent that had refused its offer knew of a run that another dispatcher had started, which has ended, or whose upstream had refused the run number as an old one.

Cause: a refusal is about one offer; the dispatcher took it for a statement about the job. Only the reason same_task_is_stopping said otherwise.

The dispatcher then answers the job as interrupted, as it does for those that it remembers itself, and as early as it would refuse it. Open runs of the same dispatcher do not count: it knows of its own offers.

--- a/core/dispatch/completion.go
+++ b/core/dispatch/completion.go
@@ -67,8 +67,8 @@
 		c.recordTaskFailure(t)
 	case message.RunRefused:
 		c.stats.Refusals++
-		c.logEvent("offer_refused", id, "task", t.name().String(), "agent", a.ref.String(), "reason", e.Reason)
-		c.handleRefusal(t, a, e.Reason)
+		c.logEvent("offer_refused", id, "task", t.name().String(), "agent", a.ref.String(), "reason", e.Reason, "may_have_run", e.MayHaveRun)
+		c.handleRefusal(t, a, e)
 	default:
 		if e.Reason == message.RefusedTakenOver {
 			c.giveUp(t.job, reasonTakenOver)
@@ -89,10 +89,12 @@
 }
 
 // handleRefusal requeues a task that the agent has refused to start.
-func (c *Core) handleRefusal(t *task, a *agent, reason message.RefuseReason) {
+func (c *Core) handleRefusal(t *task, a *agent, e *message.RunCompletion) {
+	reason := e.Reason
 	if reason != message.RefusedStopping {
 		t.starts-- // Otherwise a run of an earlier submission may have started.
 	}
+	t.job.ranBefore = t.job.ranBefore || e.MayHaveRun
 	c.recordPlaced(t, -1)
 	c.removeFromShare(t)
 	if reason == message.RefusedProving {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -59,7 +59,7 @@
 	acceptedAttempts int
 	// held is set while a start call of an earlier submission may be executed.
 	held bool
-	// ranBefore is set if a task may have run in an earlier submission that was answered here.
+	// ranBefore is set if a task may have run in an earlier submission, here or elsewhere.
 	ranBefore  bool
 	offerCount int
 	turn       jobTurn
--- a/core/dispatch/not_run_test.go
+++ b/core/dispatch/not_run_test.go
@@ -22,51 +22,57 @@
 // TestWaysToGiveUpAJob guards against a way to end a job that says that it has not run although
 // more is known, and against one that does not say so of a job that nobody has started.
 func TestWaysToGiveUpAJob(t *testing.T) {
-	refused := message.RunCompletion{Result: message.RunRefused, Reason: message.RefusedNoCapacity}
+	refused := func(mayHaveRun bool) message.RunCompletion {
+		return message.RunCompletion{Result: message.RunRefused, Reason: message.RefusedNoCapacity, MayHaveRun: mayHaveRun}
+	}
 	known := map[string]struct {
 		learn func(b *testBed, offers []message.Offer)
 		want  Outcome
 	}{
 		"both refused": {func(b *testBed, offers []message.Offer) {
-			b.answerOffer(offers[0], refused)
-			b.answerOffer(offers[1], refused)
+			b.answerOffer(offers[0], refused(false))
+			b.answerOffer(offers[1], refused(false))
 		}, Refused},
 		"both open": {func(*testBed, []message.Offer) {}, Interrupted},
 		"one open": {func(b *testBed, offers []message.Offer) {
-			b.answerOffer(offers[0], refused)
+			b.answerOffer(offers[0], refused(false))
+		}, Interrupted},
+		"one may have run before": {func(b *testBed, offers []message.Offer) {
+			b.answerOffer(offers[0], refused(false))
+			b.answerOffer(offers[1], refused(true))
 		}, Interrupted},
 		"one is stopping": {func(b *testBed, offers []message.Offer) {
 			b.answerOffer(offers[0], message.RunCompletion{Result: message.RunRefused, Reason: message.RefusedStopping})
-			b.answerOffer(offers[1], refused)
+			b.answerOffer(offers[1], refused(false))
 		}, Interrupted},
 		"one forgotten": {func(b *testBed, offers []message.Offer) {
 			b.answerOffer(offers[0], message.RunCompletion{Result: message.RunLost, Reason: message.LostForgotten})
-			b.answerOffer(offers[1], refused)
+			b.answerOffer(offers[1], refused(false))
 		}, Interrupted},
 		"one done": {func(b *testBed, offers []message.Offer) {
 			b.answerOffer(offers[0], message.RunCompletion{Result: message.RunDone})
-			b.answerOffer(offers[1], refused)
+			b.answerOffer(offers[1], refused(false))
 		}, Interrupted},
 		"one failed": {func(b *testBed, offers []message.Offer) {
 			b.answerOffer(offers[0], message.RunCompletion{Result: message.RunFailed})
-			b.answerOffer(offers[1], refused)
+			b.answerOffer(offers[1], refused(false))
 		}, Interrupted},
 		"one stopped": {func(b *testBed, offers []message.Offer) {
 			b.answerOffer(offers[0], message.RunCompletion{Result: message.RunStopped})
-			b.answerOffer(offers[1], refused)
+			b.answerOffer(offers[1], refused(false))
 		}, Interrupted},
 		"one lost with its upstream": {func(b *testBed, offers []message.Offer) {
 			b.answerOffer(offers[0], message.RunCompletion{Result: message.RunLost, Reason: message.LostUpstreamCrashed})
-			b.answerOffer(offers[1], refused)
+			b.answerOffer(offers[1], refused(false))
 		}, Interrupted},
 		"a refusal is heard twice": {func(b *testBed, offers []message.Offer) {
-			b.answerOffer(offers[0], refused)
-			b.answerOffer(offers[0], refused)
+			b.answerOffer(offers[0], refused(false))
+			b.answerOffer(offers[0], refused(false))
 		}, Interrupted},
 		"a failure is heard twice": {func(b *testBed, offers []message.Offer) {
 			b.answerOffer(offers[0], message.RunCompletion{Result: message.RunFailed})
 			b.answerOffer(offers[0], message.RunCompletion{Result: message.RunFailed})
-			b.answerOffer(offers[1], refused)
+			b.answerOffer(offers[1], refused(false))
 		}, Interrupted},
 	}
 	ways := map[string]func(b *testBed, call uint64){
--- a/core/lessee/answers.go
+++ b/core/lessee/answers.go
@@ -89,3 +89,17 @@
 	completion.Capacity = c.capacityReport(h)
 	c.send(h.ref, message.Message{RunCompletion: &completion})
 }
+
+// mayHaveRun reports whether a task of a job may have run here. The open runs of h do not count: it
+// knows of their offers.
+func (c *Core) mayHaveRun(job string, h *leaseHolder) bool {
+	if c.ran.Known(c.now.Mono, job) {
+		return true
+	}
+	for _, r := range c.runs {
+		if r.holder != h && r.name.Job == job {
+			return true
+		}
+	}
+	return false
+}
--- a/core/lessee/answers_test.go
+++ b/core/lessee/answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -193,7 +194,7 @@
 	refused := lost
 	refused.Seq, refused.Task.Job, refused.RequiredLabel = 2, "k", "l"
 	b.cutOff(lease.LateStartExpiry)
-	if got := b.repeat(refused, nil); got.Result != message.RunRefused || got.Reason != message.RefusedMissingLabel {
+	if got := b.repeat(refused, nil); got.Result != message.RunRefused || got.Reason != message.RefusedMissingLabel || got.MayHaveRun {
 		t.Errorf("got %+v, want a refusal as never started", got)
 	}
 	if b.repeat(lost, nil); len(b.starts) != 1 || len(b.completions) != 0 {
@@ -244,6 +245,55 @@
 	}
 }
 
+// TestRefusalStatesEarlierRun guards against a job that a dispatcher refuses as not run, although
+// the agent that has refused its offer knows of a run that another dispatcher has started.
+func TestRefusalStatesEarlierRun(t *testing.T) {
+	offer := func(b *testBed, d node.Ref, job string, index int) message.RunCompletion {
+		b.seq++
+		b.step(received(d, message.Message{Offer: &message.Offer{
+			Seq: b.seq, Task: message.TaskName{Job: job, Index: index}, RunNumber: 1, Service: "t", EchoedTimestamp: b.now,
+		}}))
+		return b.lastCompletion()
+	}
+	for name, tt := range map[string]struct {
+		prepare func(b *testBed)
+		want    bool
+	}{
+		"nothing":       {func(*testBed) {}, false},
+		"another job":   {func(b *testBed) { b.startRun(d0, "k") }, false},
+		"open":          {func(b *testBed) { b.startRun(d0, "j") }, true},
+		"of the sender": {func(b *testBed) { b.startRun(d1, "j") }, false}, // It knows of its own offers.
+		"ended":         {func(b *testBed) { runEnds[message.RunDone](b, b.startRun(d0, "j")) }, true},
+		"refused by the upstream": {func(b *testBed) {
+			b.offer(d0, "j")
+			b.step(StartCallCompleted{Handle: b.starts[0].Handle, Result: CallNoCapacity, Clock: b.now})
+		}, false},
+	} {
+		b := newTestBed(t)
+		b.open()
+		tt.prepare(b)
+		if got := offer(b, d1, "j", 1); got.Result != message.RunRefused || got.MayHaveRun != tt.want {
+			t.Errorf("%s: got %+v, want a refusal that states an earlier run: %v", name, got, tt.want)
+		}
+	}
+}
+
+// TestRefusedStartAfterAnOldRun guards against the same where the upstream alone knows of the run:
+// it has refused the run number as an old one, and then the next one for lack of room.
+func TestRefusedStartAfterAnOldRun(t *testing.T) {
+	for _, results := range [][]CallResult{{CallStaleRun, CallNoCapacity}, {CallNoCapacity}} {
+		b := newTestBed(t)
+		b.open()
+		b.offer(d0, "j")
+		for _, result := range results {
+			b.step(StartCallCompleted{Handle: b.starts[0].Handle, Result: result, Clock: b.now})
+		}
+		if got, want := b.lastCompletion(), slices.Contains(results, CallStaleRun); got.Result != message.RunRefused || got.MayHaveRun != want {
+			t.Errorf("%v: got %+v, want a refusal that states an earlier run: %v", results, got, want)
+		}
+	}
+}
+
 // TestAnswersAreBounded guards against a memory that grows with every offer, or for ever.
 func TestAnswersAreBounded(t *testing.T) {
 	var m answerMemory
--- a/core/lessee/lessee.go
+++ b/core/lessee/lessee.go
@@ -70,6 +70,8 @@
 	answers answerMemory
 	// answersForgotten counts the repeated offers whose answers were forgotten, or may have been.
 	answersForgotten uint64
+	// ran holds the jobs of which a run has completed here.
+	ran recent.Memory
 	// completedAt is when the last run of a task completed. Entries are dropped after
 	// pollDelay.
 	completedAt map[message.TaskName]time.Duration
@@ -121,6 +123,7 @@
 		runsByTask: make(map[message.TaskName]*run),
 
 		runsByOffer: make(map[offerKey]*run),
+		ran:         recent.NewRuns(),
 		completedAt: make(map[message.TaskName]time.Duration),
 		token:       cfg.Token,
 	}
--- a/core/lessee/run.go
+++ b/core/lessee/run.go
@@ -70,6 +70,8 @@
 	// endBy is when the run must have ended at the latest, or zero if its task starts elsewhere
 	// only after the run has ended: the lease is not extended beyond that.
 	endBy time.Duration
+	// refusedAsStale is set when the upstream has refused a start call since it knew an earlier run.
+	refusedAsStale bool
 }
 
 func (r *run) offerKey() offerKey { return offerKey{r.holder.ref, r.seq} }
@@ -189,11 +191,12 @@
 
 // refuseOffer refuses an offer.
 func (c *Core) refuseOffer(h *leaseHolder, m *message.Offer, reason message.RefuseReason) {
+	mayHaveRun := reason == message.RefusedStopping || reason != message.RefusedIDInUse && c.mayHaveRun(m.Task.Job, h)
 	c.logEvent("offer_refused", m.Task.Job, "task", m.Task.String(), "run", m.RunNumber, "reason", reason,
-		"dispatcher", h.ref.String(), "stamp_age_ms", (c.now.Mono - m.EchoedTimestamp).Milliseconds(),
+		"may_have_run", mayHaveRun, "dispatcher", h.ref.String(), "stamp_age_ms", (c.now.Mono - m.EchoedTimestamp).Milliseconds(),
 		"free_mcpu", c.upstream.capacity.Sub(c.used).MilliCPU, "need_mcpu", m.Demand.MilliCPU)
 	c.sendAnswer(h, c.recordAnswer(offerKey{h.ref, m.Seq}, c.now.Mono, message.RunCompletion{
-		Seq: m.Seq, Result: message.RunRefused, Reason: reason,
+		Seq: m.Seq, Result: message.RunRefused, Reason: reason, MayHaveRun: mayHaveRun,
 	}))
 }
 
@@ -264,6 +267,11 @@
 	delete(c.runsByTask, r.name)
 	delete(c.runsByOffer, r.offerKey())
 	completion := message.RunCompletion{Seq: r.seq, Result: result, Reason: reason, Duration: duration}
+	if result == message.RunRefused {
+		completion.MayHaveRun = r.refusedAsStale || c.mayHaveRun(r.name.Job, r.holder)
+	} else if forgotten := c.ran.Renew(c.now.Mono, r.name.Job); forgotten != "" {
+		c.logEvent("run_forgotten", forgotten, "limit", c.ran.Limit())
+	}
 	c.dismissWitnesses(r)
 	c.completedAt[r.name] = c.now.Mono
 	c.used = c.used.Sub(r.demand)
--- a/core/lessee/start.go
+++ b/core/lessee/start.go
@@ -123,6 +123,7 @@
 		r.state, r.confirmedAt = running, c.now.Mono
 		return
 	}
+	r.refusedAsStale = true
 	r.number++
 	c.retryRefusedStart(r, message.RefusedNotReady)
 }
--- a/core/message/offer.go
+++ b/core/message/offer.go
@@ -127,7 +127,7 @@
 	RunStopped RunResult = "stopped"
 	// RunLost: the run has completed without a known result.
 	RunLost RunResult = "lost"
-	// RunRefused: the task was not started and never will be.
+	// RunRefused: the offer has started no run and never will.
 	RunRefused RunResult = "refused"
 )
 
@@ -137,6 +137,9 @@
 	Seq    uint64       `json:"seq"`
 	Result RunResult    `json:"res"`
 	Reason RefuseReason `json:"why,omitempty"`
+	// MayHaveRun, in a refusal, is set if a task of the job may have run at the upstream all the
+	// same, by another offer of this dispatcher or another.
+	MayHaveRun bool `json:"ran,omitempty"`
 	// Duration is how long the run took, if it completed by itself.
 	Duration time.Duration   `json:"took,omitempty"`
 	Capacity *CapacityReport `json:"room,omitempty"`
