dispatchd: a submission after the core has stopped is not refused as not run

A submission that arrived after the core of a stopping dispatcher had ended got 503 ("never runs"), also if it was a resubmission of a job that this process had started: what was known of it is gone with the core.

Change: it is answered as interrupted (504).

Before: TestSubmissionAfterTheCoreHasStopped got "refused".

--- a/internal/dispatchd/leave_test.go
+++ b/internal/dispatchd/leave_test.go
@@ -12,6 +12,26 @@
 	"github.com/dogwoodgauge/dogwoodgauge/internal/settings"
 )
 
+// newDaemon returns a daemon whose processes are not running yet.
+func newDaemon(t *testing.T, grace time.Duration, callers func(Service) http.Handler) *Daemon {
+	t.Helper()
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	d, err := New(Config{
+		Settings: settings.Dispatcher{
+			Node:   settings.Node{ID: "entry-1", Domain: "zone-a"},
+			Listen: settings.DispatcherListen{Callers: loopback, Ready: loopback, Transport: loopback, Metrics: loopback},
+			Limits: settings.LeasedLimits{Memory: 64 << 20, Body: 1 << 20, Connections: 10},
+			Timing: settings.LeasedTiming{Grace: grace, DrainConnections: true},
+		},
+		Platform: Platform{Callers: callers, Ready: func(func() error) http.Handler { return http.NotFoundHandler() }},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.closeSockets)
+	return d
+}
+
 // TestCallInFlightAfterAPauseDuringAPlannedStop guards against a call without an answer when the
 // process stands still during a planned stop until the calls must be answered, or past the grace
 // time: writing the answer takes some time then as well.
@@ -30,20 +50,7 @@
 					w.WriteHeader(http.StatusGatewayTimeout)
 				})
 			}
-			loopback := netip.MustParseAddrPort("127.0.0.1:0")
-			d, err := New(Config{
-				Settings: settings.Dispatcher{
-					Node:   settings.Node{ID: "entry-1", Domain: "zone-a"},
-					Listen: settings.DispatcherListen{Callers: loopback, Ready: loopback, Transport: loopback, Metrics: loopback},
-					Limits: settings.LeasedLimits{Memory: 64 << 20, Body: 1 << 20, Connections: 10},
-					Timing: settings.LeasedTiming{Grace: grace, DrainConnections: true},
-				},
-				Platform: Platform{Callers: handler, Ready: func(func() error) http.Handler { return http.NotFoundHandler() }},
-			})
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer d.closeSockets()
+			d = newDaemon(t, grace, handler)
 			go func() { _ = d.callers.Run() }()
 			c, err := net.Dial("tcp", d.CallersAddr())
 			if err != nil {
--- a/internal/dispatchd/service.go
+++ b/internal/dispatchd/service.go
@@ -85,7 +85,7 @@
 	d.limitWait(&j)
 	if !d.loop.Post(dispatch.Submit{Call: call, Job: j, ReceivedAt: d.loop.Mono()}) {
 		d.LogRejected(j.ID, reasonStopped)
-		return dispatch.Answer{Outcome: dispatch.Refused, Reason: reasonStopped}
+		return dispatch.Answer{Outcome: dispatch.Interrupted, Reason: reasonStopped}
 	}
 	select {
 	case a := <-answer:
@@ -134,7 +134,8 @@
 	return n
 }
 
-// reasonStopped is the reason for refusing a job that arrives after the core has stopped.
+// reasonStopped is the reason for giving up a job that arrives after the core has stopped. What was
+// known of earlier submissions is gone with it.
 const reasonStopped = "stopped"
 
 // LogRejected implements Service.
--- a/internal/dispatchd/service_test.go
+++ b/internal/dispatchd/service_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/dogwoodgauge/dogwoodgauge/core/dispatch"
 	"github.com/dogwoodgauge/dogwoodgauge/core/site"
 	"github.com/dogwoodgauge/dogwoodgauge/internal/httpserver"
@@ -76,3 +78,17 @@
 		t.Errorf("got state %+v, want one without a configuration", s)
 	}
 }
+
+// TestSubmissionAfterTheCoreHasStopped guards against a job that is refused as not run by a process
+// that no longer knows whether an earlier submission of it has run.
+func TestSubmissionAfterTheCoreHasStopped(t *testing.T) {
+	d := newDaemon(t, time.Second, func(Service) http.Handler { return http.NotFoundHandler() })
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := d.loop.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		t.Fatal(err)
+	}
+	if got := d.submit(context.Background(), dispatch.Job{ID: "j", Route: &site.Route{}}); got.Outcome != dispatch.Interrupted {
+		t.Errorf("got %+v, want interrupted", got)
+	}
+}
