--- a/core/policy/recent/recent.go
+++ b/core/policy/recent/recent.go
@@ -59,9 +59,13 @@
 // Renew remembers a job from now on, also if it is known already. It returns the job that was
 // forgotten for it, or an empty string.
 func (m *Memory) Renew(now time.Duration, id string) (forgotten string) {
-	if _, ok := m.at[id]; ok {
+	if at, ok := m.at[id]; ok {
+		i, _ := slices.BinarySearchFunc(m.order, at, func(x string, at time.Duration) int { return cmp.Compare(m.at[x], at) })
+		for m.order[i] != id {
+			i++
+		}
+		m.order = slices.Delete(m.order, i, i+1)
 		delete(m.at, id)
-		m.order = slices.DeleteFunc(m.order, func(x string) bool { return x == id })
 	}
 	_, forgotten = m.Add(now, id)
 	return forgotten
--- a/core/policy/recent/recent_test.go
+++ b/core/policy/recent/recent_test.go
@@ -27,6 +27,24 @@
 	}
 }
 
+// TestRenewedJobsAreForgottenLast guards against a job that is forgotten by its first time, or that
+// takes another one with it.
+func TestRenewedJobsAreForgottenLast(t *testing.T) {
+	var m Memory
+	for _, at := range []time.Duration{1, 1, 2, 3, 3} {
+		m.Add(at, fmt.Sprint(len(m.order)))
+	}
+	for i, id := range []string{"1", "4", "0", "4", "2"} {
+		m.Renew(3+time.Duration(i/2), id)
+	}
+	if got, want := fmt.Sprint(m.Jobs(5)), "[3 1 0 4 2]"; got != want {
+		t.Errorf("got the jobs %s, want %s", got, want)
+	}
+	if end := 3 + Retention; m.Known(end+1, "3") || m.Known(end+1, "1") || !m.Known(end+1, "0") || !m.Known(end+2, "2") {
+		t.Errorf("%v are remembered %v after the last change", m.Jobs(end+1), Retention)
+	}
+}
+
 // TestRunsOutliveOtherJobs guards against a job that has run and is forgotten while its caller still
 // waits for an answer elsewhere, by time or since others have run.
 func TestRunsOutliveOtherJobs(t *testing.T) {
