executor: a test that a result which is no longer held is unknown

The cause of the fault of the leased agent, an answer that is forgotten and then given anew, is not in the executor: what it has dropped is answered as unknown. No test showed that for a start and an abort that come again.

--- a/core/executor/window_test.go
+++ b/core/executor/window_test.go
@@ -58,3 +58,28 @@
 		})
 	}
 }
+
+// TestDroppedResultIsUnknown guards against a task that runs a second time, or is answered as never
+// started, since the executor no longer holds its result when its home is in touch again.
+func TestDroppedResultIsUnknown(t *testing.T) {
+	x := newTestExecutor(1)
+	if !x.run(job.Done) {
+		t.Fatal("the task did not start")
+	}
+	x.now = x.now.After(2 * time.Minute)
+	x.out = executor.Output{}
+	x.core.Tick(x.now, &x.out)
+	x.run(job.Done) // The home is heard again.
+	for name, repeat := range map[string]func(){
+		"start": func() {
+			x.core.Start(x.now, x.home, &message.Start{Seq: 1, Floor: 1, ID: "job-1", Attempt: 1, Timeout: time.Minute}, &x.out)
+		},
+		"abort": func() { x.core.Abort(x.now, x.home, &message.Abort{Seq: 1, Floor: 1}, &x.out) },
+	} {
+		x.out = executor.Output{}
+		repeat()
+		if len(x.out.Commands) != 0 || len(x.out.Replies) != 1 || x.out.Replies[0].Message.Result == nil || x.out.Replies[0].Message.Result.State != job.Unknown {
+			t.Errorf("%s: got %+v, want the result unknown and no start", name, x.out)
+		}
+	}
+}
