--- a/core/dispatch/fuzz_test.go
+++ b/core/dispatch/fuzz_test.go
@@ -19,6 +19,8 @@
 		}}}}},
 		{RunCompletion: &message.RunCompletion{Seq: 1, Result: message.RunLost, Reason: message.LostUpstreamCrashed}},
 		{RunCompletion: &message.RunCompletion{Seq: 1, Result: message.RunRefused, Reason: message.RefusedStale}},
+		{RunCompletion: &message.RunCompletion{Seq: 1, Result: message.RunRefused, Reason: message.RefusedNoCapacity, MayHaveRun: true}},
+		{RunCompletion: &message.RunCompletion{Seq: 1, Result: message.RunLost, Reason: message.LostForgotten, MayHaveRun: true}},
 		{RunCompletion: &message.RunCompletion{Seq: 1, Result: message.RunDone}},
 		{RunCompletion: &message.RunCompletion{Seq: 1, Result: message.RunRefused, Reason: message.RefusedCancelled}},
 		{Heartbeat: &message.Heartbeat{Timestamp: 1, Cancelled: []string{"", "j", "j"}}},
--- a/core/lessee/fuzz_test.go
+++ b/core/lessee/fuzz_test.go
@@ -15,6 +15,8 @@
 	for _, m := range []message.Message{
 		{Heartbeat: &message.Heartbeat{Timestamp: -1, EchoedTimestamp: 1 << 62, WantReply: true, FirstWaiting: &message.WaitingTask{}}},
 		{Offer: &message.Offer{Seq: 9, EchoedTimestamp: 1, EchoAge: -1 << 63, Demand: message.Resources{MilliCPU: -1}}},
+		{Offer: &message.Offer{Seq: 9, EchoedTimestamp: 1, FirstSentAt: -1 << 63}},
+		{Offer: &message.Offer{Seq: 9, EchoedTimestamp: 1 << 62, EchoAge: 1 << 62, FirstSentAt: 1<<63 - 1}},
 		{RevokeOffer: &message.RevokeOffer{Seq: 1}},
 		{Heartbeat: &message.Heartbeat{KnownCrash: 1 << 63}},
 		{Heartbeat: &message.Heartbeat{Timestamp: 1, Cancelled: []string{"", "j", "j"}}},
