--- a/core/dispatch/not_run_test.go
+++ b/core/dispatch/not_run_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/dogwoodgauge/dogwoodgauge/core/message"
 	"github.com/dogwoodgauge/dogwoodgauge/core/policy/recent"
+	"github.com/dogwoodgauge/dogwoodgauge/core/site"
 	"github.com/dogwoodgauge/dogwoodgauge/core/step"
 )
 
@@ -76,8 +77,16 @@
 		}, Interrupted},
 	}
 	ways := map[string]func(b *testBed, call uint64){
-		"deadline":     func(b *testBed, _ uint64) { b.advance(1600 * time.Millisecond) },
-		"caller gone":  func(b *testBed, call uint64) { b.step(CallerGone{Call: call}) },
+		"deadline":    func(b *testBed, _ uint64) { b.advance(1600 * time.Millisecond) },
+		"caller gone": func(b *testBed, call uint64) { b.step(CallerGone{Call: call}) },
+		"of no use": func(b *testBed, _ uint64) {
+			b.core.cfg.UsefulFactor = 1
+			b.advance(1600 * time.Millisecond)
+		},
+		"route removed": func(b *testBed, _ uint64) {
+			b.step(SiteChanged{State: &site.State{Revision: 9, Configured: true}})
+			b.advance(1600 * time.Millisecond)
+		},
 		"planned stop": func(b *testBed, call uint64) { b.step(step.Drain{}); b.step(CallerGone{Call: call, Cause: "stopped"}) },
 		"paused":       func(b *testBed, _ uint64) { b.now += 2 * time.Second; b.step(step.Tick{}) },
 		"held":         func(b *testBed, _ uint64) { b.learnHold("j", false, time.Second); b.advance(1600 * time.Millisecond) },
